--- /dev/null
+++ b/Makefile
@@ -0,0 +1,137 @@
+# Targets: all demo check bench install clean; see README.md.
+
+SANITIZE ?=
+PREFIX ?= /usr/local
+DESTDIR ?=
+CC = gcc
+CXX = g++
+
+comma := ,
+BUILD := build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
+PKGS = libmicrohttpd neon libzmq libsodium json-c liburcu glib-2.0 log4c \
+	libxxhash msgpack
+PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
+PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lm
+SAN_FLAGS := $(if $(SANITIZE),-fsanitize=$(SANITIZE) -fno-omit-frame-pointer)
+
+CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc
+WARN = -Wall -Wextra -Wformat=2 -Wshadow -Wpointer-arith -Werror
+CFLAGS = -std=gnu11 -O2 -g $(WARN) -Wstrict-prototypes -Wmissing-prototypes \
+	$(SAN_FLAGS)
+CXXFLAGS = -std=c++17 -O1 -g $(WARN) $(SAN_FLAGS)
+LDFLAGS = $(SAN_FLAGS) -pthread
+
+PROGRAMS = goldcresthatch-entry goldcresthatch-agent goldcresthatchctl
+STANDINS = standin-kv standin-runner standin-service load-client
+MAIN_goldcresthatch-entry = entry_main
+MAIN_goldcresthatch-agent = agent_main
+MAIN_goldcresthatchctl = ctl_main
+
+LIB_SRC = $(filter-out src/%_main.c,$(wildcard src/*.c))
+LIB_OBJ = $(LIB_SRC:src/%.c=$(BUILD)/%.o)
+LIB = $(BUILD)/libgoldcresthatch.a
+UNIT_SRC = $(wildcard tests/unit_*.cc)
+DIFF_SRC = $(wildcard tests/diff_*.cc)
+BENCH_SRC = $(wildcard bench/bench_*.c)
+BENCH_BIN = $(BENCH_SRC:bench/%.c=$(BUILD)/%)
+HAVE_MAIN = $(foreach p,$(PROGRAMS),$(if \
+	$(wildcard src/$(MAIN_$(p)).c),$(BUILD)/$(p)))
+HAVE_STANDIN = $(foreach s,$(STANDINS),$(if \
+	$(wildcard tests/$(subst -,_,$(s)).c),$(BUILD)/$(s)))
+C_FILES = $(wildcard src/*.c src/*.h include/goldcresthatch/*.h tests/*.c \
+	tests/*.h bench/*.c bench/*.h)
+CC_FILES = $(wildcard tests/*.cc tests/*.hh)
+
+.PHONY: all deps programs tests check check-format check-lint demo bench \
+	install clean
+.SECONDARY:
+
+all: deps
+	$(MAKE) programs
+
+deps:
+	@scripts/install-deps
+
+programs: $(HAVE_MAIN) $(HAVE_STANDIN)
+
+tests: programs $(BUILD)/unit-tests $(if $(DIFF_SRC),$(BUILD)/diff-tests)
+
+$(BUILD):
+	mkdir -p $@
+
+$(BUILD)/%.o: src/%.c | $(BUILD)
+	$(CC) $(CPPFLAGS) $(PKG_CFLAGS) $(CFLAGS) -fPIC -MMD -c $< -o $@
+
+$(BUILD)/test-%.o: tests/%.c | $(BUILD)
+	$(CC) $(CPPFLAGS) $(PKG_CFLAGS) $(CFLAGS) -MMD -c $< -o $@
+
+$(BUILD)/bench-%.o: bench/%.c | $(BUILD)
+	$(CC) $(CPPFLAGS) $(PKG_CFLAGS) $(CFLAGS) -MMD -c $< -o $@
+
+$(BUILD)/cc-%.o: tests/%.cc | $(BUILD)
+	$(CXX) $(CPPFLAGS) $(PKG_CFLAGS) $(CXXFLAGS) -MMD -c $< -o $@
+
+$(LIB): $(LIB_OBJ)
+	rm -f $@
+	ar rcs $@ $^
+
+define program_rule
+$(BUILD)/$(1): $(BUILD)/$(MAIN_$(1)).o $(LIB)
+	$$(CC) $$(LDFLAGS) -o $$@ $$^ $$(PKG_LIBS)
+endef
+$(foreach p,$(PROGRAMS),$(eval $(call program_rule,$(p))))
+
+define standin_rule
+$(BUILD)/$(1): $(BUILD)/test-$(subst -,_,$(1)).o $(LIB)
+	$$(CC) $$(LDFLAGS) -o $$@ $$^ $$(PKG_LIBS)
+endef
+$(foreach s,$(STANDINS),$(eval $(call standin_rule,$(s))))
+
+$(BUILD)/unit-tests: $(UNIT_SRC:tests/%.cc=$(BUILD)/cc-%.o) $(LIB)
+	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest_main -lgtest $(PKG_LIBS)
+
+$(BUILD)/diff-tests: $(DIFF_SRC:tests/%.cc=$(BUILD)/cc-%.o) $(LIB)
+	$(CXX) $(LDFLAGS) -o $@ $^ -lrapidcheck -lgtest_main -lgtest $(PKG_LIBS)
+
+$(BUILD)/bench_%: $(BUILD)/bench-bench_%.o $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+check-format:
+	clang-format --dry-run -Werror $(C_FILES) $(CC_FILES)
+
+LINT_STAMPS = $(patsubst %.c,$(BUILD)/lint/%.ok,$(filter %.c,$(C_FILES)))
+
+check-lint: $(LINT_STAMPS)
+
+$(BUILD)/lint/%.ok: %.c .clang-tidy $(wildcard src/*.h) \
+	$(wildcard include/goldcresthatch/*.h)
+	@mkdir -p $(@D)
+	clang-tidy --quiet $< -- -std=gnu11 $(CPPFLAGS) $(PKG_CFLAGS)
+	@touch $@
+
+check: deps
+	@$(MAKE) -j$$(nproc) tests
+	@BUILD=$(BUILD) MAKE=$(MAKE) tests/run-checks
+
+demo: all
+	BUILD=$(BUILD) scripts/demo
+
+bench: deps
+	@$(MAKE) -j$$(nproc) programs $(BENCH_BIN)
+	@for b in $(BENCH_BIN); do echo "== $${b##*/}"; BUILD=$(BUILD) $$b \
+		|| exit 1; done
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib \
+	  $(DESTDIR)$(PREFIX)/include/goldcresthatch \
+	  $(DESTDIR)$(PREFIX)/share/man/man8
+	install $(HAVE_MAIN) $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
+	install -m 644 include/goldcresthatch/*.h \
+	  $(DESTDIR)$(PREFIX)/include/goldcresthatch
+	install -m 644 man/*.8 $(DESTDIR)$(PREFIX)/share/man/man8
+
+clean:
+	rm -rf build build-*
+
+-include $(wildcard $(BUILD)/*.d)
