--- /dev/null
+++ b/src/msg.c
@@ -0,0 +1,335 @@
+#include "goldcresthatch/msg.h"
+
+#include <msgpack.h>
+#include <sodium.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum field_kind
+{
+  FIELD_UINT,
+  FIELD_ID,
+  FIELD_NAME, /* at most MSG_NAME_MAX bytes */
+  FIELD_TEXT, /* at most MSG_SIZE_MAX bytes */
+  FIELD_BOUND /* unsigned number below a limit */
+};
+
+struct field
+{
+  enum field_kind kind;
+  size_t offset; /* in struct msg */
+  uint64_t limit;
+};
+
+struct layout
+{
+  const char *name;
+  const struct field *fields;
+  size_t count;
+};
+
+enum
+{
+  HEADER_FIELDS = 2, /* version and type */
+  FIELDS_MAX = 18
+};
+
+#define U(m)                                                                  \
+  {                                                                           \
+    FIELD_UINT, offsetof (struct msg, u.m), 0                                 \
+  }
+#define I(m)                                                                  \
+  {                                                                           \
+    FIELD_ID, offsetof (struct msg, u.m), 0                                   \
+  }
+#define N(m)                                                                  \
+  {                                                                           \
+    FIELD_NAME, offsetof (struct msg, u.m), MSG_NAME_MAX                      \
+  }
+#define T(m)                                                                  \
+  {                                                                           \
+    FIELD_TEXT, offsetof (struct msg, u.m), MSG_SIZE_MAX                      \
+  }
+#define B(m, l)                                                               \
+  {                                                                           \
+    FIELD_BOUND, offsetof (struct msg, u.m), l                                \
+  }
+
+static const struct field hello_fields[]
+    = { N (hello.entry), U (hello.incarnation), U (hello.cfg_generation) };
+
+static const struct field report_fields[]
+    = { N (report.agent),          U (report.incarnation),
+        U (report.window),         B (report.state, MSG_AGENT_STATE_MAX),
+        B (report.endpoint_up, 2), N (report.service),
+        N (report.zone),           U (report.role),
+        U (report.running),        U (report.queued),
+        U (report.prompt_tokens),  U (report.capacity),
+        U (report.cfg_generation), U (report.fence) };
+
+static const struct field call_fields[] = {
+  I (call.call),         I (call.attempt),         U (call.incarnation),
+  U (call.window),       B (call.at_most_once, 2), N (call.method),
+  T (call.path),         N (call.content_type),    T (call.body),
+  U (call.budget_ms),    U (call.priority),        B (call.stream, 2),
+  U (call.resume_index), U (call.fingerprint),     N (call.traceparent)
+};
+
+static const struct field head_fields[]
+    = { I (head.call), I (head.attempt), B (head.status, 1000),
+        N (head.content_type) };
+
+static const struct field data_fields[]
+    = { I (data.call), I (data.attempt), U (data.sequence), T (data.bytes) };
+
+static const struct field end_fields[]
+    = { I (end.call),          I (end.attempt),
+        U (end.frames),        B (end.outcome, MSG_OUTCOME_MAX),
+        N (end.step),          T (end.text),
+        U (end.running),       U (end.queued),
+        U (end.cfg_generation) };
+
+static const struct field cancel_fields[]
+    = { I (cancel.call), I (cancel.attempt) };
+
+static const struct field void_fields[]
+    = { I (bar.attempt), U (bar.incarnation), U (bar.window) };
+
+static const struct field voided_fields[]
+    = { I (voided.attempt), B (voided.state, MSG_VOID_STATE_MAX),
+        B (voided.status, 1000), N (voided.content_type), T (voided.body) };
+
+static const struct field order_fields[]
+    = { N (order.shard), U (order.fence),    I (order.order),
+        U (order.role),  B (order.drain, 2), N (order.model) };
+
+static const struct field ordered_fields[]
+    = { I (ordered.order), B (ordered.state, MSG_ORDER_STATE_MAX),
+        N (ordered.step), T (ordered.text) };
+
+static const struct field cfg_get_fields[] = { U (cfg_get.generation) };
+
+static const struct field cfg_data_fields[]
+    = { U (cfg_data.generation), T (cfg_data.sections) };
+
+#define LAYOUT(name, fields)                                                  \
+  {                                                                           \
+    name, fields, sizeof fields / sizeof fields[0]                            \
+  }
+
+static const struct layout layouts[MSG_TYPE_MAX] = {
+  [MSG_HELLO] = LAYOUT ("HELLO", hello_fields),
+  [MSG_REPORT] = LAYOUT ("REPORT", report_fields),
+  [MSG_CALL] = LAYOUT ("CALL", call_fields),
+  [MSG_HEAD] = LAYOUT ("HEAD", head_fields),
+  [MSG_DATA] = LAYOUT ("DATA", data_fields),
+  [MSG_END] = LAYOUT ("END", end_fields),
+  [MSG_CANCEL] = LAYOUT ("CANCEL", cancel_fields),
+  [MSG_VOID] = LAYOUT ("VOID", void_fields),
+  [MSG_VOIDED] = LAYOUT ("VOIDED", voided_fields),
+  [MSG_ORDER] = LAYOUT ("ORDER", order_fields),
+  [MSG_ORDERED] = LAYOUT ("ORDERED", ordered_fields),
+  [MSG_CFG_GET] = LAYOUT ("CFG_GET", cfg_get_fields),
+  [MSG_CFG_DATA] = LAYOUT ("CFG_DATA", cfg_data_fields),
+};
+
+static void
+pack_field (msgpack_packer *pk, const struct field *field, const char *at)
+{
+  const struct msg_id *id;
+  const struct msg_str *str;
+
+  switch (field->kind)
+    {
+    case FIELD_UINT:
+    case FIELD_BOUND:
+      msgpack_pack_uint64 (pk, *(const uint64_t *)at);
+      return;
+    case FIELD_ID:
+      id = (const struct msg_id *)at;
+      msgpack_pack_bin (pk, sizeof *id);
+      msgpack_pack_bin_body (pk, id, sizeof *id);
+      return;
+    case FIELD_NAME:
+    case FIELD_TEXT:
+      str = (const struct msg_str *)at;
+      msgpack_pack_bin (pk, str->n);
+      if (str->n > 0)
+        msgpack_pack_bin_body (pk, str->p, str->n);
+      return;
+    }
+}
+
+int
+msg_encode (const struct msg *msg, void **data, size_t *size, struct err *err)
+{
+  const struct layout *layout = &layouts[msg->type];
+  msgpack_sbuffer buf;
+  msgpack_packer pk;
+  size_t i;
+
+  msgpack_sbuffer_init (&buf);
+  msgpack_packer_init (&pk, &buf, msgpack_sbuffer_write);
+  msgpack_pack_array (&pk, HEADER_FIELDS + layout->count);
+  msgpack_pack_uint64 (&pk, MSG_VERSION);
+  msgpack_pack_uint64 (&pk, msg->type);
+  for (i = 0; i < layout->count; i++)
+    pack_field (&pk, &layout->fields[i],
+                (const char *)msg + layout->fields[i].offset);
+  if (buf.size > MSG_SIZE_MAX)
+    {
+      err_set (err, ERR_LIMIT, "encode", NULL,
+               "%s of %zu bytes exceeds the limit of %d", layout->name,
+               buf.size, MSG_SIZE_MAX);
+      msgpack_sbuffer_destroy (&buf);
+      return -1;
+    }
+  *size = buf.size;
+  *data = msgpack_sbuffer_release (&buf);
+  return 0;
+}
+
+static int
+decode_field (const msgpack_object *obj, const struct field *field, char *at)
+{
+  struct msg_str *str;
+
+  switch (field->kind)
+    {
+    case FIELD_UINT:
+    case FIELD_BOUND:
+      if (obj->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+        return -1;
+      if (field->kind == FIELD_BOUND && obj->via.u64 >= field->limit)
+        return -1;
+      *(uint64_t *)at = obj->via.u64;
+      return 0;
+    case FIELD_ID:
+      if (obj->type != MSGPACK_OBJECT_BIN
+          || obj->via.bin.size != sizeof (struct msg_id))
+        return -1;
+      memcpy (at, obj->via.bin.ptr, sizeof (struct msg_id));
+      return 0;
+    case FIELD_NAME:
+    case FIELD_TEXT:
+      if (obj->type != MSGPACK_OBJECT_BIN || obj->via.bin.size > field->limit)
+        return -1;
+      str = (struct msg_str *)at;
+      str->p = obj->via.bin.ptr;
+      str->n = obj->via.bin.size;
+      return 0;
+    }
+  return -1;
+}
+
+/* Checks the array that holds a message and finds its layout.  */
+static const struct layout *
+decode_header (const msgpack_object *root, struct msg *msg, struct err *err)
+{
+  const msgpack_object *items = root->via.array.ptr;
+  const struct layout *layout;
+
+  if (root->type != MSGPACK_OBJECT_ARRAY
+      || root->via.array.size < HEADER_FIELDS
+      || items[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER
+      || items[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+    {
+      err_set (err, ERR_PROTOCOL, "decode", NULL, "not a message");
+      return NULL;
+    }
+  if (items[0].via.u64 != MSG_VERSION || items[1].via.u64 >= MSG_TYPE_MAX)
+    {
+      err_set (err, ERR_PROTOCOL, "decode", NULL,
+               "unknown version or type of message");
+      return NULL;
+    }
+  msg->type = (enum msg_type)items[1].via.u64;
+  layout = &layouts[msg->type];
+  if (root->via.array.size != HEADER_FIELDS + layout->count)
+    {
+      err_set (err, ERR_PROTOCOL, "decode", NULL, "%s with %u fields",
+               layout->name, root->via.array.size);
+      return NULL;
+    }
+  return layout;
+}
+
+int
+msg_decode (const void *data, size_t size, struct msg *msg, struct err *err)
+{
+  const struct layout *layout;
+  msgpack_unpacked unpacked;
+  size_t i;
+  size_t off = 0;
+  int rc = -1;
+
+  memset (msg, 0, sizeof *msg);
+  if (size > MSG_SIZE_MAX)
+    return err_set (err, ERR_PROTOCOL, "decode", NULL,
+                    "message of %zu bytes exceeds the limit", size);
+  msgpack_unpacked_init (&unpacked);
+  if (msgpack_unpack_next (&unpacked, data, size, &off)
+          != MSGPACK_UNPACK_SUCCESS
+      || off != size)
+    {
+      err_set (err, ERR_PROTOCOL, "decode", NULL, "not a message");
+      goto out;
+    }
+  layout = decode_header (&unpacked.data, msg, err);
+  if (layout == NULL)
+    goto out;
+  for (i = 0; i < layout->count; i++)
+    if (decode_field (&unpacked.data.via.array.ptr[HEADER_FIELDS + i],
+                      &layout->fields[i],
+                      (char *)msg + layout->fields[i].offset)
+        != 0)
+      {
+        err_set (err, ERR_PROTOCOL, "decode", NULL, "%s has a bad field %zu",
+                 layout->name, i);
+        goto out;
+      }
+  rc = 0;
+out:
+  msgpack_unpacked_destroy (&unpacked);
+  return rc;
+}
+
+const char *
+msg_name (enum msg_type type)
+{
+  return type < MSG_TYPE_MAX ? layouts[type].name : "?";
+}
+
+struct msg_str
+msg_str (const char *s)
+{
+  struct msg_str str = { s != NULL ? s : "", s != NULL ? strlen (s) : 0 };
+
+  return str;
+}
+
+void
+msg_str_copy (char *dst, size_t size, struct msg_str s)
+{
+  size_t n = s.n < size - 1 ? s.n : size - 1;
+
+  if (n > 0)
+    memcpy (dst, s.p, n);
+  dst[n] = '\0';
+}
+
+int
+msg_id_equal (struct msg_id a, struct msg_id b)
+{
+  return a.hi == b.hi && a.lo == b.lo;
+}
+
+struct msg_id
+msg_id_new (void)
+{
+  struct msg_id id;
+
+  randombytes_buf (&id, sizeof id);
+  return id;
+}
