--- a/src/msg.c
+++ b/src/msg.c
@@ -1,5 +1,6 @@
 #include "goldcresthatch/msg.h"
 
+#include <glib.h>
 #include <msgpack.h>
 #include <sodium.h>
 #include <stddef.h>
@@ -115,7 +116,7 @@
 
 #define LAYOUT(name, fields)                                                  \
   {                                                                           \
-    name, fields, sizeof fields / sizeof fields[0]                            \
+    name, fields, G_N_ELEMENTS (fields)                                       \
   }
 
 static const struct layout layouts[MSG_TYPE_MAX] = {
