--- /dev/null
+++ b/include/goldcresthatch/net.h
@@ -0,0 +1,56 @@
+#ifndef GOLDCRESTHATCH_NET_H
+#define GOLDCRESTHATCH_NET_H
+
+/*
+ * NAME
+ *   net - ZeroMQ connections between entries and agents
+ *
+ * DESCRIPTION
+ *   One thread owns the sockets; other threads hand it messages through a
+ *   queue.  Callbacks run on that thread and must not block.  A message is
+ *   never kept for a peer that is away: it is reported as unsent instead.
+ *
+ *   Lock order: the queue's lock is a leaf; no callback runs under it.
+ */
+
+#include <stdint.h>
+
+#include "goldcresthatch/err.h"
+#include "goldcresthatch/msg.h"
+
+struct net;
+
+struct net_ops
+{
+  /* A message arrived from PEER; its strings live until the return.  */
+  void (*message) (void *ctx, uint64_t peer, const struct msg *msg);
+
+  /* MSG did not leave for PEER and never will.  */
+  void (*unsent) (void *ctx, uint64_t peer, const struct msg *msg);
+};
+
+/* Opens the agent's side, bound to ADDRESS, "IP:PORT".  Returns null on
+   failure.  */
+struct net *net_open_agent (const char *address, const struct net_ops *ops,
+                            void *ctx, struct err *err);
+
+/* Opens the entry's side under IDENTITY, which no other process uses.  */
+struct net *net_open_entry (const char *identity, const struct net_ops *ops,
+                            void *ctx, struct err *err);
+
+/* Starts a connection of the entry's side to ADDRESS and returns its peer
+   handle, which is never reused.  */
+uint64_t net_connect (struct net *net, const char *address);
+
+/* Ends the connection to PEER.  */
+void net_disconnect (struct net *net, uint64_t peer);
+
+/* Queues MSG for PEER; safe from any thread.  Returns 0, or -1 when it is too
+   large.  */
+int net_send (struct net *net, uint64_t peer, const struct msg *msg,
+              struct err *err);
+
+/* Sends what is queued, stops the thread and frees NET.  */
+void net_close (struct net *net);
+
+#endif
--- /dev/null
+++ b/include/goldcresthatch/set.h
@@ -0,0 +1,67 @@
+#ifndef GOLDCRESTHATCH_SET_H
+#define GOLDCRESTHATCH_SET_H
+
+/*
+ * NAME
+ *   set - settings of a process, read from JSON with comments
+ *
+ * DESCRIPTION
+ *   The members that a program knows stand in a static table.  A file is
+ *   checked whole: every error is reported at once, and unknown members are
+ *   errors.
+ */
+
+#include <glib.h>
+#include <stddef.h>
+#include <stdint.h>
+
+enum
+{
+  SET_TEXT_MAX = 256, /* bytes of a text member */
+  SET_LIST_MAX = 64   /* items of a list member */
+};
+
+enum set_kind
+{
+  SET_TEXT,
+  SET_ADDRESS, /* "IP:PORT" */
+  SET_NUMBER,
+  SET_ADDRESSES /* list of "IP:PORT" */
+};
+
+struct set_list
+{
+  size_t count;
+  char items[SET_LIST_MAX][SET_TEXT_MAX];
+};
+
+/* One member: TEXT and ADDRESS fill a char array of SET_TEXT_MAX bytes, NUMBER
+   an int64_t, ADDRESSES a struct set_list.  */
+struct set_member
+{
+  const char *name;
+  enum set_kind kind;
+  size_t offset;
+  int required;
+  const char *text;  /* default of a text */
+  int64_t number;    /* default of a number */
+  int64_t min;       /* of a number */
+  int64_t max;       /* of a number */
+  const char *words; /* allowed words of a text, split by '|', or null */
+};
+
+/* Reads FILE into OUT through the COUNT members of TABLE.  Returns 0, or -1
+   after appending one line for each error, "FILE[:LINE]: MEMBER: expected
+   ...", to ERRORS.  */
+int set_read (const char *file, const struct set_member *table, size_t count,
+              void *out, GString *errors);
+
+/* Does the same for the JSON TEXT; NAME stands for the file in errors.  */
+int set_parse (const char *name, const char *text, size_t size,
+               const struct set_member *table, size_t count, void *out,
+               GString *errors);
+
+/* Checks that S is "IP:PORT" with an IPv4 address.  Returns nonzero if so.  */
+int set_is_address (const char *s);
+
+#endif
--- /dev/null
+++ b/src/agent_main.c
@@ -0,0 +1,195 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "agent.h"
+#include "daemon.h"
+#include "goldcresthatch/log.h"
+#include "http.h"
+
+enum
+{
+  KV_TIMEOUT_S = 1,
+  DRAIN_POLL_MS = 20
+};
+
+#define MEMBER(n, k, ...)                                                     \
+  {                                                                           \
+    .name = #n, .kind = k, .offset = offsetof (struct agent_settings, n),     \
+    __VA_ARGS__                                                               \
+  }
+
+static const struct set_member members[] = {
+  MEMBER (name, SET_TEXT, .required = 1),
+  MEMBER (zone, SET_TEXT, .required = 1),
+  MEMBER (listen, SET_ADDRESS, .required = 1),
+  MEMBER (lock, SET_ADDRESS, .required = 1),
+  MEMBER (endpoint, SET_ADDRESS, .required = 1),
+  MEMBER (kind, SET_TEXT, .required = 1, .words = "engine|plain"),
+  MEMBER (service, SET_TEXT, .required = 1),
+  MEMBER (health_path, SET_TEXT, .text = "/health"),
+  MEMBER (kv, SET_ADDRESS, .required = 1),
+  MEMBER (log_level, SET_TEXT, .text = "info",
+          .words = "error|warn|info|debug"),
+  MEMBER (capacity, SET_NUMBER, .number = 32, .min = 1, .max = 1024),
+  MEMBER (drain_limit_s, SET_NUMBER, .number = 60, .min = 1, .max = 3600),
+};
+
+static const struct daemon_program program = {
+  .name = "goldcresthatch-agent",
+  .summary = "Sole access point to the runner of an endpoint VM.",
+  .members = members,
+  .member_count = G_N_ELEMENTS (members),
+};
+
+/* Binds ADDRESS without SO_REUSEADDR's sharing, so that the kernel refuses a
+   second agent on the VM even while the first is stopped.  */
+static int
+bind_lock (const char *address, struct err *err)
+{
+  struct sockaddr_in sin = { .sin_family = AF_INET };
+  char host[SET_TEXT_MAX];
+  char *colon;
+  int fd;
+
+  snprintf (host, sizeof host, "%s", address);
+  colon = strrchr (host, ':');
+  *colon = '\0';
+  inet_pton (AF_INET, host, &sin.sin_addr);
+  sin.sin_port = htons ((uint16_t)atoi (colon + 1));
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (fd < 0 || bind (fd, (struct sockaddr *)&sin, sizeof sin) != 0
+      || listen (fd, 1) != 0)
+    {
+      err_set (err, ERR_CONFLICT, "lock", address,
+               "another agent runs on this VM: %s", strerror (errno));
+      if (fd >= 0)
+        close (fd);
+      return -1;
+    }
+  return fd;
+}
+
+static int
+agent_open (struct agent *agent, struct err *err)
+{
+  agent->start_us = g_get_monotonic_time ();
+  randombytes_buf (&agent->incarnation, sizeof agent->incarnation);
+  pthread_mutex_init (&agent->lock, NULL);
+  agent->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                       (GDestroyNotify)agent_job_unref);
+  agent->peers
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  agent->workers = g_thread_pool_new (
+      agent_work, agent, (gint)agent->settings.capacity, FALSE, NULL);
+  agent->kv = kv_http_open (agent->settings.kv, KV_TIMEOUT_S, err);
+  if (agent->kv == NULL)
+    return -1;
+  agent->net
+      = net_open_agent (agent->settings.listen, &agent_net_ops, agent, err);
+  if (agent->net == NULL)
+    return -1;
+  if (pthread_create (&agent->probe, NULL, agent_probe_main, agent) != 0)
+    return err_set (err, ERR_LIMIT, "thread", NULL, "cannot start a thread");
+  return 0;
+}
+
+static unsigned
+jobs_left (struct agent *agent)
+{
+  unsigned left;
+
+  pthread_mutex_lock (&agent->lock);
+  left = g_hash_table_size (agent->jobs);
+  pthread_mutex_unlock (&agent->lock);
+  return left;
+}
+
+/* Takes no new work and waits for the jobs in progress, until the limit or a
+   second signal.  Returns the number of jobs cut.  */
+static unsigned
+agent_drain (struct agent *agent)
+{
+  gint64 limit = g_get_monotonic_time ()
+                 + agent->settings.drain_limit_s * G_USEC_PER_SEC;
+
+  pthread_mutex_lock (&agent->lock);
+  agent->state = MSG_AGENT_LEAVING;
+  pthread_mutex_unlock (&agent->lock);
+  agent_report (agent, 0);
+  while (jobs_left (agent) > 0 && g_get_monotonic_time () < limit)
+    if (daemon_wait_signal (DRAIN_POLL_MS))
+      break;
+  return jobs_left (agent);
+}
+
+static void
+agent_close (struct agent *agent)
+{
+  g_atomic_int_set (&agent->stopping, 1);
+  pthread_join (agent->probe, NULL);
+  g_thread_pool_free (agent->workers, FALSE, TRUE);
+  net_close (agent->net);
+  kv_http_close (agent->kv);
+  g_hash_table_destroy (agent->jobs);
+  g_hash_table_destroy (agent->peers);
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct agent agent;
+  enum log_level level = LOG_LEVEL_INFO;
+  struct err err;
+  unsigned cut;
+  int lock_fd;
+  int rc = EXIT_FAILURE;
+
+  switch (daemon_start (&program, argc, argv, &agent.settings))
+    {
+    case DAEMON_RUN:
+      break;
+    case DAEMON_DONE:
+      return EXIT_SUCCESS;
+    case DAEMON_FAILED:
+      return EXIT_FAILURE;
+    case DAEMON_USAGE:
+      return 2;
+    }
+  log_level_parse (agent.settings.log_level, &level);
+  if (log_open (program.name, level) != 0 || sodium_init () < 0
+      || http_init () != 0)
+    return EXIT_FAILURE;
+  daemon_block_signals ();
+  lock_fd = bind_lock (agent.settings.lock, &err);
+  if (lock_fd < 0)
+    goto fail;
+  if (agent_open (&agent, &err) != 0)
+    goto fail_lock;
+  log_write (LOG_LEVEL_INFO, NULL, "start", agent.settings.listen,
+             "agent %s serves %s", agent.settings.name,
+             agent.settings.service);
+  daemon_wait_signal (-1);
+  cut = agent_drain (&agent);
+  if (cut > 0)
+    {
+      log_write (LOG_LEVEL_ERROR, NULL, "stop", NULL, "%u calls were cut",
+                 cut);
+      _exit (EXIT_FAILURE);
+    }
+  agent_close (&agent);
+  log_write (LOG_LEVEL_INFO, NULL, "stop", NULL, "stopped, nothing was cut");
+  rc = EXIT_SUCCESS;
+fail_lock:
+  close (lock_fd);
+fail:
+  if (rc != EXIT_SUCCESS)
+    log_err (LOG_LEVEL_ERROR, NULL, &err);
+  log_close ();
+  return rc;
+}
--- /dev/null
+++ b/src/agent_net.c
@@ -0,0 +1,239 @@
+#include "agent.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "goldcresthatch/ctr.h"
+#include "goldcresthatch/log.h"
+
+enum
+{
+  WINDOW_US = 30 * G_USEC_PER_SEC,
+  PEER_SILENCE_US = 10 * G_USEC_PER_SEC /* until reports to an entry stop */
+};
+
+uint64_t
+agent_window (const struct agent *agent)
+{
+  return 1 + (uint64_t)(g_get_monotonic_time () - agent->start_us) / WINDOW_US;
+}
+
+static void
+fill_report (struct agent *agent, struct msg *msg)
+{
+  struct msg_report *report = &msg->u.report;
+
+  memset (msg, 0, sizeof *msg);
+  msg->type = MSG_REPORT;
+  report->agent = msg_str (agent->settings.name);
+  report->zone = msg_str (agent->settings.zone);
+  report->service = msg_str (agent->settings.service);
+  report->incarnation = agent->incarnation;
+  report->window = agent_window (agent);
+  report->capacity = (uint64_t)agent->settings.capacity;
+  pthread_mutex_lock (&agent->lock);
+  report->state = agent->state;
+  report->endpoint_up = (uint64_t)agent->endpoint_up;
+  report->running = agent->running;
+  report->queued = g_hash_table_size (agent->jobs) - agent->running;
+  pthread_mutex_unlock (&agent->lock);
+}
+
+/* Copies the handles of the entries heard from lately.  */
+static GArray *
+recent_peers (struct agent *agent)
+{
+  GArray *peers = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  gint64 now = g_get_monotonic_time ();
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  pthread_mutex_lock (&agent->lock);
+  g_hash_table_iter_init (&iter, agent->peers);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (now - *(gint64 *)value > PEER_SILENCE_US)
+      g_hash_table_iter_remove (&iter);
+    else
+      g_array_append_vals (peers, key, 1);
+  pthread_mutex_unlock (&agent->lock);
+  return peers;
+}
+
+void
+agent_report (struct agent *agent, uint64_t peer)
+{
+  struct msg msg;
+  GArray *peers;
+  guint i;
+
+  fill_report (agent, &msg);
+  if (peer != 0)
+    {
+      net_send (agent->net, peer, &msg, NULL);
+      return;
+    }
+  peers = recent_peers (agent);
+  for (i = 0; i < peers->len; i++)
+    net_send (agent->net, g_array_index (peers, uint64_t, i), &msg, NULL);
+  g_array_free (peers, TRUE);
+}
+
+static void
+on_hello (struct agent *agent, uint64_t peer, const struct msg *msg)
+{
+  gint64 now = g_get_monotonic_time ();
+
+  (void)msg;
+  pthread_mutex_lock (&agent->lock);
+  g_hash_table_insert (agent->peers, g_memdup2 (&peer, sizeof peer),
+                       g_memdup2 (&now, sizeof now));
+  pthread_mutex_unlock (&agent->lock);
+  agent_report (agent, peer);
+}
+
+static struct agent_job *
+job_new (struct agent *agent, uint64_t peer, const struct msg_call *call)
+{
+  struct agent_job *job = calloc (1, sizeof *job);
+
+  job->refs = 1;
+  job->agent = agent;
+  job->peer = peer;
+  job->call = call->call;
+  job->attempt = call->attempt;
+  job->at_most_once = call->at_most_once != 0;
+  msg_str_copy (job->method, sizeof job->method, call->method);
+  msg_str_copy (job->content_type, sizeof job->content_type,
+                call->content_type);
+  msg_str_copy (job->traceparent, sizeof job->traceparent, call->traceparent);
+  job->path = g_strndup (call->path.p, call->path.n);
+  job->body = g_memdup2 (call->body.p, call->body.n);
+  job->body_size = call->body.n;
+  job->priority = call->priority;
+  job->resume_index = call->resume_index;
+  job->deadline_us = g_get_monotonic_time () + (gint64)call->budget_ms * 1000;
+  return job;
+}
+
+void
+agent_job_unref (struct agent_job *job)
+{
+  if (!g_atomic_int_dec_and_test (&job->refs))
+    return;
+  g_free (job->path);
+  g_free (job->body);
+  free (job);
+}
+
+void
+agent_send_end (struct agent_job *job, enum msg_outcome outcome,
+                const char *step, const char *text)
+{
+  struct agent *agent = job->agent;
+  struct msg msg = { .type = MSG_END };
+
+  msg.u.end.call = job->call;
+  msg.u.end.attempt = job->attempt;
+  msg.u.end.frames = job->frames;
+  msg.u.end.outcome = outcome;
+  msg.u.end.step = msg_str (step);
+  msg.u.end.text = msg_str (text);
+  pthread_mutex_lock (&agent->lock);
+  msg.u.end.running = agent->running;
+  msg.u.end.queued = g_hash_table_size (agent->jobs) - agent->running;
+  pthread_mutex_unlock (&agent->lock);
+  net_send (agent->net, job->peer, &msg, NULL);
+}
+
+/* Returns why the call must not start, or null.  */
+static const char *
+refuse_call (struct agent *agent, const struct msg_call *call)
+{
+  uint64_t window = agent_window (agent);
+
+  if (call->incarnation != agent->incarnation)
+    return "addressed to an earlier incarnation";
+  if (call->window + 1 < window || call->window > window)
+    return "addressed in an earlier window";
+  if (agent->state != MSG_AGENT_SERVING)
+    return "the agent takes no new work";
+  if (!agent->endpoint_up)
+    return "the endpoint is down";
+  if (g_hash_table_contains (agent->jobs, &call->attempt))
+    return "the attempt is known already";
+  return NULL;
+}
+
+static void
+on_call (struct agent *agent, uint64_t peer, const struct msg *msg)
+{
+  struct agent_job *job = job_new (agent, peer, &msg->u.call);
+  const char *reason;
+
+  pthread_mutex_lock (&agent->lock);
+  reason = refuse_call (agent, &msg->u.call);
+  if (reason == NULL)
+    {
+      g_atomic_int_inc (&job->refs);
+      g_hash_table_insert (agent->jobs, &job->attempt, job);
+    }
+  pthread_mutex_unlock (&agent->lock);
+  if (reason == NULL)
+    {
+      g_thread_pool_push (agent->workers, job, NULL);
+      return;
+    }
+  ctr_add (CTR_STALE_CALLS_REFUSED, 1);
+  agent_send_end (job, MSG_OUTCOME_NOT_RUN, "admit", reason);
+  agent_job_unref (job);
+}
+
+static void
+on_cancel (struct agent *agent, uint64_t peer, const struct msg *msg)
+{
+  struct agent_job *job;
+
+  (void)peer;
+  pthread_mutex_lock (&agent->lock);
+  job = g_hash_table_lookup (agent->jobs, &msg->u.cancel.attempt);
+  if (job != NULL)
+    g_atomic_int_set (&job->cancelled, 1);
+  pthread_mutex_unlock (&agent->lock);
+}
+
+static void (*const handlers[MSG_TYPE_MAX]) (struct agent *, uint64_t,
+                                             const struct msg *)
+    = {
+        [MSG_HELLO] = on_hello,
+        [MSG_CALL] = on_call,
+        [MSG_CANCEL] = on_cancel,
+      };
+
+static void
+on_message (void *ctx, uint64_t peer, const struct msg *msg)
+{
+  if (handlers[msg->type] != NULL)
+    handlers[msg->type](ctx, peer, msg);
+  else
+    ctr_add (CTR_MESSAGES_MALFORMED, 1);
+}
+
+/* An entry that is gone lost its callers too; their work is of no use.  */
+static void
+on_unsent (void *ctx, uint64_t peer, const struct msg *msg)
+{
+  struct agent *agent = ctx;
+  struct agent_job *job;
+
+  (void)peer;
+  if (msg->type != MSG_DATA && msg->type != MSG_HEAD)
+    return;
+  pthread_mutex_lock (&agent->lock);
+  job = g_hash_table_lookup (agent->jobs, &msg->u.data.attempt);
+  if (job != NULL && !job->at_most_once)
+    g_atomic_int_set (&job->cancelled, 1);
+  pthread_mutex_unlock (&agent->lock);
+}
+
+const struct net_ops agent_net_ops = { on_message, on_unsent };
--- /dev/null
+++ b/src/agent_work.c
@@ -0,0 +1,157 @@
+#include "agent.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "goldcresthatch/ctr.h"
+#include "goldcresthatch/log.h"
+#include "http.h"
+
+enum
+{
+  READ_TIMEOUT_S = 30, /* silence of the endpoint in a response */
+  NUMBER_MAX = 24
+};
+
+static int
+on_head (void *ctx, int status, ne_request *req)
+{
+  struct agent_job *job = ctx;
+  struct msg msg = { .type = MSG_HEAD };
+
+  job->answered = 1;
+  msg.u.head.call = job->call;
+  msg.u.head.attempt = job->attempt;
+  msg.u.head.status = (uint64_t)status;
+  msg.u.head.content_type
+      = msg_str (ne_get_response_header (req, "Content-Type"));
+  if (msg.u.head.content_type.n > MSG_NAME_MAX)
+    msg.u.head.content_type.n = MSG_NAME_MAX;
+  net_send (job->agent->net, job->peer, &msg, NULL);
+  return g_atomic_int_get (&job->cancelled);
+}
+
+static int
+on_data (void *ctx, const char *data, size_t size)
+{
+  struct agent_job *job = ctx;
+  struct msg msg = { .type = MSG_DATA };
+
+  msg.u.data.call = job->call;
+  msg.u.data.attempt = job->attempt;
+  msg.u.data.sequence = job->frames++;
+  msg.u.data.bytes.p = data;
+  msg.u.data.bytes.n = size;
+  net_send (job->agent->net, job->peer, &msg, NULL);
+  return g_atomic_int_get (&job->cancelled);
+}
+
+/* Asks an engine to stop a request whose answer is no longer read.  */
+static void
+cancel_on_engine (struct agent_job *job, const char *request_id)
+{
+  char path[MSG_NAME_MAX * 2];
+  struct http_call call = { .address = job->agent->settings.endpoint,
+                            .method = "POST",
+                            .path = path,
+                            .timeout_s = 2 };
+  struct err err;
+  int status;
+
+  if (strcmp (job->agent->settings.kind, "engine") != 0)
+    return;
+  snprintf (path, sizeof path, "/cancel?id=%s", request_id);
+  if (http_run (&call, &status, &err) != HTTP_OK)
+    log_err (LOG_LEVEL_INFO, NULL, &err);
+}
+
+static void
+report_result (struct agent_job *job, enum http_result result, int status,
+               const struct err *err)
+{
+  switch (result)
+    {
+    case HTTP_OK:
+      agent_send_end (job, MSG_OUTCOME_DONE, "", "");
+      return;
+    case HTTP_NOT_SENT:
+      agent_send_end (job, MSG_OUTCOME_NOT_RUN, "connect", err->text);
+      return;
+    case HTTP_STOPPED:
+      agent_send_end (job, MSG_OUTCOME_UNKNOWN, "cancel", "cancelled");
+      return;
+    case HTTP_TIMEOUT:
+    case HTTP_BROKEN:
+      log_write (LOG_LEVEL_WARN, job->traceparent, "run",
+                 job->agent->settings.endpoint, "status %d: %s", status,
+                 err->text);
+      agent_send_end (job,
+                      result == HTTP_BROKEN ? MSG_OUTCOME_CRASHED
+                                            : MSG_OUTCOME_UNKNOWN,
+                      "run", err->text);
+      return;
+    }
+}
+
+static void
+run_on_endpoint (struct agent_job *job)
+{
+  char request_id[NUMBER_MAX * 2];
+  char resume[NUMBER_MAX];
+  char priority[NUMBER_MAX];
+  struct http_call call = {
+    .address = job->agent->settings.endpoint,
+    .method = job->method,
+    .path = job->path,
+    .content_type = job->content_type,
+    .body = job->body_size > 0 ? job->body : NULL,
+    .body_size = job->body_size,
+    .headers = { { "X-Request-Id", request_id },
+                 { "X-Resume-From", resume },
+                 { "X-Priority", priority },
+                 { "traceparent", job->traceparent } },
+    .timeout_s = READ_TIMEOUT_S,
+    .ctx = job,
+    .on_head = on_head,
+    .on_data = on_data,
+  };
+  enum http_result result;
+  struct err err;
+  int status;
+
+  snprintf (request_id, sizeof request_id, "%016llx%016llx",
+            (unsigned long long)job->attempt.hi,
+            (unsigned long long)job->attempt.lo);
+  snprintf (resume, sizeof resume, "%llu",
+            (unsigned long long)job->resume_index);
+  snprintf (priority, sizeof priority, "%llu",
+            (unsigned long long)job->priority);
+  result = http_run (&call, &status, &err);
+  if (result == HTTP_STOPPED)
+    cancel_on_engine (job, request_id);
+  report_result (job, result, status, &err);
+}
+
+void
+agent_work (gpointer data, gpointer ctx)
+{
+  struct agent_job *job = data;
+  struct agent *agent = ctx;
+
+  pthread_mutex_lock (&agent->lock);
+  agent->running++;
+  pthread_mutex_unlock (&agent->lock);
+  if (g_atomic_int_get (&job->cancelled))
+    agent_send_end (job, MSG_OUTCOME_NOT_RUN, "queue", "cancelled");
+  else if (g_get_monotonic_time () >= job->deadline_us)
+    agent_send_end (job, MSG_OUTCOME_NOT_RUN, "queue",
+                    "the deadline passed in the queue");
+  else
+    run_on_endpoint (job);
+  pthread_mutex_lock (&agent->lock);
+  agent->running--;
+  g_hash_table_remove (agent->jobs, &job->attempt);
+  pthread_mutex_unlock (&agent->lock);
+  agent_job_unref (job);
+}
--- /dev/null
+++ b/src/entry.h
@@ -0,0 +1,193 @@
+#ifndef ENTRY_H
+#define ENTRY_H
+
+/*
+ * The entry: callers' HTTP interface, choice of a runner, attempts and the
+ * assembly of answers.
+ *
+ * Lock order: a call's lock, then entry->lock, then the network's queue.  No
+ * lock is held over a call of the key-value service.
+ */
+
+#include <glib.h>
+#include <microhttpd.h>
+#include <pthread.h>
+#include <stdint.h>
+
+#include "goldcresthatch/kv.h"
+#include "goldcresthatch/msg.h"
+#include "goldcresthatch/net.h"
+#include "goldcresthatch/set.h"
+
+enum
+{
+  ENTRY_BODY_MAX = 1 << 20, /* bytes of a request body */
+  ENTRY_TICK_MS = 100
+};
+
+struct entry_settings
+{
+  char name[SET_TEXT_MAX];
+  char zone[SET_TEXT_MAX];
+  char listen[SET_TEXT_MAX]; /* callers */
+  char admin[SET_TEXT_MAX];  /* operators and peers */
+  char kv[SET_TEXT_MAX];
+  char log_level[SET_TEXT_MAX];
+  int64_t drain_limit_s;
+  int64_t deadline_ms; /* of a request that names none */
+  int64_t workers;
+  struct set_list config_peers;
+};
+
+/* A runner as this entry sees it.  */
+struct entry_runner
+{
+  char name[MSG_NAME_MAX];
+  char address[ERR_PEER_MAX];
+  char service[MSG_NAME_MAX];
+  uint64_t peer; /* network handle */
+  uint64_t incarnation;
+  uint64_t window;
+  enum msg_agent_state state;
+  int endpoint_up;
+  int leaving; /* by the platform's list */
+  uint64_t running;
+  uint64_t queued;
+  uint64_t capacity;
+  unsigned own; /* attempts of this entry in progress */
+  gint64 reported_us;
+};
+
+/* What the caller is told about a call that has no answer.  */
+enum entry_outcome
+{
+  ENTRY_OUTCOME_NOT_RUN,
+  ENTRY_OUTCOME_UNKNOWN,
+  ENTRY_OUTCOME_INVALID,
+  ENTRY_OUTCOME_MAX
+};
+
+struct entry_failure
+{
+  unsigned status;
+  enum entry_outcome outcome;
+  unsigned retry_after_s; /* 0 when a retry does not help */
+  struct err err;
+};
+
+/* One request of a caller.  Reference-counted: the HTTP connection, the table
+   of calls and each worker hold one.  */
+struct entry_call
+{
+  gint refs;
+  struct entry *entry;
+  struct MHD_Connection *connection;
+
+  /* Set before the call starts, constant afterwards.  */
+  struct msg_id id;
+  char *method;
+  char *path;
+  char *content_type;
+  char *service;
+  char customer[MSG_NAME_MAX];
+  char key[MSG_NAME_MAX * 2]; /* Idempotency-Key, empty when absent */
+  char traceparent[MSG_NAME_MAX];
+  GByteArray *body;
+  uint64_t priority;
+  int stream;
+  int at_most_once;
+  gint64 deadline_us;
+  int discarding; /* the body is too large */
+
+  pthread_mutex_t lock; /* guards what follows */
+  int started;
+  int suspended; /* the connection waits for entry_call_wake */
+  struct msg_id attempt;
+  uint64_t runner_peer; /* 0 between attempts */
+  uint64_t next_sequence;
+  unsigned tries;
+  int head;  /* status and content type may be sent */
+  int ended; /* no more bytes follow */
+  int failed;
+  unsigned status;
+  char answer_type[MSG_NAME_MAX];
+  GByteArray *answer;
+  size_t sent; /* bytes of the answer given to the caller */
+  struct entry_failure failure;
+};
+
+struct entry
+{
+  struct entry_settings settings;
+  struct net *net;
+  struct kv *kv;
+  GThreadPool *workers;
+  struct MHD_Daemon *callers;
+  struct MHD_Daemon *admins;
+  uint64_t incarnation;
+  pthread_t ticker;
+  pthread_t lister;
+  gint stopping;
+  gint draining;
+
+  pthread_mutex_t lock; /* guards what follows */
+  GPtrArray *runners;   /* struct entry_runner */
+  GHashTable *calls;    /* by id */
+};
+
+/* entry_http.c */
+int entry_http_open (struct entry *entry, struct err *err);
+void entry_http_close (struct entry *entry);
+
+/* Appends the failure of CALL to a streamed answer that began; the call's lock
+   is held.  */
+void entry_http_append_failure (struct entry_call *call);
+
+/* entry_call.c */
+struct entry_call *entry_call_new (struct entry *entry);
+struct entry_call *entry_call_ref (struct entry_call *call);
+void entry_call_unref (struct entry_call *call);
+
+/* Starts a call whose request is complete.  */
+void entry_call_start (struct entry_call *call);
+
+/* Ends CALL with a failure; the call's lock is held.  */
+void entry_call_fail (struct entry_call *call, unsigned status,
+                      enum entry_outcome outcome, enum err_code code,
+                      const char *step, const char *peer, const char *fmt, ...)
+    __attribute__ ((format (printf, 7, 8)));
+
+/* Lets the connection go on; the call's lock is held.  */
+void entry_call_wake (struct entry_call *call);
+
+/* The attempt ended without a whole answer; the call's lock is held.  */
+void entry_call_attempt_ended (struct entry_call *call,
+                               enum msg_outcome outcome, const char *step,
+                               const char *peer, const char *text);
+
+/* Stops the work for a call whose caller has gone.  */
+void entry_call_abandon (struct entry_call *call);
+
+/* Fails calls past their deadline or on silent runners.  */
+void entry_call_tick (struct entry *entry, gint64 now_us);
+
+/* entry_fleet.c */
+void entry_fleet_report (struct entry *entry, uint64_t peer,
+                         const struct msg_report *report);
+
+/* Chooses a runner for SERVICE and counts the attempt on it.  Returns 0 when
+   there is none; else fills in OUT.  */
+int entry_fleet_choose (struct entry *entry, const char *service,
+                        struct entry_runner *out);
+void entry_fleet_release (struct entry *entry, uint64_t peer);
+int entry_fleet_alive (struct entry *entry, uint64_t peer, gint64 now_us);
+void entry_fleet_name (struct entry *entry, uint64_t peer, char *name,
+                       size_t size);
+int entry_fleet_knows (struct entry *entry, const char *service);
+void entry_fleet_hello (struct entry *entry);
+void *entry_fleet_main (void *arg);
+
+/* entry_net.c */
+extern const struct net_ops entry_net_ops;
+
+#endif
--- /dev/null
+++ b/src/entry_call.c
@@ -0,0 +1,270 @@
+#include "entry.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "goldcresthatch/ctr.h"
+#include "goldcresthatch/log.h"
+
+enum
+{
+  TRIES_MAX = 3,
+  RETRY_AFTER_S = 1,
+  STATUS_BAD_GATEWAY = 502,
+  STATUS_UNAVAILABLE = 503,
+  STATUS_GATEWAY_TIMEOUT = 504
+};
+
+struct entry_call *
+entry_call_new (struct entry *entry)
+{
+  struct entry_call *call = g_new0 (struct entry_call, 1);
+
+  call->refs = 1;
+  call->entry = entry;
+  call->id = msg_id_new ();
+  call->body = g_byte_array_new ();
+  call->answer = g_byte_array_new ();
+  pthread_mutex_init (&call->lock, NULL);
+  ctr_add (CTR_ACTIVE_CALLS, 1);
+  return call;
+}
+
+struct entry_call *
+entry_call_ref (struct entry_call *call)
+{
+  g_atomic_int_inc (&call->refs);
+  return call;
+}
+
+void
+entry_call_unref (struct entry_call *call)
+{
+  if (!g_atomic_int_dec_and_test (&call->refs))
+    return;
+  g_free (call->method);
+  g_free (call->path);
+  g_free (call->content_type);
+  g_free (call->service);
+  g_byte_array_free (call->body, TRUE);
+  g_byte_array_free (call->answer, TRUE);
+  pthread_mutex_destroy (&call->lock);
+  g_free (call);
+  ctr_add (CTR_ACTIVE_CALLS, -1);
+}
+
+void
+entry_call_wake (struct entry_call *call)
+{
+  if (!call->suspended)
+    return;
+  call->suspended = 0;
+  MHD_resume_connection (call->connection);
+}
+
+static enum ctr_id
+outcome_counter (enum entry_outcome outcome)
+{
+  static const enum ctr_id counters[ENTRY_OUTCOME_MAX] = {
+    [ENTRY_OUTCOME_NOT_RUN] = CTR_NOT_RUN,
+    [ENTRY_OUTCOME_UNKNOWN] = CTR_UNKNOWN,
+    [ENTRY_OUTCOME_INVALID] = CTR_INVALID,
+  };
+
+  return counters[outcome];
+}
+
+void
+entry_call_fail (struct entry_call *call, unsigned status,
+                 enum entry_outcome outcome, enum err_code code,
+                 const char *step, const char *peer, const char *fmt, ...)
+{
+  struct entry_failure *failure = &call->failure;
+  char text[ERR_TEXT_MAX];
+  va_list ap;
+
+  if (call->ended)
+    return;
+  va_start (ap, fmt);
+  vsnprintf (text, sizeof text, fmt, ap);
+  va_end (ap);
+  err_set (&failure->err, code, step, peer, "%s", text);
+  failure->status = status;
+  failure->outcome = outcome;
+  failure->retry_after_s
+      = outcome == ENTRY_OUTCOME_NOT_RUN ? RETRY_AFTER_S : 0;
+  if (call->stream && call->head)
+    entry_http_append_failure (call);
+  call->failed = 1;
+  call->ended = 1;
+  call->head = 1;
+  call->runner_peer = 0;
+  ctr_add (outcome_counter (outcome), 1);
+  log_err (LOG_LEVEL_INFO, call->traceparent, &failure->err);
+  entry_call_wake (call);
+}
+
+static void
+fill_call (struct entry_call *call, const struct entry_runner *runner,
+           struct msg *msg)
+{
+  struct msg_call *out = &msg->u.call;
+  gint64 left_us = call->deadline_us - g_get_monotonic_time ();
+
+  memset (msg, 0, sizeof *msg);
+  msg->type = MSG_CALL;
+  out->call = call->id;
+  out->attempt = call->attempt;
+  out->incarnation = runner->incarnation;
+  out->window = runner->window;
+  out->at_most_once = (uint64_t)call->at_most_once;
+  out->method = msg_str (call->method);
+  out->path = msg_str (call->path);
+  out->content_type = msg_str (call->content_type);
+  out->body.p = (const char *)call->body->data;
+  out->body.n = call->body->len;
+  out->budget_ms = left_us > 0 ? (uint64_t)left_us / 1000 : 0;
+  out->priority = call->priority;
+  out->stream = (uint64_t)call->stream;
+  out->traceparent = msg_str (call->traceparent);
+}
+
+/* Starts an attempt; the call's lock is held.  */
+static void
+start_attempt (struct entry_call *call)
+{
+  struct entry *entry = call->entry;
+  struct entry_runner runner;
+  struct msg msg;
+
+  if (!entry_fleet_choose (entry, call->service, &runner))
+    {
+      entry_call_fail (call, STATUS_UNAVAILABLE, ENTRY_OUTCOME_NOT_RUN,
+                       ERR_LIMIT, "route", call->service,
+                       "no runner takes work");
+      return;
+    }
+  call->tries++;
+  call->attempt = msg_id_new ();
+  call->runner_peer = runner.peer;
+  call->next_sequence = 0;
+  fill_call (call, &runner, &msg);
+  net_send (entry->net, runner.peer, &msg, NULL);
+}
+
+void
+entry_call_start (struct entry_call *call)
+{
+  struct entry *entry = call->entry;
+
+  pthread_mutex_lock (&entry->lock);
+  g_hash_table_insert (entry->calls, &call->id, entry_call_ref (call));
+  pthread_mutex_unlock (&entry->lock);
+  pthread_mutex_lock (&call->lock);
+  call->started = 1;
+  start_attempt (call);
+  pthread_mutex_unlock (&call->lock);
+}
+
+void
+entry_call_attempt_ended (struct entry_call *call, enum msg_outcome outcome,
+                          const char *step, const char *peer, const char *text)
+{
+  int repeatable = outcome == MSG_OUTCOME_NOT_RUN || !call->at_most_once;
+
+  call->runner_peer = 0;
+  if (repeatable && !call->head && call->tries < TRIES_MAX
+      && g_get_monotonic_time () < call->deadline_us)
+    {
+      ctr_add (CTR_RETRIES, 1);
+      g_byte_array_set_size (call->answer, 0);
+      start_attempt (call);
+      return;
+    }
+  if (outcome == MSG_OUTCOME_NOT_RUN)
+    entry_call_fail (call, STATUS_UNAVAILABLE, ENTRY_OUTCOME_NOT_RUN,
+                     ERR_REFUSED, step, peer, "%s", text);
+  else
+    entry_call_fail (call, STATUS_BAD_GATEWAY, ENTRY_OUTCOME_UNKNOWN, ERR_IO,
+                     step, peer, "%s", text);
+}
+
+/* Tells the agent to stop the current attempt; the call's lock is held.  */
+static void
+cancel_attempt (struct entry_call *call)
+{
+  struct msg msg = { .type = MSG_CANCEL };
+
+  if (call->runner_peer == 0)
+    return;
+  msg.u.cancel.call = call->id;
+  msg.u.cancel.attempt = call->attempt;
+  net_send (call->entry->net, call->runner_peer, &msg, NULL);
+  entry_fleet_release (call->entry, call->runner_peer);
+  call->runner_peer = 0;
+}
+
+void
+entry_call_abandon (struct entry_call *call)
+{
+  struct entry *entry = call->entry;
+
+  pthread_mutex_lock (&call->lock);
+  if (!call->ended)
+    {
+      if (!call->at_most_once)
+        cancel_attempt (call);
+      call->ended = 1;
+    }
+  pthread_mutex_unlock (&call->lock);
+  pthread_mutex_lock (&entry->lock);
+  g_hash_table_remove (entry->calls, &call->id);
+  pthread_mutex_unlock (&entry->lock);
+}
+
+static void
+check_call (struct entry_call *call, gint64 now_us)
+{
+  char name[MSG_NAME_MAX];
+
+  pthread_mutex_lock (&call->lock);
+  if (call->ended || !call->started)
+    ;
+  else if (now_us >= call->deadline_us)
+    {
+      entry_fleet_name (call->entry, call->runner_peer, name, sizeof name);
+      cancel_attempt (call);
+      entry_call_fail (call, STATUS_GATEWAY_TIMEOUT, ENTRY_OUTCOME_UNKNOWN,
+                       ERR_TIMEOUT, "run", name, "the deadline passed");
+    }
+  else if (call->runner_peer != 0
+           && !entry_fleet_alive (call->entry, call->runner_peer, now_us))
+    {
+      entry_fleet_name (call->entry, call->runner_peer, name, sizeof name);
+      cancel_attempt (call);
+      entry_call_attempt_ended (call, MSG_OUTCOME_UNKNOWN, "run", name,
+                                "the agent is silent");
+    }
+  pthread_mutex_unlock (&call->lock);
+}
+
+void
+entry_call_tick (struct entry *entry, gint64 now_us)
+{
+  GPtrArray *calls
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)entry_call_unref);
+  GHashTableIter iter;
+  gpointer value;
+  guint i;
+
+  pthread_mutex_lock (&entry->lock);
+  g_hash_table_iter_init (&iter, entry->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_ptr_array_add (calls, entry_call_ref (value));
+  pthread_mutex_unlock (&entry->lock);
+  for (i = 0; i < calls->len; i++)
+    check_call (g_ptr_array_index (calls, i), now_us);
+  g_ptr_array_free (calls, TRUE);
+}
--- /dev/null
+++ b/src/entry_http.c
@@ -0,0 +1,466 @@
+#include "entry.h"
+
+#include <arpa/inet.h>
+#include <json-c/json.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "goldcresthatch/ctr.h"
+#include "goldcresthatch/log.h"
+
+enum
+{
+  CALLER_THREADS = 4,
+  CHUNK_BYTES = 16 << 10,
+  DEADLINE_MAX_MS = 3600 * 1000,
+  PRIORITY_MAX = 9
+};
+
+static const char *const outcome_names[ENTRY_OUTCOME_MAX] = {
+  [ENTRY_OUTCOME_NOT_RUN] = "not-run",
+  [ENTRY_OUTCOME_UNKNOWN] = "unknown",
+  [ENTRY_OUTCOME_INVALID] = "invalid",
+};
+
+static struct MHD_Response *
+text_response (const char *type, const char *text)
+{
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
+
+  MHD_add_response_header (response, "Content-Type", type);
+  return response;
+}
+
+static enum MHD_Result
+send_response (struct MHD_Connection *connection, unsigned status,
+               struct MHD_Response *response)
+{
+  enum MHD_Result rc = MHD_queue_response (connection, status, response);
+
+  MHD_destroy_response (response);
+  return rc;
+}
+
+static char *
+failure_json (const struct entry_failure *failure)
+{
+  struct json_object *root = json_object_new_object ();
+  struct json_object *error = json_object_new_object ();
+  char *text;
+
+  json_object_object_add (
+      error, "outcome",
+      json_object_new_string (outcome_names[failure->outcome]));
+  json_object_object_add (error, "step",
+                          json_object_new_string (failure->err.step));
+  json_object_object_add (error, "peer",
+                          json_object_new_string (failure->err.peer));
+  json_object_object_add (error, "message",
+                          json_object_new_string (failure->err.text));
+  json_object_object_add (root, "error", error);
+  text = g_strdup (
+      json_object_to_json_string_ext (root, JSON_C_TO_STRING_PLAIN));
+  json_object_put (root);
+  return text;
+}
+
+static enum MHD_Result
+send_failure (struct MHD_Connection *connection,
+              const struct entry_failure *failure)
+{
+  char *text = failure_json (failure);
+  struct MHD_Response *response = text_response ("application/json", text);
+  char seconds[16];
+
+  MHD_add_response_header (response, "X-Outcome",
+                           outcome_names[failure->outcome]);
+  if (failure->retry_after_s > 0)
+    {
+      snprintf (seconds, sizeof seconds, "%u", failure->retry_after_s);
+      MHD_add_response_header (response, "Retry-After", seconds);
+    }
+  g_free (text);
+  return send_response (connection, failure->status, response);
+}
+
+/* Ends CALL as invalid before it starts.  */
+static void
+reject (struct entry_call *call, unsigned status, const char *step,
+        const char *text)
+{
+  pthread_mutex_lock (&call->lock);
+  entry_call_fail (call, status, ENTRY_OUTCOME_INVALID, ERR_INVALID, step,
+                   NULL, "%s", text);
+  pthread_mutex_unlock (&call->lock);
+}
+
+/* Gives MHD the next bytes of a streamed answer.  */
+static ssize_t
+read_answer (void *cls, uint64_t pos, char *buf, size_t max)
+{
+  struct entry_call *call = cls;
+  ssize_t n = 0;
+
+  (void)pos;
+  pthread_mutex_lock (&call->lock);
+  if (call->sent < call->answer->len)
+    {
+      n = (ssize_t)MIN (max, call->answer->len - call->sent);
+      memcpy (buf, call->answer->data + call->sent, (size_t)n);
+      call->sent += (size_t)n;
+    }
+  else if (call->ended)
+    n = MHD_CONTENT_READER_END_OF_STREAM;
+  else
+    {
+      call->suspended = 1;
+      MHD_suspend_connection (call->connection);
+    }
+  pthread_mutex_unlock (&call->lock);
+  return n;
+}
+
+/* Tells the caller of a stream that began why it is not whole.  */
+void
+entry_http_append_failure (struct entry_call *call)
+{
+  char *text = failure_json (&call->failure);
+  char *event = g_strdup_printf ("event: error\ndata: %s\n\n", text);
+
+  g_byte_array_append (call->answer, (guint8 *)event, (guint)strlen (event));
+  g_free (event);
+  g_free (text);
+}
+
+static void
+release_answer (void *cls)
+{
+  entry_call_unref (cls);
+}
+
+/* Queues the answer of CALL, whose lock is held and whose head is ready.  */
+static enum MHD_Result
+send_answer (struct entry_call *call)
+{
+  struct MHD_Response *response;
+
+  if (call->failed && call->answer->len == 0)
+    return send_failure (call->connection, &call->failure);
+  if (call->stream)
+    response = MHD_create_response_from_callback (
+        MHD_SIZE_UNKNOWN, CHUNK_BYTES, read_answer, entry_call_ref (call),
+        release_answer);
+  else
+    response = MHD_create_response_from_buffer (
+        call->answer->len, call->answer->data, MHD_RESPMEM_MUST_COPY);
+  if (call->answer_type[0] != '\0')
+    MHD_add_response_header (response, "Content-Type", call->answer_type);
+  return send_response (call->connection, call->status, response);
+}
+
+/* Answers CALL when its head is ready, else waits for it.  */
+static enum MHD_Result
+answer_or_wait (struct entry_call *call)
+{
+  enum MHD_Result rc = MHD_YES;
+
+  pthread_mutex_lock (&call->lock);
+  if (call->head)
+    rc = send_answer (call);
+  else
+    {
+      call->suspended = 1;
+      MHD_suspend_connection (call->connection);
+    }
+  pthread_mutex_unlock (&call->lock);
+  return rc;
+}
+
+static const char *
+request_header (struct entry_call *call, const char *name)
+{
+  return MHD_lookup_connection_value (call->connection, MHD_HEADER_KIND, name);
+}
+
+/* Reads a number header.  Returns 0, or -1 after rejecting the call.  */
+static int
+number_header (struct entry_call *call, const char *name, uint64_t max,
+               uint64_t *value)
+{
+  const char *text = request_header (call, name);
+  guint64 number;
+  char message[MSG_NAME_MAX * 2];
+
+  if (text == NULL)
+    return 0;
+  if (g_ascii_string_to_unsigned (text, 10, 0, max, &number, NULL))
+    {
+      *value = number;
+      return 0;
+    }
+  snprintf (message, sizeof message, "%s: expected a whole number up to %llu",
+            name, (unsigned long long)max);
+  reject (call, MHD_HTTP_BAD_REQUEST, "headers", message);
+  return -1;
+}
+
+static int
+text_header (struct entry_call *call, const char *name, char *dst, size_t size)
+{
+  const char *text = request_header (call, name);
+
+  if (text == NULL)
+    return 0;
+  if (strlen (text) < size)
+    {
+      g_strlcpy (dst, text, size);
+      return 0;
+    }
+  reject (call, MHD_HTTP_BAD_REQUEST, "headers", "a header is too long");
+  return -1;
+}
+
+static int
+read_headers (struct entry_call *call)
+{
+  uint64_t deadline_ms = (uint64_t)call->entry->settings.deadline_ms;
+  unsigned char random[24];
+  char hex[sizeof random * 2 + 1];
+
+  if (number_header (call, "X-Deadline-Ms", DEADLINE_MAX_MS, &deadline_ms) != 0
+      || number_header (call, "X-Priority", PRIORITY_MAX, &call->priority) != 0
+      || text_header (call, "X-Customer", call->customer,
+                      sizeof call->customer)
+             != 0
+      || text_header (call, "Idempotency-Key", call->key, sizeof call->key)
+             != 0
+      || text_header (call, "traceparent", call->traceparent,
+                      sizeof call->traceparent)
+             != 0)
+    return -1;
+  call->deadline_us = g_get_monotonic_time () + (gint64)deadline_ms * 1000;
+  call->content_type = g_strdup (request_header (call, "Content-Type"));
+  if (call->traceparent[0] != '\0')
+    return 0;
+  randombytes_buf (random, sizeof random);
+  sodium_bin2hex (hex, sizeof hex, random, sizeof random);
+  snprintf (call->traceparent, sizeof call->traceparent, "00-%.32s-%.16s-01",
+            hex, hex + 32);
+  return 0;
+}
+
+/* Reads the members that routing needs from the JSON of a model request.  */
+static int
+read_model_request (struct entry_call *call)
+{
+  struct json_tokener *tokener = json_tokener_new ();
+  struct json_object *root = json_tokener_parse_ex (
+      tokener, (const char *)call->body->data, (int)call->body->len);
+  struct json_object *value;
+  const char *problem = NULL;
+
+  if (!json_object_is_type (root, json_type_object))
+    problem = "expected a JSON object";
+  else if (!json_object_object_get_ex (root, "model", &value)
+           || !json_object_is_type (value, json_type_string))
+    problem = "model: expected a text";
+  else
+    {
+      call->service = g_strdup (json_object_get_string (value));
+      if (json_object_object_get_ex (root, "stream", &value))
+        {
+          if (json_object_is_type (value, json_type_boolean))
+            call->stream = json_object_get_boolean (value);
+          else
+            problem = "stream: expected true or false";
+        }
+    }
+  if (problem != NULL)
+    reject (call, MHD_HTTP_BAD_REQUEST, "body", problem);
+  json_object_put (root);
+  json_tokener_free (tokener);
+  return problem == NULL ? 0 : -1;
+}
+
+static int
+is_model_path (const char *path)
+{
+  return strcmp (path, "/v1/chat/completions") == 0
+         || strcmp (path, "/v1/completions") == 0;
+}
+
+/* Finds the plain service of CALL: the first segment of its path.  */
+static int
+read_service_request (struct entry_call *call)
+{
+  char **segments = g_strsplit (call->path, "/", 3);
+
+  call->service = g_strdup (segments[1] != NULL ? segments[1] : "");
+  g_strfreev (segments);
+  call->at_most_once = strcmp (call->method, "GET") != 0;
+  return 0;
+}
+
+static void
+begin (struct entry_call *call)
+{
+  int rc;
+
+  if (call->discarding)
+    {
+      reject (call, MHD_HTTP_CONTENT_TOO_LARGE, "body",
+              "the body exceeds the limit");
+      return;
+    }
+  if (read_headers (call) != 0)
+    return;
+  if (is_model_path (call->path))
+    rc = read_model_request (call);
+  else
+    rc = read_service_request (call);
+  if (rc != 0)
+    return;
+  if (!entry_fleet_knows (call->entry, call->service))
+    {
+      reject (call, MHD_HTTP_NOT_FOUND, "route", "no such model or service");
+      return;
+    }
+  entry_call_start (call);
+}
+
+static enum MHD_Result
+page (struct entry *entry, struct MHD_Connection *connection, const char *url)
+{
+  GString *text;
+  struct MHD_Response *response;
+
+  if (strcmp (url, "/healthz") == 0)
+    return send_response (connection, MHD_HTTP_OK,
+                          text_response ("text/plain", "ok\n"));
+  if (strcmp (url, "/readyz") == 0)
+    {
+      int ready = !g_atomic_int_get (&entry->draining);
+
+      return send_response (
+          connection, ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
+          text_response ("text/plain", ready ? "ready\n" : "draining\n"));
+    }
+  text = g_string_new (NULL);
+  ctr_render (text);
+  response = text_response ("text/plain; version=0.0.4", text->str);
+  g_string_free (text, TRUE);
+  return send_response (connection, MHD_HTTP_OK, response);
+}
+
+static int
+is_page (const char *url)
+{
+  return strcmp (url, "/healthz") == 0 || strcmp (url, "/readyz") == 0
+         || strcmp (url, "/metrics") == 0;
+}
+
+static struct entry_call *
+new_call (struct entry *entry, struct MHD_Connection *connection,
+          const char *url, const char *method)
+{
+  struct entry_call *call = entry_call_new (entry);
+
+  ctr_add (CTR_REQUESTS, 1);
+  call->connection = connection;
+  call->path = g_strdup (url);
+  call->method = g_strndup (method, MSG_NAME_MAX - 1);
+  return call;
+}
+
+static enum MHD_Result
+handle (void *cls, struct MHD_Connection *connection, const char *url,
+        const char *method, const char *version, const char *upload,
+        size_t *upload_size, void **con_cls)
+{
+  struct entry *entry = cls;
+  struct entry_call *call = *con_cls;
+
+  (void)version;
+  if (call == NULL)
+    {
+      if (is_page (url))
+        return page (entry, connection, url);
+      *con_cls = new_call (entry, connection, url, method);
+      return MHD_YES;
+    }
+  if (*upload_size > 0)
+    {
+      if (call->body->len + *upload_size > ENTRY_BODY_MAX)
+        call->discarding = 1;
+      else
+        g_byte_array_append (call->body, (const guint8 *)upload,
+                             (guint)*upload_size);
+      *upload_size = 0;
+      return MHD_YES;
+    }
+  if (!call->started && !call->ended)
+    begin (call);
+  return answer_or_wait (call);
+}
+
+static void
+completed (void *cls, struct MHD_Connection *connection, void **con_cls,
+           enum MHD_RequestTerminationCode code)
+{
+  struct entry_call *call = *con_cls;
+
+  (void)cls;
+  (void)connection;
+  (void)code;
+  if (call == NULL)
+    return;
+  entry_call_abandon (call);
+  entry_call_unref (call);
+}
+
+static struct MHD_Daemon *
+start_daemon (struct entry *entry, const char *address, unsigned threads,
+              struct err *err)
+{
+  struct sockaddr_in sin = { .sin_family = AF_INET };
+  struct MHD_Daemon *daemon;
+  char host[SET_TEXT_MAX];
+  char *colon;
+
+  snprintf (host, sizeof host, "%s", address);
+  colon = strrchr (host, ':');
+  *colon = '\0';
+  inet_pton (AF_INET, host, &sin.sin_addr);
+  sin.sin_port = htons ((uint16_t)atoi (colon + 1));
+  daemon = MHD_start_daemon (
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+      handle, entry, MHD_OPTION_SOCK_ADDR, &sin, MHD_OPTION_THREAD_POOL_SIZE,
+      threads, MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+  if (daemon == NULL)
+    err_set (err, ERR_IO, "listen", address, "cannot start the HTTP server");
+  return daemon;
+}
+
+int
+entry_http_open (struct entry *entry, struct err *err)
+{
+  entry->callers
+      = start_daemon (entry, entry->settings.listen, CALLER_THREADS, err);
+  if (entry->callers == NULL)
+    return -1;
+  entry->admins = start_daemon (entry, entry->settings.admin, 2, err);
+  return entry->admins != NULL ? 0 : -1;
+}
+
+void
+entry_http_close (struct entry *entry)
+{
+  if (entry->callers != NULL)
+    MHD_stop_daemon (entry->callers);
+  if (entry->admins != NULL)
+    MHD_stop_daemon (entry->admins);
+}
--- /dev/null
+++ b/src/entry_main.c
@@ -0,0 +1,176 @@
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "daemon.h"
+#include "entry.h"
+#include "goldcresthatch/log.h"
+#include "http.h"
+
+enum
+{
+  KV_TIMEOUT_S = 1,
+  HELLO_PERIOD_US = 2 * G_USEC_PER_SEC,
+  DRAIN_POLL_MS = 20
+};
+
+#define MEMBER(n, k, ...)                                                     \
+  {                                                                           \
+    .name = #n, .kind = k, .offset = offsetof (struct entry_settings, n),     \
+    __VA_ARGS__                                                               \
+  }
+
+static const struct set_member members[] = {
+  MEMBER (name, SET_TEXT, .required = 1),
+  MEMBER (zone, SET_TEXT, .required = 1),
+  MEMBER (listen, SET_ADDRESS, .required = 1),
+  MEMBER (admin, SET_ADDRESS, .required = 1),
+  MEMBER (kv, SET_ADDRESS, .required = 1),
+  MEMBER (log_level, SET_TEXT, .text = "info",
+          .words = "error|warn|info|debug"),
+  MEMBER (drain_limit_s, SET_NUMBER, .number = 60, .min = 1, .max = 3600),
+  MEMBER (deadline_ms, SET_NUMBER, .number = 60000, .min = 1, .max = 3600000),
+  MEMBER (workers, SET_NUMBER, .number = 16, .min = 1, .max = 256),
+  MEMBER (config_peers, SET_ADDRESSES),
+};
+
+static const struct daemon_program program = {
+  .name = "goldcresthatch-entry",
+  .summary = "Entry: callers' interface of the serving system.",
+  .members = members,
+  .member_count = G_N_ELEMENTS (members),
+};
+
+static void *
+tick_main (void *arg)
+{
+  struct entry *entry = arg;
+  gint64 hello_us = 0;
+  gint64 now;
+
+  while (!g_atomic_int_get (&entry->stopping))
+    {
+      now = g_get_monotonic_time ();
+      if (now - hello_us >= HELLO_PERIOD_US)
+        {
+          entry_fleet_hello (entry);
+          hello_us = now;
+        }
+      entry_call_tick (entry, now);
+      g_usleep (ENTRY_TICK_MS * 1000);
+    }
+  return NULL;
+}
+
+static int
+entry_open (struct entry *entry, struct err *err)
+{
+  char identity[SET_TEXT_MAX + 32];
+
+  randombytes_buf (&entry->incarnation, sizeof entry->incarnation);
+  pthread_mutex_init (&entry->lock, NULL);
+  entry->runners = g_ptr_array_new_with_free_func (g_free);
+  entry->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                        (GDestroyNotify)entry_call_unref);
+  entry->kv = kv_http_open (entry->settings.kv, KV_TIMEOUT_S, err);
+  if (entry->kv == NULL)
+    return -1;
+  snprintf (identity, sizeof identity, "%.64s/%016llx", entry->settings.name,
+            (unsigned long long)entry->incarnation);
+  entry->net = net_open_entry (identity, &entry_net_ops, entry, err);
+  if (entry->net == NULL)
+    return -1;
+  if (pthread_create (&entry->lister, NULL, entry_fleet_main, entry) != 0
+      || pthread_create (&entry->ticker, NULL, tick_main, entry) != 0)
+    return err_set (err, ERR_LIMIT, "thread", NULL, "cannot start a thread");
+  return entry_http_open (entry, err);
+}
+
+static unsigned
+calls_left (struct entry *entry)
+{
+  unsigned left;
+
+  pthread_mutex_lock (&entry->lock);
+  left = g_hash_table_size (entry->calls);
+  pthread_mutex_unlock (&entry->lock);
+  return left;
+}
+
+/* Takes no new connections and waits for the calls in progress, until the
+   limit or a second signal.  Returns the number of calls cut.  */
+static unsigned
+entry_drain (struct entry *entry)
+{
+  gint64 limit = g_get_monotonic_time ()
+                 + entry->settings.drain_limit_s * G_USEC_PER_SEC;
+  int fd;
+
+  g_atomic_int_set (&entry->draining, 1);
+  fd = MHD_quiesce_daemon (entry->callers);
+  while (calls_left (entry) > 0 && g_get_monotonic_time () < limit)
+    if (daemon_wait_signal (DRAIN_POLL_MS))
+      break;
+  if (fd >= 0)
+    close (fd);
+  return calls_left (entry);
+}
+
+static void
+entry_close (struct entry *entry)
+{
+  entry_http_close (entry);
+  g_atomic_int_set (&entry->stopping, 1);
+  pthread_join (entry->ticker, NULL);
+  pthread_join (entry->lister, NULL);
+  net_close (entry->net);
+  kv_http_close (entry->kv);
+  g_hash_table_destroy (entry->calls);
+  g_ptr_array_free (entry->runners, TRUE);
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct entry entry;
+  enum log_level level = LOG_LEVEL_INFO;
+  struct err err;
+  unsigned cut;
+
+  switch (daemon_start (&program, argc, argv, &entry.settings))
+    {
+    case DAEMON_RUN:
+      break;
+    case DAEMON_DONE:
+      return EXIT_SUCCESS;
+    case DAEMON_FAILED:
+      return EXIT_FAILURE;
+    case DAEMON_USAGE:
+      return 2;
+    }
+  log_level_parse (entry.settings.log_level, &level);
+  if (log_open (program.name, level) != 0 || sodium_init () < 0
+      || http_init () != 0)
+    return EXIT_FAILURE;
+  daemon_block_signals ();
+  if (entry_open (&entry, &err) != 0)
+    {
+      log_err (LOG_LEVEL_ERROR, NULL, &err);
+      _exit (EXIT_FAILURE);
+    }
+  log_write (LOG_LEVEL_INFO, NULL, "start", entry.settings.listen, "entry %s",
+             entry.settings.name);
+  daemon_wait_signal (-1);
+  cut = entry_drain (&entry);
+  if (cut > 0)
+    {
+      log_write (LOG_LEVEL_ERROR, NULL, "stop", NULL, "%u calls were cut",
+                 cut);
+      _exit (EXIT_FAILURE);
+    }
+  entry_close (&entry);
+  log_write (LOG_LEVEL_INFO, NULL, "stop", NULL, "stopped, nothing was cut");
+  log_close ();
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/entry_net.c
@@ -0,0 +1,155 @@
+#include "entry.h"
+
+#include <string.h>
+
+#include "goldcresthatch/ctr.h"
+
+/* Finds the call ID and takes a reference and its lock.  Returns null when the
+   call has ended or ATTEMPT is not its current attempt.  */
+static struct entry_call *
+find_call (struct entry *entry, struct msg_id id, struct msg_id attempt)
+{
+  struct entry_call *call;
+
+  pthread_mutex_lock (&entry->lock);
+  call = g_hash_table_lookup (entry->calls, &id);
+  if (call != NULL)
+    entry_call_ref (call);
+  pthread_mutex_unlock (&entry->lock);
+  if (call == NULL)
+    return NULL;
+  pthread_mutex_lock (&call->lock);
+  if (!call->ended && call->runner_peer != 0
+      && msg_id_equal (call->attempt, attempt))
+    return call;
+  pthread_mutex_unlock (&call->lock);
+  entry_call_unref (call);
+  return NULL;
+}
+
+static void
+put_call (struct entry_call *call)
+{
+  pthread_mutex_unlock (&call->lock);
+  entry_call_unref (call);
+}
+
+static void
+on_report (struct entry *entry, uint64_t peer, const struct msg *msg)
+{
+  entry_fleet_report (entry, peer, &msg->u.report);
+}
+
+static void
+on_head (struct entry *entry, uint64_t peer, const struct msg *msg)
+{
+  const struct msg_head *head = &msg->u.head;
+  struct entry_call *call = find_call (entry, head->call, head->attempt);
+
+  (void)peer;
+  if (call == NULL)
+    return;
+  call->status = (unsigned)head->status;
+  msg_str_copy (call->answer_type, sizeof call->answer_type,
+                head->content_type);
+  if (call->stream && !call->head)
+    {
+      call->head = 1;
+      entry_call_wake (call);
+    }
+  put_call (call);
+}
+
+static void
+on_data (struct entry *entry, uint64_t peer, const struct msg *msg)
+{
+  const struct msg_data *data = &msg->u.data;
+  struct entry_call *call = find_call (entry, data->call, data->attempt);
+
+  (void)peer;
+  if (call == NULL)
+    return;
+  if (data->sequence == call->next_sequence)
+    {
+      call->next_sequence++;
+      g_byte_array_append (call->answer, (const guint8 *)data->bytes.p,
+                           (guint)data->bytes.n);
+      if (call->stream)
+        entry_call_wake (call);
+    }
+  put_call (call);
+}
+
+static void
+on_end (struct entry *entry, uint64_t peer, const struct msg *msg)
+{
+  const struct msg_end *end = &msg->u.end;
+  struct entry_call *call = find_call (entry, end->call, end->attempt);
+  char step[MSG_NAME_MAX];
+  char name[MSG_NAME_MAX];
+  char text[ERR_TEXT_MAX];
+
+  if (call == NULL)
+    return;
+  if (end->outcome == MSG_OUTCOME_DONE && end->frames == call->next_sequence)
+    {
+      call->head = 1;
+      call->ended = 1;
+      call->runner_peer = 0;
+      ctr_add (CTR_ANSWERED, 1);
+      entry_call_wake (call);
+      entry_fleet_release (entry, peer);
+      put_call (call);
+      return;
+    }
+  entry_fleet_release (entry, peer);
+  entry_fleet_name (entry, peer, name, sizeof name);
+  msg_str_copy (step, sizeof step, end->step);
+  msg_str_copy (text, sizeof text, end->text);
+  entry_call_attempt_ended (call,
+                            end->outcome == MSG_OUTCOME_DONE
+                                ? MSG_OUTCOME_UNKNOWN
+                                : (enum msg_outcome)end->outcome,
+                            step, name, text);
+  put_call (call);
+}
+
+static void (*const handlers[MSG_TYPE_MAX]) (struct entry *, uint64_t,
+                                             const struct msg *)
+    = {
+        [MSG_REPORT] = on_report,
+        [MSG_HEAD] = on_head,
+        [MSG_DATA] = on_data,
+        [MSG_END] = on_end,
+      };
+
+static void
+on_message (void *ctx, uint64_t peer, const struct msg *msg)
+{
+  if (handlers[msg->type] != NULL)
+    handlers[msg->type](ctx, peer, msg);
+  else
+    ctr_add (CTR_MESSAGES_MALFORMED, 1);
+}
+
+/* A CALL that did not leave is a proof that it did not run.  */
+static void
+on_unsent (void *ctx, uint64_t peer, const struct msg *msg)
+{
+  struct entry *entry = ctx;
+  struct entry_call *call;
+  char name[MSG_NAME_MAX];
+
+  if (msg->type != MSG_CALL)
+    return;
+  call = find_call (entry, msg->u.call.call, msg->u.call.attempt);
+  if (call == NULL)
+    return;
+  entry_fleet_release (entry, peer);
+  entry_fleet_name (entry, peer, name, sizeof name);
+  entry_call_attempt_ended (call, MSG_OUTCOME_NOT_RUN, "send", name,
+                            "no connection to the agent");
+  put_call (call);
+}
+
+const struct net_ops entry_net_ops = { on_message, on_unsent };
--- /dev/null
+++ b/src/http.c
@@ -0,0 +1,128 @@
+#include "http.h"
+
+#include <neon/ne_session.h>
+#include <neon/ne_socket.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  HOST_MAX = 64,
+  CONNECT_TIMEOUT_S = 2
+};
+
+struct exchange
+{
+  const struct http_call *call;
+  int status;
+  int stopped;
+};
+
+int
+http_init (void)
+{
+  return ne_sock_init ();
+}
+
+static int
+accept_response (void *userdata, ne_request *req, const ne_status *st)
+{
+  struct exchange *exchange = userdata;
+
+  exchange->status = st->code;
+  if (exchange->call->on_head != NULL
+      && exchange->call->on_head (exchange->call->ctx, st->code, req) != 0)
+    exchange->stopped = 1;
+  return 1;
+}
+
+static int
+read_body (void *userdata, const char *data, size_t size)
+{
+  struct exchange *exchange = userdata;
+
+  if (exchange->stopped)
+    return -1;
+  if (size == 0 || exchange->call->on_data == NULL)
+    return 0;
+  if (exchange->call->on_data (exchange->call->ctx, data, size) == 0)
+    return 0;
+  exchange->stopped = 1;
+  return -1;
+}
+
+static enum http_result
+classify (const struct exchange *exchange, int rc)
+{
+  if (exchange->stopped)
+    return HTTP_STOPPED;
+  switch (rc)
+    {
+    case NE_OK:
+      return HTTP_OK;
+    case NE_CONNECT:
+    case NE_LOOKUP:
+      return HTTP_NOT_SENT;
+    case NE_TIMEOUT:
+      return HTTP_TIMEOUT;
+    default:
+      return HTTP_BROKEN;
+    }
+}
+
+static ne_request *
+build_request (ne_session *session, struct exchange *exchange)
+{
+  const struct http_call *call = exchange->call;
+  ne_request *req = ne_request_create (session, call->method, call->path);
+  int i;
+
+  ne_set_request_flag (req, NE_REQFLAG_IDEMPOTENT, 0);
+  for (i = 0; i < HTTP_HEADERS_MAX && call->headers[i].name != NULL; i++)
+    ne_add_request_header (req, call->headers[i].name, call->headers[i].value);
+  if (call->content_type != NULL && call->content_type[0] != '\0')
+    ne_add_request_header (req, "Content-Type", call->content_type);
+  if (call->body != NULL)
+    ne_set_request_body_buffer (req, call->body, call->body_size);
+  ne_add_response_body_reader (req, accept_response, read_body, exchange);
+  return req;
+}
+
+enum http_result
+http_run (const struct http_call *call, int *status, struct err *err)
+{
+  struct exchange exchange = { call, 0, 0 };
+  enum http_result result;
+  ne_session *session;
+  ne_request *req;
+  char host[HOST_MAX];
+  char *colon;
+  int rc;
+
+  *status = 0;
+  snprintf (host, sizeof host, "%s", call->address);
+  colon = strrchr (host, ':');
+  if (colon == NULL)
+    {
+      err_set (err, ERR_INVALID, "connect", call->address,
+               "address lacks a port");
+      return HTTP_NOT_SENT;
+    }
+  *colon = '\0';
+  session = ne_session_create ("http", host, (unsigned)atoi (colon + 1));
+  ne_set_session_flag (session, NE_SESSFLAG_PERSIST, 0);
+  ne_set_connect_timeout (session, CONNECT_TIMEOUT_S);
+  ne_set_read_timeout (session, (int)call->timeout_s);
+  req = build_request (session, &exchange);
+  rc = ne_request_dispatch (req);
+  *status = exchange.status;
+  result = classify (&exchange, rc);
+  if (result != HTTP_OK)
+    err_set (err, result == HTTP_TIMEOUT ? ERR_TIMEOUT : ERR_IO,
+             result == HTTP_NOT_SENT ? "connect" : "http", call->address,
+             "%s %s: %s", call->method, call->path, ne_get_error (session));
+  ne_request_destroy (req);
+  ne_session_destroy (session);
+  return result;
+}
