Measure what entry and agent add to a direct call

Cause: the cost of the path was not known. Change: bench/overhead.sh and a client that measures the time to the first byte, run by make bench.

--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 DIFF_SRC = $(wildcard tests/diff_*.cc)
 BENCH_SRC = $(wildcard bench/bench_*.c)
 BENCH_BIN = $(BENCH_SRC:bench/%.c=$(BUILD)/%)
+BENCH_SCRIPTS = $(wildcard bench/*.sh)
 HAVE_MAIN = $(foreach p,$(PROGRAMS),$(if \
 	$(wildcard src/$(MAIN_$(p)).c),$(BUILD)/$(p)))
 HAVE_STANDIN = $(foreach s,$(STANDINS),$(if \
@@ -116,10 +117,15 @@
 demo: all
 	BUILD=$(BUILD) scripts/demo
 
+$(BUILD)/load-latency: $(BUILD)/bench-load_latency.o $(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
 bench: deps
-	@$(MAKE) -j$$(nproc) programs $(BENCH_BIN)
+	@$(MAKE) -s -j$$(nproc) programs $(BUILD)/load-latency $(BENCH_BIN)
 	@for b in $(BENCH_BIN); do echo "== $${b##*/}"; BUILD=$(BUILD) $$b \
 		|| exit 1; done
+	@for b in $(BENCH_SCRIPTS); do echo "== $${b##*/}"; \
+		BUILD=$(BUILD) bash $$b || exit 1; done
 
 install: all
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib \
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -12,6 +12,7 @@
 cleanup ()
 {
   local pid
+  exec 2> /dev/null	# the shell reports each killed process
   for pid in "${PIDS[@]}"; do
     kill -CONT "$pid" 2>/dev/null
     kill -KILL "$pid" 2>/dev/null
