Let C++ tests include msg.h

struct msg_str and the function of that name are distinct in C, but -Wshadow reports the function in C++, where it hides the constructor. The warning is off for this one declaration in C++.

--- a/include/goldcresthatch/msg.h
+++ b/include/goldcresthatch/msg.h
@@ -251,8 +251,16 @@
 /* Returns the name of TYPE, such as "REPORT".  */
 const char *msg_name (enum msg_type type);
 
-/* Returns the string S as a msg_str; a null S is the empty string.  */
+/* Returns the string S as a msg_str; a null S is the empty string.  In C++ the
+   function has the name of the constructor, which -Wshadow reports.  */
+#ifdef __cplusplus
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wshadow"
+#endif
 struct msg_str msg_str (const char *s);
+#ifdef __cplusplus
+#pragma GCC diagnostic pop
+#endif
 
 /* Copies S to DST of SIZE bytes, cut to fit and terminated.  */
 void msg_str_copy (char *dst, size_t size, struct msg_str s);
