--- /dev/null
+++ b/tests/diff_strm.cc
@@ -0,0 +1,99 @@
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+#include <string>
+#include <vector>
+
+extern "C"
+{
+#include "goldcresthatch/strm.h"
+}
+
+namespace
+{
+
+struct frame
+{
+  bool other;
+  bool end;
+  uint64_t sequence;
+  std::string bytes;
+};
+
+/* Draws an order of FRAMES.  */
+std::vector<frame>
+shuffled (std::vector<frame> frames)
+{
+  for (size_t i = frames.size (); i > 1; i--)
+    std::swap (frames[i - 1], frames[*rc::gen::inRange<size_t> (0, i)]);
+  return frames;
+}
+
+/* Plays FRAMES of the attempt, and of another one, in any order and some of
+   them twice, and compares the result with the plain concatenation.  */
+void
+check_assembly (enum strm_form form, const std::vector<std::string> &parts)
+{
+  const struct msg_id attempt = { 7, 1 };
+  const struct msg_id other = { 7, 2 };
+  std::vector<frame> frames;
+  std::string expected;
+
+  for (size_t i = 0; i < parts.size (); i++)
+    {
+      expected += parts[i];
+      for (int copies = *rc::gen::inRange (1, 3); copies > 0; copies--)
+        frames.push_back ({ false, false, i, parts[i] });
+      frames.push_back ({ true, false, i, "other" + parts[i] });
+    }
+  frames.push_back ({ false, true, parts.size (), "" });
+  frames.push_back ({ true, true, 0, "" });
+
+  struct strm *strm = strm_new (form, 1 << 20);
+  GString *out = g_string_new (nullptr);
+  strm_begin (strm, attempt);
+  for (const frame &f : shuffled (frames))
+    {
+      const struct msg_id id = f.other ? other : attempt;
+      if (f.end)
+        strm_end (strm, id, f.sequence, 1, out);
+      else
+        strm_data (strm, id, f.sequence, f.bytes.data (), f.bytes.size (),
+                   out);
+      // What has been passed on is always a prefix of the answer.
+      RC_ASSERT (
+          expected.compare (0, out->len, std::string (out->str, out->len))
+          == 0);
+    }
+  RC_ASSERT (strm_complete (strm));
+  RC_ASSERT (std::string (out->str, out->len) == expected);
+  g_string_free (out, TRUE);
+  strm_free (strm);
+}
+
+// Guards against an answer that differs from the runner's when messages are
+// reordered, duplicated or mixed with another attempt's.
+RC_GTEST_PROP (StrmDiff, EqualsPlainConcatenation,
+               (const std::vector<std::string> &parts))
+{
+  check_assembly (STRM_BYTES, parts);
+}
+
+// Guards against events lost or doubled when they are split across messages
+// at any byte.
+RC_GTEST_PROP (StrmDiff, EqualsPlainConcatenationOfSplitEvents, ())
+{
+  std::vector<std::string> parts;
+  const auto bytes = *rc::gen::container<std::string> (
+      rc::gen::element ('d', 'a', ':', '\n', '\r', '{', ' '));
+  for (size_t at = 0; at < bytes.size ();)
+    {
+      const size_t n = *rc::gen::inRange<size_t> (1, 9);
+      parts.push_back (bytes.substr (at, n));
+      at += n;
+    }
+  check_assembly (STRM_SSE, parts);
+}
+
+}
