Resume streams on another runner and notice broken connections

Change: the entry assembles answers with strm and starts another attempt from the tokens already delivered; net reports a broken connection; calls wait up to 3 s for a runner. log4c's stream type put '[stderr]' before each line, so lines go through an appender of our own (stream2 without a file crashed).

--- a/include/goldcresthatch/net.h
+++ b/include/goldcresthatch/net.h
@@ -27,6 +27,10 @@
 
   /* MSG did not leave for PEER and never will.  */
   void (*unsent) (void *ctx, uint64_t peer, const struct msg *msg);
+
+  /* The connection of the entry's side to PEER broke: what was on its way is
+     lost, though the peer may live.  May be null on the agent's side.  */
+  void (*lost) (void *ctx, uint64_t peer);
 };
 
 /* Opens the agent's side, bound to ADDRESS, "IP:PORT".  Returns null on
--- a/src/agent_net.c
+++ b/src/agent_net.c
@@ -219,21 +219,27 @@
     ctr_add (CTR_MESSAGES_MALFORMED, 1);
 }
 
-/* An entry that is gone lost its callers too; their work is of no use.  */
+/* An entry that is gone lost its callers too; their work is of no use, unless
+   a resend may ask for its result.  */
 static void
 on_unsent (void *ctx, uint64_t peer, const struct msg *msg)
 {
   struct agent *agent = ctx;
+  struct msg_id attempt;
   struct agent_job *job;
 
   (void)peer;
-  if (msg->type != MSG_DATA && msg->type != MSG_HEAD)
+  if (msg->type == MSG_HEAD)
+    attempt = msg->u.head.attempt;
+  else if (msg->type == MSG_DATA)
+    attempt = msg->u.data.attempt;
+  else
     return;
   pthread_mutex_lock (&agent->lock);
-  job = g_hash_table_lookup (agent->jobs, &msg->u.data.attempt);
+  job = g_hash_table_lookup (agent->jobs, &attempt);
   if (job != NULL && !job->at_most_once)
     g_atomic_int_set (&job->cancelled, 1);
   pthread_mutex_unlock (&agent->lock);
 }
 
-const struct net_ops agent_net_ops = { on_message, on_unsent };
+const struct net_ops agent_net_ops = { on_message, on_unsent, NULL };
--- a/src/entry.h
+++ b/src/entry.h
@@ -18,6 +18,7 @@
 #include "goldcresthatch/msg.h"
 #include "goldcresthatch/net.h"
 #include "goldcresthatch/set.h"
+#include "goldcresthatch/strm.h"
 
 enum
 {
@@ -104,15 +105,16 @@
   int suspended; /* the connection waits for entry_call_wake */
   struct msg_id attempt;
   uint64_t runner_peer; /* 0 between attempts */
-  uint64_t next_sequence;
+  uint64_t last_peer;   /* runner of the attempt before */
   unsigned tries;
-  int head;  /* status and content type may be sent */
-  int ended; /* no more bytes follow */
+  gint64 waiting_since_us; /* for a runner; 0 when not waiting */
+  int head;                /* status and content type may be sent */
+  int ended;               /* no more bytes follow */
   int failed;
   unsigned status;
   char answer_type[MSG_NAME_MAX];
-  GByteArray *answer;
-  size_t sent; /* bytes of the answer given to the caller */
+  struct strm *strm;
+  GString *answer; /* bytes not yet given to the caller */
   struct entry_failure failure;
 };
 
@@ -160,6 +162,13 @@
 /* Lets the connection go on; the call's lock is held.  */
 void entry_call_wake (struct entry_call *call);
 
+/* The current attempt answered with STATUS; the call's lock is held.  */
+void entry_call_head (struct entry_call *call, unsigned status,
+                      struct msg_str content_type);
+
+/* The answer is whole; the call's lock is held.  */
+void entry_call_finish (struct entry_call *call);
+
 /* The attempt ended without a whole answer; the call's lock is held.  */
 void entry_call_attempt_ended (struct entry_call *call,
                                enum msg_outcome outcome, const char *step,
@@ -168,6 +177,9 @@
 /* Stops the work for a call whose caller has gone.  */
 void entry_call_abandon (struct entry_call *call);
 
+/* Ends the attempts on PEER, to which the connection broke.  */
+void entry_call_peer_lost (struct entry *entry, uint64_t peer);
+
 /* Fails calls past their deadline or on silent runners.  */
 void entry_call_tick (struct entry *entry, gint64 now_us);
 
@@ -175,10 +187,11 @@
 void entry_fleet_report (struct entry *entry, uint64_t peer,
                          const struct msg_report *report);
 
-/* Chooses a runner for SERVICE and counts the attempt on it.  Returns 0 when
-   there is none; else fills in OUT.  */
+/* Chooses a runner for SERVICE, other than the one with the handle AVOID when
+   there is a choice, and counts the attempt on it.  Returns 0 when there is
+   none; else fills in OUT.  */
 int entry_fleet_choose (struct entry *entry, const char *service,
-                        struct entry_runner *out);
+                        uint64_t avoid, struct entry_runner *out);
 void entry_fleet_release (struct entry *entry, uint64_t peer);
 int entry_fleet_alive (struct entry *entry, uint64_t peer, gint64 now_us);
 void entry_fleet_name (struct entry *entry, uint64_t peer, char *name,
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -11,7 +11,11 @@
 enum
 {
   TRIES_MAX = 3,
+  HELD_BYTES_MAX = 1 << 20, /* of an answer after a gap */
   RETRY_AFTER_S = 1,
+  /* A crash or a restart leaves a service without a runner for about a second;
+     refusing at once would turn it into a burst of resends.  */
+  ROUTE_WAIT_US = 3 * G_USEC_PER_SEC,
   STATUS_BAD_GATEWAY = 502,
   STATUS_UNAVAILABLE = 503,
   STATUS_GATEWAY_TIMEOUT = 504
@@ -26,7 +30,7 @@
   call->entry = entry;
   call->id = msg_id_new ();
   call->body = g_byte_array_new ();
-  call->answer = g_byte_array_new ();
+  call->answer = g_string_new (NULL);
   pthread_mutex_init (&call->lock, NULL);
   ctr_add (CTR_ACTIVE_CALLS, 1);
   return call;
@@ -49,7 +53,9 @@
   g_free (call->content_type);
   g_free (call->service);
   g_byte_array_free (call->body, TRUE);
-  g_byte_array_free (call->answer, TRUE);
+  g_string_free (call->answer, TRUE);
+  if (call->strm != NULL)
+    strm_free (call->strm);
   pthread_mutex_destroy (&call->lock);
   g_free (call);
   ctr_add (CTR_ACTIVE_CALLS, -1);
@@ -128,9 +134,25 @@
   out->budget_ms = left_us > 0 ? (uint64_t)left_us / 1000 : 0;
   out->priority = call->priority;
   out->stream = (uint64_t)call->stream;
+  out->resume_index = strm_tokens (call->strm);
   out->traceparent = msg_str (call->traceparent);
 }
 
+/* No runner takes work: the call waits for the next tick, a stream that began
+   until its deadline.  The call's lock is held.  */
+static void
+wait_for_runner (struct entry_call *call)
+{
+  gint64 now = g_get_monotonic_time ();
+
+  if (call->waiting_since_us == 0)
+    call->waiting_since_us = now;
+  if (!call->head && now - call->waiting_since_us >= ROUTE_WAIT_US)
+    entry_call_fail (call, STATUS_UNAVAILABLE, ENTRY_OUTCOME_NOT_RUN,
+                     ERR_LIMIT, "route", call->service,
+                     "no runner takes work");
+}
+
 /* Starts an attempt; the call's lock is held.  */
 static void
 start_attempt (struct entry_call *call)
@@ -139,17 +161,17 @@
   struct entry_runner runner;
   struct msg msg;
 
-  if (!entry_fleet_choose (entry, call->service, &runner))
+  if (!entry_fleet_choose (entry, call->service, call->last_peer, &runner))
     {
-      entry_call_fail (call, STATUS_UNAVAILABLE, ENTRY_OUTCOME_NOT_RUN,
-                       ERR_LIMIT, "route", call->service,
-                       "no runner takes work");
+      wait_for_runner (call);
       return;
     }
+  call->waiting_since_us = 0;
   call->tries++;
   call->attempt = msg_id_new ();
   call->runner_peer = runner.peer;
-  call->next_sequence = 0;
+  call->last_peer = runner.peer;
+  strm_begin (call->strm, call->attempt);
   fill_call (call, &runner, &msg);
   net_send (entry->net, runner.peer, &msg, NULL);
 }
@@ -164,22 +186,86 @@
   pthread_mutex_unlock (&entry->lock);
   pthread_mutex_lock (&call->lock);
   call->started = 1;
+  call->strm = strm_new (call->stream ? STRM_SSE : STRM_BYTES, HELD_BYTES_MAX);
   start_attempt (call);
   pthread_mutex_unlock (&call->lock);
 }
 
+/* Tells the agent to stop the current attempt; the call's lock is held.  */
+static void
+cancel_attempt (struct entry_call *call)
+{
+  struct msg msg = { .type = MSG_CANCEL };
+
+  if (call->runner_peer == 0)
+    return;
+  msg.u.cancel.call = call->id;
+  msg.u.cancel.attempt = call->attempt;
+  net_send (call->entry->net, call->runner_peer, &msg, NULL);
+  entry_fleet_release (call->entry, call->runner_peer);
+  call->runner_peer = 0;
+}
+
+void
+entry_call_finish (struct entry_call *call)
+{
+  entry_fleet_release (call->entry, call->runner_peer);
+  call->runner_peer = 0;
+  call->head = 1;
+  call->ended = 1;
+  ctr_add (CTR_ANSWERED, 1);
+  entry_call_wake (call);
+}
+
+void
+entry_call_head (struct entry_call *call, unsigned status,
+                 struct msg_str content_type)
+{
+  char name[MSG_NAME_MAX];
+
+  if (call->head && status != call->status)
+    {
+      /* The caller has the first part of another answer.  */
+      entry_fleet_name (call->entry, call->runner_peer, name, sizeof name);
+      cancel_attempt (call);
+      entry_call_attempt_ended (call, MSG_OUTCOME_UNKNOWN, "resume", name,
+                                "the runner does not resume the stream");
+      return;
+    }
+  call->status = status;
+  msg_str_copy (call->answer_type, sizeof call->answer_type, content_type);
+  if (!call->stream || call->head)
+    return;
+  call->head = 1;
+  entry_call_wake (call);
+}
+
+/* Whether another attempt may follow one that ended with OUTCOME.  */
+static int
+may_repeat (const struct entry_call *call, enum msg_outcome outcome)
+{
+  if (outcome != MSG_OUTCOME_NOT_RUN && call->at_most_once)
+    return 0;
+  return call->tries < TRIES_MAX
+         && g_get_monotonic_time () < call->deadline_us;
+}
+
 void
 entry_call_attempt_ended (struct entry_call *call, enum msg_outcome outcome,
                           const char *step, const char *peer, const char *text)
 {
-  int repeatable = outcome == MSG_OUTCOME_NOT_RUN || !call->at_most_once;
-
   call->runner_peer = 0;
-  if (repeatable && !call->head && call->tries < TRIES_MAX
-      && g_get_monotonic_time () < call->deadline_us)
+  if (strm_closed (call->strm))
     {
-      ctr_add (CTR_RETRIES, 1);
-      g_byte_array_set_size (call->answer, 0);
+      /* Only the end of an answer that the caller has whole was lost.  */
+      entry_call_finish (call);
+      return;
+    }
+  if (may_repeat (call, outcome))
+    {
+      ctr_add (call->head ? CTR_RESUMES : CTR_RETRIES, 1);
+      if (!call->stream)
+        g_string_truncate (call->answer, 0);
       start_attempt (call);
       return;
     }
@@ -191,21 +277,6 @@
                      step, peer, "%s", text);
 }
 
-/* Tells the agent to stop the current attempt; the call's lock is held.  */
-static void
-cancel_attempt (struct entry_call *call)
-{
-  struct msg msg = { .type = MSG_CANCEL };
-
-  if (call->runner_peer == 0)
-    return;
-  msg.u.cancel.call = call->id;
-  msg.u.cancel.attempt = call->attempt;
-  net_send (call->entry->net, call->runner_peer, &msg, NULL);
-  entry_fleet_release (call->entry, call->runner_peer);
-  call->runner_peer = 0;
-}
-
 void
 entry_call_abandon (struct entry_call *call)
 {
@@ -247,24 +318,59 @@
       entry_call_attempt_ended (call, MSG_OUTCOME_UNKNOWN, "run", name,
                                 "the agent is silent");
     }
+  else if (call->waiting_since_us != 0)
+    start_attempt (call);
   pthread_mutex_unlock (&call->lock);
 }
 
-void
-entry_call_tick (struct entry *entry, gint64 now_us)
+/* Returns a reference to each call in progress.  */
+static GPtrArray *
+all_calls (struct entry *entry)
 {
   GPtrArray *calls
       = g_ptr_array_new_with_free_func ((GDestroyNotify)entry_call_unref);
   GHashTableIter iter;
   gpointer value;
-  guint i;
 
   pthread_mutex_lock (&entry->lock);
   g_hash_table_iter_init (&iter, entry->calls);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     g_ptr_array_add (calls, entry_call_ref (value));
   pthread_mutex_unlock (&entry->lock);
+  return calls;
+}
+
+void
+entry_call_tick (struct entry *entry, gint64 now_us)
+{
+  GPtrArray *calls = all_calls (entry);
+  guint i;
+
   for (i = 0; i < calls->len; i++)
     check_call (g_ptr_array_index (calls, i), now_us);
   g_ptr_array_free (calls, TRUE);
 }
+
+void
+entry_call_peer_lost (struct entry *entry, uint64_t peer)
+{
+  GPtrArray *calls = all_calls (entry);
+  char name[MSG_NAME_MAX];
+  guint i;
+
+  entry_fleet_name (entry, peer, name, sizeof name);
+  for (i = 0; i < calls->len; i++)
+    {
+      struct entry_call *call = g_ptr_array_index (calls, i);
+
+      pthread_mutex_lock (&call->lock);
+      if (!call->ended && call->runner_peer == peer)
+        {
+          cancel_attempt (call);
+          entry_call_attempt_ended (call, MSG_OUTCOME_UNKNOWN, "run", name,
+                                    "the connection to the agent broke");
+        }
+      pthread_mutex_unlock (&call->lock);
+    }
+  g_ptr_array_free (calls, TRUE);
+}
--- a/src/entry_fleet.c
+++ b/src/entry_fleet.c
@@ -73,8 +73,17 @@
          && runner->reported_us != 0 && now - runner->reported_us < SILENCE_US;
 }
 
+/* A total order in which a lower value is chosen first.  */
+static uint64_t
+load (const struct entry_runner *runner, uint64_t avoid)
+{
+  uint64_t penalty = runner->peer == avoid ? UINT32_MAX : 0;
+
+  return runner->running + runner->queued + runner->own + penalty;
+}
+
 int
-entry_fleet_choose (struct entry *entry, const char *service,
+entry_fleet_choose (struct entry *entry, const char *service, uint64_t avoid,
                     struct entry_runner *out)
 {
   gint64 now = g_get_monotonic_time ();
@@ -87,9 +96,7 @@
       struct entry_runner *runner = g_ptr_array_index (entry->runners, i);
 
       if (usable (runner, service, now)
-          && (best == NULL
-              || runner->running + runner->queued + runner->own
-                     < best->running + best->queued + best->own))
+          && (best == NULL || load (runner, avoid) < load (best, avoid)))
         best = runner;
     }
   if (best != NULL)
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -106,11 +106,11 @@
 
   (void)pos;
   pthread_mutex_lock (&call->lock);
-  if (call->sent < call->answer->len)
+  if (call->answer->len > 0)
     {
-      n = (ssize_t)MIN (max, call->answer->len - call->sent);
-      memcpy (buf, call->answer->data + call->sent, (size_t)n);
-      call->sent += (size_t)n;
+      n = (ssize_t)MIN (max, call->answer->len);
+      memcpy (buf, call->answer->str, (size_t)n);
+      g_string_erase (call->answer, 0, n);
     }
   else if (call->ended)
     n = MHD_CONTENT_READER_END_OF_STREAM;
@@ -128,10 +128,8 @@
 entry_http_append_failure (struct entry_call *call)
 {
   char *text = failure_json (&call->failure);
-  char *event = g_strdup_printf ("event: error\ndata: %s\n\n", text);
 
-  g_byte_array_append (call->answer, (guint8 *)event, (guint)strlen (event));
-  g_free (event);
+  g_string_append_printf (call->answer, "event: error\ndata: %s\n\n", text);
   g_free (text);
 }
 
@@ -147,7 +145,7 @@
 {
   struct MHD_Response *response;
 
-  if (call->failed && call->answer->len == 0)
+  if (call->failed && !(call->stream && call->answer->len > 0))
     return send_failure (call->connection, &call->failure);
   if (call->stream)
     response = MHD_create_response_from_callback (
@@ -155,7 +153,7 @@
         release_answer);
   else
     response = MHD_create_response_from_buffer (
-        call->answer->len, call->answer->data, MHD_RESPMEM_MUST_COPY);
+        call->answer->len, call->answer->str, MHD_RESPMEM_MUST_COPY);
   if (call->answer_type[0] != '\0')
     MHD_add_response_header (response, "Content-Type", call->answer_type);
   return send_response (call->connection, call->status, response);
--- a/src/entry_net.c
+++ b/src/entry_net.c
@@ -49,14 +49,7 @@
   (void)peer;
   if (call == NULL)
     return;
-  call->status = (unsigned)head->status;
-  msg_str_copy (call->answer_type, sizeof call->answer_type,
-                head->content_type);
-  if (call->stream && !call->head)
-    {
-      call->head = 1;
-      entry_call_wake (call);
-    }
+  entry_call_head (call, (unsigned)head->status, head->content_type);
   put_call (call);
 }
 
@@ -69,14 +62,10 @@
   (void)peer;
   if (call == NULL)
     return;
-  if (data->sequence == call->next_sequence)
-    {
-      call->next_sequence++;
-      g_byte_array_append (call->answer, (const guint8 *)data->bytes.p,
-                           (guint)data->bytes.n);
-      if (call->stream)
-        entry_call_wake (call);
-    }
+  strm_data (call->strm, data->attempt, data->sequence, data->bytes.p,
+             data->bytes.n, call->answer);
+  if (call->stream)
+    entry_call_wake (call);
   put_call (call);
 }
 
@@ -88,17 +77,15 @@
   char step[MSG_NAME_MAX];
   char name[MSG_NAME_MAX];
   char text[ERR_TEXT_MAX];
+  int done;
 
   if (call == NULL)
     return;
-  if (end->outcome == MSG_OUTCOME_DONE && end->frames == call->next_sequence)
+  done = end->outcome == MSG_OUTCOME_DONE;
+  strm_end (call->strm, end->attempt, end->frames, done, call->answer);
+  if (done && strm_complete (call->strm))
     {
-      call->head = 1;
-      call->ended = 1;
-      call->runner_peer = 0;
-      ctr_add (CTR_ANSWERED, 1);
-      entry_call_wake (call);
-      entry_fleet_release (entry, peer);
+      entry_call_finish (call);
       put_call (call);
       return;
     }
@@ -106,11 +93,9 @@
   entry_fleet_name (entry, peer, name, sizeof name);
   msg_str_copy (step, sizeof step, end->step);
   msg_str_copy (text, sizeof text, end->text);
-  entry_call_attempt_ended (call,
-                            end->outcome == MSG_OUTCOME_DONE
-                                ? MSG_OUTCOME_UNKNOWN
-                                : (enum msg_outcome)end->outcome,
-                            step, name, text);
+  entry_call_attempt_ended (
+      call, done ? MSG_OUTCOME_UNKNOWN : (enum msg_outcome)end->outcome, step,
+      name, text);
   put_call (call);
 }
 
@@ -152,4 +137,10 @@
   put_call (call);
 }
 
-const struct net_ops entry_net_ops = { on_message, on_unsent };
+static void
+on_lost (void *ctx, uint64_t peer)
+{
+  entry_call_peer_lost (ctx, peer);
+}
+
+const struct net_ops entry_net_ops = { on_message, on_unsent, on_lost };
--- a/src/log.c
+++ b/src/log.c
@@ -38,6 +38,17 @@
 
 static const log4c_layout_type_t json_layout = { "json-line", format_line };
 
+/* The stream type of log4c puts the appender's name before each line.  */
+static int
+append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  (void)appender;
+  return fputs (event->evt_rendered_msg, stderr);
+}
+
+static const log4c_appender_type_t line_appender
+    = { "stderr-line", NULL, append_line, NULL };
+
 int
 log_open (const char *program, enum log_level level)
 {
@@ -50,7 +61,8 @@
   log4c_layout_type_set (&json_layout);
   layout = log4c_layout_get ("json-line");
   log4c_layout_set_type (layout, &json_layout);
-  appender = log4c_appender_get ("stderr");
+  appender = log4c_appender_get ("goldcresthatch");
+  log4c_appender_set_type (appender, &line_appender);
   log4c_appender_set_layout (appender, layout);
   category = log4c_category_get ("goldcresthatch");
   log4c_category_set_appender (category, appender);
--- a/src/net.c
+++ b/src/net.c
@@ -42,7 +42,8 @@
 struct peer
 {
   uint64_t handle;
-  void *socket; /* of the entry's side */
+  void *socket;  /* of the entry's side */
+  void *monitor; /* events of SOCKET */
   char name[IDENTITY_MAX];
   size_t name_size;
   gint64 malformed_logged_us;
@@ -74,7 +75,11 @@
   struct peer *peer = data;
 
   if (peer->socket != NULL)
-    zmq_close (peer->socket);
+    {
+      zmq_socket_monitor (peer->socket, NULL, 0);
+      zmq_close (peer->monitor);
+      zmq_close (peer->socket);
+    }
   free (peer);
 }
 
@@ -125,6 +130,20 @@
   set_int (socket, ZMQ_RCVHWM, HIGH_WATER_MARK);
 }
 
+/* Watches the socket of PEER for a broken connection.  */
+static void
+open_monitor (struct net *net, struct peer *peer)
+{
+  char endpoint[ERR_PEER_MAX];
+
+  snprintf (endpoint, sizeof endpoint, "inproc://monitor-%llu",
+            (unsigned long long)peer->handle);
+  zmq_socket_monitor (peer->socket, endpoint, ZMQ_EVENT_DISCONNECTED);
+  peer->monitor = zmq_socket (net->zmq, ZMQ_PAIR);
+  set_int (peer->monitor, ZMQ_LINGER, 0);
+  zmq_connect (peer->monitor, endpoint);
+}
+
 static void
 do_connect (struct net *net, const struct command *command)
 {
@@ -143,6 +162,7 @@
   set_int (peer->socket, ZMQ_IMMEDIATE, 1);
   zmq_setsockopt (peer->socket, ZMQ_ROUTING_ID, net->identity,
                   strlen (net->identity));
+  open_monitor (net, peer);
   if (zmq_connect (peer->socket, endpoint) != 0)
     log_write (LOG_LEVEL_WARN, NULL, "connect", command->address, "%s",
                zmq_strerror (errno));
@@ -265,6 +285,21 @@
     }
 }
 
+/* Reads the events of PEER's monitor; only one kind was asked for.  */
+static void
+receive_monitor (struct net *net, struct peer *peer)
+{
+  zmq_msg_t frame;
+  int events = 0;
+
+  zmq_msg_init (&frame);
+  while (zmq_msg_recv (&frame, peer->monitor, ZMQ_DONTWAIT) >= 0)
+    events++;
+  zmq_msg_close (&frame);
+  if (events > 0 && net->ops->lost != NULL)
+    net->ops->lost (net->ctx, peer->handle);
+}
+
 /* Finds or adds the peer with the routing id in FRAME.  */
 static struct peer *
 router_peer (struct net *net, zmq_msg_t *frame)
@@ -318,35 +353,59 @@
     }
 }
 
+enum
+{
+  ITEMS_PER_PEER = 2 /* socket and monitor */
+};
+
 static zmq_pollitem_t *
 poll_items (struct net *net, int *count)
 {
-  int n = 1 + (net->router != NULL ? 1 : (int)net->order->len);
+  int n
+      = 1 + (net->router != NULL ? 1 : ITEMS_PER_PEER * (int)net->order->len);
   zmq_pollitem_t *items = g_new0 (zmq_pollitem_t, n);
-  int i;
+  guint i;
 
   items[0].fd = net->wake_fd;
-  for (i = 1; i < n; i++)
+  if (net->router != NULL)
+    items[1].socket = net->router;
+  for (i = 0; i < net->order->len; i++)
     {
-      struct peer *peer = NULL;
+      struct peer *peer = g_ptr_array_index (net->order, i);
 
-      if (net->router == NULL)
-        peer = g_ptr_array_index (net->order, i - 1);
-      items[i].socket = peer != NULL ? peer->socket : net->router;
+      items[1 + ITEMS_PER_PEER * i].socket = peer->socket;
+      items[2 + ITEMS_PER_PEER * i].socket = peer->monitor;
     }
-  for (i = 0; i < n; i++)
+  for (i = 0; i < (guint)n; i++)
     items[i].events = ZMQ_POLLIN;
   *count = n;
   return items;
 }
 
+static void
+receive_all (struct net *net, const zmq_pollitem_t *items)
+{
+  guint i;
+
+  if (net->router != NULL && (items[1].revents & ZMQ_POLLIN))
+    receive_router (net);
+  for (i = 0; i < net->order->len; i++)
+    {
+      struct peer *peer = g_ptr_array_index (net->order, i);
+
+      if (items[1 + ITEMS_PER_PEER * i].revents & ZMQ_POLLIN)
+        receive_dealer (net, peer);
+      if (items[2 + ITEMS_PER_PEER * i].revents & ZMQ_POLLIN)
+        receive_monitor (net, peer);
+    }
+}
+
 static void *
 net_main (void *arg)
 {
   struct net *net = arg;
   zmq_pollitem_t *items;
   int count;
-  int i;
   int stop = 0;
 
   while (!stop)
@@ -354,11 +413,7 @@
       items = poll_items (net, &count);
       if (zmq_poll (items, count, -1) > 0)
         {
-          for (i = 1; i < count; i++)
-            if ((items[i].revents & ZMQ_POLLIN) && net->router != NULL)
-              receive_router (net);
-            else if (items[i].revents & ZMQ_POLLIN)
-              receive_dealer (net, g_ptr_array_index (net->order, i - 1));
+          receive_all (net, items);
           if (items[0].revents & ZMQ_POLLIN)
             stop = run_commands (net);
         }
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -37,12 +37,23 @@
   PIDS[$name]=$!
 }
 
+# Fails at once when a process has ended by itself.
+check_processes ()
+{
+  local name
+  for name in "${!PIDS[@]}"; do
+    [ "$name" = load ] || kill -0 "${PIDS[$name]}" 2> /dev/null \
+      || die "$name has ended"
+  done
+}
+
 wait_for ()			# WHAT COMMAND...
 {
   local what=$1 end=$((SECONDS + WAIT_S))
   shift
   until "$@" > /dev/null 2>&1; do
     [ $SECONDS -lt $end ] || die "no $what within $WAIT_S s"
+    check_processes
     sleep 0.05
   done
 }
@@ -136,3 +147,29 @@
 {
   chat "$1" "$2" ready false | grep -q '"finish_reason":"stop"'
 }
+
+metric ()			# ENTRY NAME
+{
+  curl -s "http://127.$NET.2.$1:8000/metrics" \
+    | awk -v name="goldcresthatch_$2" '$1 == name { print $2 }'
+}
+
+metric_at_least ()		# ENTRY NAME VALUE
+{
+  [ "$(metric "$1" "$2")" -ge "$3" ]
+}
+
+# Starts the load client in the background; load_done prints its counts.
+start_load ()			# ARGUMENTS...
+{
+  "$BUILD/load-client" --transcript "$WORK/transcript" "$@" \
+    > "$WORK/load.json" 2>> "$WORK/load.log" &
+  PIDS[load]=$!
+}
+
+load_done ()
+{
+  wait "${PIDS[load]}" || die "load client"
+  unset "PIDS[load]"
+  jq -c 'del(.resent, .on_time)' "$WORK/load.json"
+}
