--- /dev/null
+++ b/include/goldcresthatch/span.h
@@ -0,0 +1,104 @@
+#ifndef GOLDCRESTHATCH_SPAN_H
+#define GOLDCRESTHATCH_SPAN_H
+
+/*
+ * NAME
+ *   span - trace context and spans in OTLP's JSON form
+ *
+ * DESCRIPTION
+ *   Each hop of a request records a span under the trace of the caller's
+ *   traceparent header.  Finished spans stay in a ring in memory, where a new
+ *   one replaces the oldest, until they are exported by trace id.  Times are
+ *   microseconds since the Unix epoch.  A ring is safe for use by many
+ *   threads; a span belongs to one thread at a time.
+ */
+
+#include <glib.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "goldcresthatch/err.h"
+
+enum
+{
+  SPAN_TRACE_SIZE = 16, /* bytes of a trace id */
+  SPAN_ID_SIZE = 8,     /* bytes of a span id */
+  SPAN_PARENT_LEN = 55, /* characters of a traceparent */
+  SPAN_NAME_MAX = 48,   /* bytes, terminated, as are the next two */
+  SPAN_KEY_MAX = 24,
+  SPAN_VALUE_MAX = 64,
+  SPAN_ATTRS_MAX = 6 /* attributes of a span */
+};
+
+/* As in OTLP.  */
+enum span_kind
+{
+  SPAN_INTERNAL = 1,
+  SPAN_SERVER,
+  SPAN_CLIENT
+};
+
+/* What a traceparent header carries.  */
+struct span_ctx
+{
+  uint8_t trace[SPAN_TRACE_SIZE];
+  uint8_t id[SPAN_ID_SIZE];
+  uint8_t flags;
+};
+
+struct span_attribute
+{
+  char key[SPAN_KEY_MAX];
+  char value[SPAN_VALUE_MAX];
+};
+
+struct span
+{
+  struct span_ctx ctx;
+  uint8_t parent[SPAN_ID_SIZE]; /* all zero for a first span */
+  enum span_kind kind;
+  char name[SPAN_NAME_MAX];
+  int64_t start;
+  int64_t end;
+  unsigned attr_count;
+  struct span_attribute attrs[SPAN_ATTRS_MAX];
+  struct err err; /* ERR_NONE when the hop succeeded */
+};
+
+struct span_ring;
+
+/* Parses the SIZE bytes of a traceparent.  Returns 0, or -1 with ERR_INVALID;
+   a caller then starts a new trace, as the W3C recommendation asks.  */
+int span_parse (const char *text, size_t size, struct span_ctx *ctx,
+                struct err *err);
+
+/* Writes CTX as a traceparent of version 00.  */
+void span_format (const struct span_ctx *ctx, char out[SPAN_PARENT_LEN + 1]);
+
+/* Starts SPAN at START under PARENT, or in a new sampled trace when PARENT is
+   null.  */
+void span_start (struct span *span, const struct span_ctx *parent,
+                 enum span_kind kind, const char *name, int64_t start);
+
+/* Adds an attribute, cut to fit; one beyond SPAN_ATTRS_MAX is left out.  */
+void span_attr (struct span *span, const char *key, const char *value);
+
+/* Ends SPAN at END, with ERR unless that is null, and records it.  A trace
+   that isn't sampled isn't recorded.  */
+void span_finish (struct span_ring *ring, struct span *span, int64_t end,
+                  const struct err *err);
+
+/* Returns a ring of CAPACITY spans for the process INSTANCE of SERVICE.  */
+struct span_ring *span_ring_new (size_t capacity, const char *service,
+                                 const char *instance);
+void span_ring_free (struct span_ring *ring);
+
+/* Appends the spans of TRACE to OUT as an OTLP/JSON document, the oldest
+   first.  Returns their number.  */
+size_t span_export (struct span_ring *ring,
+                    const uint8_t trace[SPAN_TRACE_SIZE], GString *out);
+
+/* Parses a trace id of 32 hexadecimal digits.  Returns 0 or -1.  */
+int span_trace_parse (const char *text, uint8_t trace[SPAN_TRACE_SIZE]);
+
+#endif
