Refuse nested messages before msgpack allocates for them

Cause: msgpack_unpack_next allocates all objects that an array or a map claims to hold before it reads them. A message of 5 bytes that claims 2^32 - 1 objects asked for 0x2000000008 bytes (AddressSanitizer stopped there), as would one nested in a field. Change: msg_decode first walks the frame and refuses anything but one flat array of numbers and byte strings of at most the largest message's count.

--- a/src/msg.c
+++ b/src/msg.c
@@ -36,6 +36,19 @@
   FIELDS_MAX = 18
 };
 
+/* First bytes of msgpack objects.  */
+enum
+{
+  WIRE_FIXINT_MAX = 0x7f,
+  WIRE_FIXARRAY = 0x90,
+  WIRE_FIXARRAY_MASK = 0xf0,
+  WIRE_BIN8 = 0xc4,
+  WIRE_BIN32 = 0xc6,
+  WIRE_UINT8 = 0xcc,
+  WIRE_UINT64 = 0xcf,
+  WIRE_ARRAY16 = 0xdc
+};
+
 #define U(m)                                                                  \
   {                                                                           \
     FIELD_UINT, offsetof (struct msg, u.m), 0                                 \
@@ -224,6 +237,63 @@
   return -1;
 }
 
+/* Returns the length of the unsigned number or byte string of SIZE bytes at P,
+   or 0 when it is cut off or another kind of object.  */
+static size_t
+object_length (const unsigned char *p, size_t size)
+{
+  size_t width; /* bytes of the number that follows the first byte */
+  uint64_t n = 0;
+  size_t i;
+
+  if (p[0] <= WIRE_FIXINT_MAX)
+    return 1;
+  if (p[0] >= WIRE_UINT8 && p[0] <= WIRE_UINT64)
+    width = (size_t)1 << (p[0] - WIRE_UINT8);
+  else if (p[0] >= WIRE_BIN8 && p[0] <= WIRE_BIN32)
+    width = (size_t)1 << (p[0] - WIRE_BIN8);
+  else
+    return 0;
+  if (size - 1 < width)
+    return 0;
+  if (p[0] >= WIRE_UINT8)
+    return 1 + width;
+  for (i = 1; i <= width; i++)
+    n = n << 8 | p[i];
+  return n <= size - 1 - width ? 1 + width + (size_t)n : 0;
+}
+
+/* Returns nonzero when DATA is one array of at most as many objects as a
+   message has, all of them numbers or byte strings.  The unpacker allocates
+   as many objects as an array or a map claims to hold, up to 2^32, before it
+   reads them, so it must not see any other container.  */
+static int
+is_flat_array (const unsigned char *data, size_t size)
+{
+  size_t count;
+  size_t at;
+  size_t n;
+
+  if (size >= 1 && (data[0] & WIRE_FIXARRAY_MASK) == WIRE_FIXARRAY)
+    {
+      count = data[0] & ~WIRE_FIXARRAY_MASK;
+      at = 1;
+    }
+  else if (size >= 3 && data[0] == WIRE_ARRAY16)
+    {
+      count = (size_t)data[1] << 8 | data[2];
+      at = 3;
+    }
+  else
+    return 0;
+  if (count > HEADER_FIELDS + FIELDS_MAX)
+    return 0;
+  for (; count > 0; count--, at += n)
+    if (at == size || (n = object_length (data + at, size - at)) == 0)
+      return 0;
+  return at == size;
+}
+
 /* Checks the array that holds a message and finds its layout.  */
 static const struct layout *
 decode_header (const msgpack_object *root, struct msg *msg, struct err *err)
@@ -269,6 +339,8 @@
   if (size > MSG_SIZE_MAX)
     return err_set (err, ERR_PROTOCOL, "decode", NULL,
                     "message of %zu bytes exceeds the limit", size);
+  if (!is_flat_array (data, size))
+    return err_set (err, ERR_PROTOCOL, "decode", NULL, "not a message");
   msgpack_unpacked_init (&unpacked);
   if (msgpack_unpack_next (&unpacked, data, size, &off)
           != MSGPACK_UNPACK_SUCCESS
