--- a/include/goldcresthatch/cfg.h
+++ b/include/goldcresthatch/cfg.h
@@ -206,8 +206,8 @@
                                         const char *method, const char *path,
                                         const struct cfg_service **service);
 
-/* One edit of a section.  */
-struct cfg_edit
+/* One change of a section.  */
+struct cfg_change
 {
   enum cfg_section section;
   uint64_t base_revision; /* section revision that the editor read */
@@ -223,7 +223,7 @@
 /* Draws a write id.  */
 void cfg_write_id (char out[CFG_WRITE_ID_SIZE]);
 
-/* Writes EDIT and sets *GENERATION.  Returns 0, or -1 with
+/* Makes the change EDIT and sets *GENERATION.  Returns 0, or -1 with
      ERR_INVALID   the body or the resulting document is invalid (PROBLEMS)
      ERR_REFUSED   the credential is not the section's
      ERR_CONFLICT  the section has changed since the base revision
@@ -232,8 +232,8 @@
      ERR_TIMEOUT   the service stopped answering; the effect is unknown
    The first edit of a section without a credential sets the section's
    credential, and its owner when it has none.  */
-int cfg_edit (struct kv *kv, const struct cfg_edit *edit, GPtrArray *problems,
-              uint64_t *generation, struct err *err);
+int cfg_edit (struct kv *kv, const struct cfg_change *edit,
+              GPtrArray *problems, uint64_t *generation, struct err *err);
 
 /* Returns the past bodies of a section, oldest first, as a JSON array of
    {revision, generation, time_us, operator, body}; free by g_free.  */
--- /dev/null
+++ b/model/config.pml
@@ -0,0 +1,280 @@
+/* Edits, adoption and restart of the configuration (design 6.3 and 6.4).
+
+   Writers race over two sections of one document under CAS, with answers lost
+   before or after the effect and requests that take effect late.  Nodes adopt
+   from the service, through stale reads, or from neighbours, and restart while
+   the service is up or down.  The operator's command reports a generation as in
+   force after a majority of the nodes confirms.
+
+   Each guard can be removed by -DNO_GUARD_x:
+     CAS       the service compares the revision of the document
+     SECTION   an edit compares the revision of its section
+     SETTLE    a lost answer is settled by the write ids
+     HIGHER    a node adopts only a higher generation
+     MAJORITY  a start without the service waits for more than half of the peers
+     CONFIRM   "in force" counts only peers that confirm twice in the same
+               incarnation
+   A node sees only the generation of the service, so the writers and the nodes
+   are checked apart: WRITERS runs the writers, otherwise a source raises the
+   generation and the nodes run.
+   STRICT_RESTART asserts that a restart never lowers the generation that the
+   node itself held, which the design does not provide.  */
+
+#define NODES 3
+#define WRITER_COUNT 2
+#define LOST_MAX 2
+#define RESTARTS_MAX 2
+#define DOWN_MAX 2
+#define GEN_MAX 2 /* generations of the source */
+#define NONE 255
+
+/* The document in the service; its generation is the CAS revision.  */
+byte gen;
+byte sec_rev[2];
+byte ids;        /* bit per write id */
+byte lineage[2]; /* bits of the edits that the section's body builds on */
+bool up = true;
+byte lost;
+
+/* A request on its way to the service.  */
+bool pend[WRITER_COUNT];
+
+byte w_section[WRITER_COUNT];
+byte w_base[WRITER_COUNT];    /* section revision that the edit is based on */
+byte w_lineage[WRITER_COUNT]; /* lineage of the body that the edit is based on */
+byte w_rev[WRITER_COUNT];     /* document revision that the CAS names */
+byte w_won;              /* bits of the edits that took effect */
+byte w_lost;             /* bits of the writers told "lost" */
+
+byte g[NODES];
+bool ready[NODES];
+byte inc[NODES];
+byte restarts;
+byte downs;
+byte in_force;
+
+#define BIT(w) (1 << (w))
+
+inline apply (w, ok)
+{
+#ifdef NO_GUARD_CAS
+  ok = true;
+#else
+  ok = (gen == w_rev[w]);
+#endif
+  if
+  :: ok ->
+     assert ((w_won & BIT (w)) == 0);
+     assert ((w_lost & BIT (w)) == 0);
+     /* An accepted edit stays in the lineage of its section.  */
+     assert ((lineage[w_section[w]] & ~w_lineage[w]) == 0);
+     gen++;
+     sec_rev[w_section[w]] = w_base[w] + 1;
+     lineage[w_section[w]] = w_lineage[w] | BIT (w);
+     ids = ids | BIT (w);
+     w_won = w_won | BIT (w)
+  :: else -> skip
+  fi
+}
+
+proctype writer (byte w)
+{
+  bool ok;
+  bool doubt;
+
+  d_step {
+    w_base[w] = sec_rev[w_section[w]];
+    w_lineage[w] = lineage[w_section[w]]
+  }
+read:
+  atomic {
+    up;
+    if
+#ifdef NO_GUARD_SETTLE
+    :: doubt && gen != w_rev[w] ->
+       goto told_lost
+#else
+    :: doubt && (ids & BIT (w)) != 0 ->
+       goto told_won
+#endif
+    :: else -> skip
+    fi;
+#ifndef NO_GUARD_SECTION
+    if
+    :: sec_rev[w_section[w]] != w_base[w] -> goto told_lost
+    :: else -> skip
+    fi;
+#endif
+    w_rev[w] = gen
+  }
+  atomic {
+    if
+    :: up && !pend[w] ->
+       apply (w, ok);
+       if
+       :: ok -> goto told_won
+       :: else -> goto read
+       fi
+    :: lost < LOST_MAX && up && !pend[w] ->
+       lost++; doubt = true; apply (w, ok); ok = false; goto read
+    :: lost < LOST_MAX ->
+       lost++; doubt = true; goto read
+    :: lost < LOST_MAX && !pend[w] ->
+       lost++; doubt = true; pend[w] = true; goto read
+    :: pend[w] && up -> /* the late request overtakes the repeated one */
+       pend[w] = false; apply (w, ok); ok = false; goto read
+    fi
+  }
+told_won:
+  assert ((w_won & BIT (w)) != 0);
+  goto end;
+told_lost:
+  atomic {
+    assert ((w_won & BIT (w)) == 0);
+    w_lost = w_lost | BIT (w)
+  }
+end:
+  skip
+}
+
+proctype service ()
+{
+  bool ok;
+
+end:
+  do
+  :: atomic { up && pend[0] -> pend[0] = false; apply (0, ok); ok = false }
+  :: atomic { up && pend[1] -> pend[1] = false; apply (1, ok); ok = false }
+  :: atomic { up && downs < DOWN_MAX -> up = false; downs++ }
+  :: atomic { !up -> up = true }
+#ifndef WRITERS
+  :: atomic { up && gen < GEN_MAX -> gen++ }
+#endif
+  od
+}
+
+inline adopt (n, x)
+{
+#ifdef NO_GUARD_HIGHER
+  assert (x >= g[n]);
+  g[n] = x;
+#else
+  if
+  :: x > g[n] -> g[n] = x
+  :: else -> skip
+  fi;
+#endif
+}
+
+proctype node (byte n)
+{
+  byte seen = NONE; /* a read of the service that has not been adopted yet */
+  byte floor;
+#ifdef STRICT_RESTART
+  byte held;
+#endif
+  byte best;
+  byte heard;
+
+end:
+  do
+  :: atomic { ready[n] && up && seen == NONE && gen != g[n] -> seen = gen }
+  :: atomic { ready[n] && seen != NONE -> adopt (n, seen); seen = NONE }
+  :: atomic {
+       ready[n] && ready[(n + 1) % NODES] && g[(n + 1) % NODES] > g[n] ->
+       adopt (n, g[(n + 1) % NODES]) }
+  :: atomic {
+       ready[n] && ready[(n + 2) % NODES] && g[(n + 2) % NODES] > g[n] ->
+       adopt (n, g[(n + 2) % NODES]) }
+  :: atomic {
+       ready[n] && restarts < RESTARTS_MAX ->
+       restarts++;
+       inc[n]++;
+#ifdef STRICT_RESTART
+       held = g[n];
+#endif
+       floor = in_force;
+       g[n] = 0; ready[n] = false; seen = NONE; best = 0; heard = 0 }
+  :: atomic { !ready[n] && up -> best = gen; goto start }
+  :: atomic {
+       !ready[n] && !up && ready[(n + 1) % NODES] && (heard & 1) == 0 ->
+       best = (g[(n + 1) % NODES] > best -> g[(n + 1) % NODES] : best);
+       heard = heard | 1 }
+  :: atomic {
+       !ready[n] && !up && ready[(n + 2) % NODES] && (heard & 2) == 0 ->
+       best = (g[(n + 2) % NODES] > best -> g[(n + 2) % NODES] : best);
+       heard = heard | 2 }
+#ifdef NO_GUARD_MAJORITY
+  :: atomic { !ready[n] && heard != 0 -> goto start }
+#else
+  :: atomic { !ready[n] && heard == 3 -> goto start }
+#endif
+  od;
+start:
+  atomic {
+    g[n] = best;
+    ready[n] = true;
+    assert (g[n] >= floor);
+#ifdef STRICT_RESTART
+    assert (g[n] >= held);
+    held = 0;
+#endif
+    floor = 0; best = 0; heard = 0;
+    goto end
+  }
+}
+
+/* Reports one generation as in force.  */
+proctype confirm ()
+{
+  byte target;
+  byte seen_inc[NODES];
+  byte first;  /* bits of the nodes that confirmed in the first round */
+  byte second; /* and again in the second */
+
+  atomic { gen > 0 -> target = gen }
+end:
+  do
+  :: atomic { (first & 1) == 0 && ready[0] && g[0] >= target ->
+       first = first | 1; seen_inc[0] = inc[0] }
+  :: atomic { (first & 2) == 0 && ready[1] && g[1] >= target ->
+       first = first | 2; seen_inc[1] = inc[1] }
+  :: atomic { (first & 4) == 0 && ready[2] && g[2] >= target ->
+       first = first | 4; seen_inc[2] = inc[2] }
+  :: atomic { first == 3 || first == 5 || first == 6 || first == 7 -> break }
+  od;
+#ifndef NO_GUARD_CONFIRM
+end2:
+  do
+  :: atomic { (first & 1) != 0 && (second & 1) == 0 && ready[0] &&
+              inc[0] == seen_inc[0] -> second = second | 1 }
+  :: atomic { (first & 2) != 0 && (second & 2) == 0 && ready[1] &&
+              inc[1] == seen_inc[1] -> second = second | 2 }
+  :: atomic { (first & 4) != 0 && (second & 4) == 0 && ready[2] &&
+              inc[2] == seen_inc[2] -> second = second | 4 }
+  :: atomic { second == 3 || second == 5 || second == 6 || second == 7 -> break }
+  od;
+#endif
+  in_force = target
+}
+
+init
+{
+  atomic {
+    ready[0] = true; ready[1] = true; ready[2] = true;
+    run service ();
+#ifdef WRITERS
+    if
+    :: w_section[1] = 0
+    :: w_section[1] = 1
+    fi;
+    run writer (0);
+    run writer (1)
+#else
+    run node (0);
+    run node (1);
+    run node (2);
+    run confirm ()
+#endif
+  }
+}
--- a/src/cfg.c
+++ b/src/cfg.c
@@ -20,15 +20,18 @@
 
 /* first_token_ms and token_gap_ms are the targets of the design page for 95 in
    100 requests; retry_percent is its bound on extra load.  */
+static const char default_limits[]
+    = "{\"deadline_default_ms\":30000,\"deadline_max_ms\":600000,"
+      "\"first_token_ms\":1900,\"token_gap_ms\":74,"
+      "\"retry_percent\":10,\"queue_max\":256}";
+
 static const char *const default_bodies[CFG_SECTION_MAX] = {
   [CFG_MODELS] = "{}",
   [CFG_SERVICES] = "{}",
   [CFG_PRIORITIES] = "{}",
   [CFG_CUSTOMERS] = "{}",
   [CFG_FLEET] = "{\"runners\":{}}",
-  [CFG_LIMITS] = "{\"deadline_default_ms\":30000,\"deadline_max_ms\":600000,"
-                 "\"first_token_ms\":1900,\"token_gap_ms\":74,"
-                 "\"retry_percent\":10,\"queue_max\":256}",
+  [CFG_LIMITS] = default_limits,
   [CFG_SITE] = "{\"role_change_cost_s\":20,\"goodput_weight\":1}",
 };
 
--- a/src/cfg_edit.c
+++ b/src/cfg_edit.c
@@ -20,7 +20,7 @@
 
 struct attempt
 {
-  const struct cfg_edit *edit;
+  const struct cfg_change *edit;
   struct json_object *body;
   GPtrArray *problems;
   char hash[crypto_pwhash_STRBYTES]; /* made once, so that a repeated CAS
@@ -90,7 +90,7 @@
 }
 
 static void
-report_conflict (const struct cfg_edit *edit, struct json_object *section,
+report_conflict (const struct cfg_change *edit, struct json_object *section,
                  struct err *err)
 {
   struct json_object *base = body_at (section, edit->base_revision);
@@ -112,7 +112,7 @@
 
 /* Returns true when the edit is in DOC or in the history of its section.  */
 static bool
-is_written (const struct cfg_doc *doc, const struct cfg_edit *edit)
+is_written (const struct cfg_doc *doc, const struct cfg_change *edit)
 {
   struct json_object *section = cfg_section_json (doc->root, edit->section);
   struct json_object *list = cfg_member (section, "history");
@@ -195,7 +195,7 @@
 static void
 replace_body (struct cfg_doc *doc, struct attempt *attempt)
 {
-  const struct cfg_edit *edit = attempt->edit;
+  const struct cfg_change *edit = attempt->edit;
   struct json_object *section = cfg_section_json (doc->root, edit->section);
   struct json_object *ids = cfg_member (doc->root, "write_ids");
   int64_t generation = (int64_t)cfg_generation (doc) + 1;
@@ -305,7 +305,7 @@
 try_edit (struct kv *kv, struct cfg_doc *doc, uint64_t revision,
           struct attempt *attempt, struct err *err)
 {
-  const struct cfg_edit *edit = attempt->edit;
+  const struct cfg_change *edit = attempt->edit;
   struct json_object *section = cfg_section_json (doc->root, edit->section);
   bool moved = cfg_revision (doc, edit->section) != edit->base_revision;
 
@@ -371,7 +371,7 @@
 }
 
 int
-cfg_edit (struct kv *kv, const struct cfg_edit *edit, GPtrArray *problems,
+cfg_edit (struct kv *kv, const struct cfg_change *edit, GPtrArray *problems,
           uint64_t *generation, struct err *err)
 {
   struct attempt attempt = { .edit = edit };
