Check the JSON syntax in the scan for repeated members

Change: the scan checks the syntax itself and reports where it fails; names without an escape are decoded without a second reader.

--- a/include/goldcresthatch/cfg.h
+++ b/include/goldcresthatch/cfg.h
@@ -10,7 +10,8 @@
  *   struct cfg_doc is valid by construction: each function that returns one
  *   has checked it against the tables of members and across sections.
  *   Functions that return a pointer return null on failure.  Documents are
- *   not safe for concurrent use; a struct cfg_snapshot is.
+ *   not safe for concurrent use; a struct cfg_snapshot is.  The process has
+ *   called sodium_init.
  */
 
 #include <glib.h>
--- a/src/cfg_json.c
+++ b/src/cfg_json.c
@@ -155,35 +155,101 @@
   scan->counted = scan->p;
 }
 
-/* Steps over a string and returns its decoded value.  */
+/* Steps over a string and returns its decoded value, or null when the text is
+   not a string.  */
 static char *
 scan_string (struct scan *scan)
 {
-  const char *start = scan->p++;
+  const char *start = scan->p;
   struct json_object *value;
   char *raw;
   char *out;
 
-  while (*scan->p != '"')
-    scan->p += *scan->p == '\\' ? 2 : 1;
+  if (*scan->p++ != '"')
+    return NULL;
+  for (; *scan->p != '"'; scan->p++)
+    {
+      if (*scan->p == '\\')
+        scan->p++;
+      if ((unsigned char)*scan->p < ' ')
+        return NULL;
+    }
   scan->p++;
   raw = g_strndup (start, (gsize)(scan->p - start));
-  value = json_tokener_parse (raw);
-  out = g_strdup (json_object_get_string (value));
-  json_object_put (value);
+  if (strchr (raw, '\\') == NULL)
+    out = g_strndup (raw + 1, strlen (raw) - 2);
+  else
+    {
+      value = json_tokener_parse (raw);
+      out = g_strdup (json_object_get_string (value));
+      json_object_put (value);
+    }
   g_free (raw);
   return out;
 }
 
-static void scan_value (struct scan *scan);
+static size_t
+count_digits (const char *p)
+{
+  return strspn (p, "0123456789");
+}
 
-static void
+/* Returns the length of the number at P, or 0 when there is none.  */
+static size_t
+number_length (const char *p)
+{
+  const char *start = p;
+  size_t digits;
+
+  p += *p == '-';
+  digits = count_digits (p);
+  if (digits == 0 || (digits > 1 && *p == '0'))
+    return 0;
+  p += digits;
+  if (*p == '.')
+    {
+      digits = count_digits (++p);
+      if (digits == 0)
+        return 0;
+      p += digits;
+    }
+  if (*p == 'e' || *p == 'E')
+    {
+      p++;
+      p += *p == '+' || *p == '-';
+      digits = count_digits (p);
+      if (digits == 0)
+        return 0;
+      p += digits;
+    }
+  return (size_t)(p - start);
+}
+
+static bool
+scan_literal (struct scan *scan)
+{
+  static const char *const words[] = { "true", "false", "null" };
+  size_t length = number_length (scan->p);
+
+  for (size_t i = 0; length == 0 && i < G_N_ELEMENTS (words); i++)
+    if (g_str_has_prefix (scan->p, words[i]))
+      length = strlen (words[i]);
+  scan->p += length;
+  return length > 0;
+}
+
+static bool scan_value (struct scan *scan);
+
+static bool
 scan_member (struct scan *scan, GHashTable *seen)
 {
   gsize length = scan->path->len;
   unsigned line = scan->line;
   char *name = scan_string (scan);
+  bool valid;
 
+  if (name == NULL)
+    return false;
   if (length > 0)
     g_string_append_c (scan->path, '.');
   g_string_append (scan->path, name);
@@ -193,58 +259,100 @@
   g_hash_table_replace (scan->in->lines, g_strdup (scan->path->str),
                         GUINT_TO_POINTER (line));
   skip_space (scan);
-  scan->p++; /* colon */
-  scan_value (scan);
+  valid = *scan->p == ':';
+  if (valid)
+    {
+      scan->p++;
+      valid = scan_value (scan);
+    }
   g_string_truncate (scan->path, length);
+  return valid;
 }
 
-static void
+static bool
 scan_element (struct scan *scan, unsigned index)
 {
   gsize length = scan->path->len;
+  bool valid;
 
   g_string_append_printf (scan->path, "[%u]", index);
   g_hash_table_replace (scan->in->lines, g_strdup (scan->path->str),
                         GUINT_TO_POINTER (scan->line));
-  scan_value (scan);
+  valid = scan_value (scan);
   g_string_truncate (scan->path, length);
+  return valid;
 }
 
-/* Walks text that json-c has accepted in strict mode, so the syntax is not
-   checked again.  json-c bounds the depth.  */
-static void
+/* Steps over the members or elements of an object or array and its end.  */
+static bool
+scan_entries (struct scan *scan, char open, GHashTable *seen)
+{
+  char close = open == '{' ? '}' : ']';
+
+  scan->p++;
+  skip_space (scan);
+  if (*scan->p == close)
+    {
+      scan->p++;
+      return true;
+    }
+  for (unsigned i = 0;; i++)
+    {
+      if (!(open == '{' ? scan_member (scan, seen) : scan_element (scan, i)))
+        return false;
+      skip_space (scan);
+      if (*scan->p == close)
+        {
+          scan->p++;
+          return true;
+        }
+      if (*scan->p != ',')
+        return false;
+      scan->p++;
+      skip_space (scan);
+    }
+}
+
+/* Walks text that json-c has accepted, which bounds the depth.  json-c accepts
+   some text that is not JSON even in strict mode, so the walk checks the
+   syntax.  */
+static bool
 scan_value (struct scan *scan)
 {
   GHashTable *seen;
+  bool valid;
   char open;
 
   skip_space (scan);
   open = *scan->p;
   if (open == '"')
     {
-      g_free (scan_string (scan));
-      return;
+      char *text = scan_string (scan);
+
+      valid = text != NULL;
+      g_free (text);
+      return valid;
     }
   if (open != '{' && open != '[')
-    {
-      scan->p += strcspn (scan->p, ",]} \t\r\n");
-      return;
-    }
+    return scan_literal (scan);
   seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  scan->p++;
-  skip_space (scan);
-  for (unsigned i = 0; *scan->p != '}' && *scan->p != ']'; i++)
-    {
-      if (open == '{')
-        scan_member (scan, seen);
-      else
-        scan_element (scan, i);
-      skip_space (scan);
-      scan->p += *scan->p == ',';
-      skip_space (scan);
-    }
-  scan->p++;
+  valid = scan_entries (scan, open, seen);
   g_hash_table_unref (seen);
+  return valid;
+}
+
+/* Reports repeated members and records the lines of all.  */
+static void
+scan_text (struct cfg_input *in, const char *text)
+{
+  struct scan scan = { in, text, text, 1, g_string_new (NULL) };
+  bool valid = scan_value (&scan);
+
+  skip_space (&scan);
+  if (!valid || *scan.p != '\0')
+    add_at (in, count_lines (text, scan.p), "",
+            g_strdup ("expected strict JSON"));
+  g_string_free (scan.path, TRUE);
 }
 
 struct json_object *
@@ -276,12 +384,7 @@
                 g_strdup_printf ("expected JSON: %s",
                                  json_tokener_error_desc (error)));
       else
-        {
-          struct scan scan = { in, copy, copy, 1, g_string_new (NULL) };
-
-          scan_value (&scan);
-          g_string_free (scan.path, TRUE);
-        }
+        scan_text (in, copy);
     }
   json_tokener_free (tok);
   g_free (copy);
--- a/tests/unit_cfg.cc
+++ b/tests/unit_cfg.cc
@@ -130,7 +130,8 @@
 }
 
 // Guards against faults that json-c accepts silently: a repeated member, a
-// trailing comma, a number out of range.
+// trailing comma, a number out of range, a member name in single quotes (which
+// made the scan run past the end of the text), a line break in a string.
 TEST (Cfg, ReportsWhatTheJsonReaderAccepts)
 {
   EXPECT_TRUE (parsed (document ("limits", "{\"queue_max\":1,\n"
@@ -143,9 +144,14 @@
       parsed (document ("limits", "{\"queue_max\":99999999999999999999}"))
           .reports ("input:3: sections.limits.body.queue_max: "
                     "expected an integer from 0 to 1048576"));
-  EXPECT_EQ (parsed (document ("site", "{\"goodput_weight\":1e999}")).doc,
-             nullptr);
-  EXPECT_EQ (parsed (document ("site", "{\"goodput_weight\":NaN}")).doc,
+  for (const char *body :
+       { "{\"goodput_weight\":1e999}", "{\"goodput_weight\":NaN}",
+         "{'goodput_weight':1}", "{\"goodput_weight\":1.}",
+         "{\"goodput_weight\":01}" })
+    EXPECT_EQ (parsed (document ("site", body)).doc, nullptr) << body;
+  EXPECT_EQ (parsed (document ("models", "{\"a\nb\":{\"version\":\"1\","
+                                         "\"max_output_tokens\":1}}"))
+                 .doc,
              nullptr);
 }
 
