Add the in-force rule, the check of an edit and a change of credential

Cause: the model shows that one round of confirmations can report a generation that a later restart loses; an owner could neither try an edit nor replace a credential. Change: cfg_in_force counts two rounds in the same incarnation; cfg_check_change; new_credential in struct cfg_change.

--- a/include/goldcresthatch/cfg.h
+++ b/include/goldcresthatch/cfg.h
@@ -99,10 +99,29 @@
 bool cfg_adopt (struct cfg_doc **held, struct cfg_doc *candidate);
 
 /* Chooses a document at a start without the key-value service, from the
-   generations of the ANSWERS received out of PEERS listed.  Returns the index
-   of the highest, or -1 while at most half of the peers have answered.  */
+   generations of the ANSWERS received from ready peers out of PEERS listed;
+   the process itself is listed but does not answer.  Returns the index of the
+   highest, or -1 while at most half of the peers have answered.  */
 int cfg_majority (const uint64_t *generations, size_t answers, size_t peers);
 
+/* What a peer of the settings answers to the question for its generation.  */
+struct cfg_answer
+{
+  bool answered;
+  bool ready;
+  uint64_t incarnation;
+  uint64_t generation;
+};
+
+/* Returns true when GENERATION is in force: more than half of the PEERS
+   confirm it in both rounds in the same incarnation, and no peer that answered
+   in the second round is behind.  ROUNDS[r][p] is the answer of peer P in
+   round R; the second round starts after the first has ended.  One round does
+   not suffice: a peer that has confirmed can restart from older peers before
+   the next one confirms.  */
+bool cfg_in_force (const struct cfg_answer *const rounds[2], size_t peers,
+                   uint64_t generation);
+
 /* Read-only tables, sorted by name, for the daemons.  */
 struct cfg_model
 {
@@ -217,13 +236,19 @@
   const char *source;        /* file name for problems */
   const char *operator_name; /* recorded in the history */
   const char *credential;
-  const char *write_id; /* unique to this edit */
-  int64_t now_us;       /* wall clock, recorded in the history */
+  const char *new_credential; /* replaces the section's, unless null */
+  const char *write_id;       /* unique to this edit */
+  int64_t now_us;             /* wall clock, recorded in the history */
 };
 
 /* Draws a write id.  */
 void cfg_write_id (char out[CFG_WRITE_ID_SIZE]);
 
+/* Checks EDIT's body by itself and in DOC, without its credential and base
+   revision.  Returns 0, or -1 with ERR_INVALID and PROBLEMS.  */
+int cfg_check_change (const struct cfg_doc *doc, const struct cfg_change *edit,
+                      GPtrArray *problems, struct err *err);
+
 /* Makes the change EDIT and sets *GENERATION.  Returns 0, or -1 with
      ERR_INVALID   the body or the resulting document is invalid (PROBLEMS)
      ERR_REFUSED   the credential is not the section's
--- a/src/cfg.c
+++ b/src/cfg.c
@@ -436,3 +436,28 @@
       best = i;
   return (int)best;
 }
+
+static bool
+confirms (const struct cfg_answer *answer, uint64_t generation)
+{
+  return answer->answered && answer->ready && answer->generation >= generation;
+}
+
+bool
+cfg_in_force (const struct cfg_answer *const rounds[2], size_t peers,
+              uint64_t generation)
+{
+  size_t count = 0;
+
+  for (size_t p = 0; p < peers; p++)
+    {
+      const struct cfg_answer *first = &rounds[0][p];
+      const struct cfg_answer *second = &rounds[1][p];
+
+      if (second->answered && !confirms (second, generation))
+        return false;
+      count += confirms (first, generation) && confirms (second, generation)
+               && first->incarnation == second->incarnation;
+    }
+  return count > peers / 2;
+}
--- a/src/cfg_edit.c
+++ b/src/cfg_edit.c
@@ -129,43 +129,54 @@
   return false;
 }
 
+/* Sets the section's credential hash to that of CREDENTIAL.  */
+static int
+set_credential (struct attempt *attempt, struct json_object *section,
+                const char *credential, struct err *err)
+{
+  if (attempt->hash[0] == '\0'
+      && crypto_pwhash_str (attempt->hash, credential, strlen (credential),
+                            HASH_OPS, HASH_MEM)
+             != 0)
+    return err_set (err, ERR_LIMIT, "config-edit", NULL,
+                    "no memory for the credential hash");
+  json_object_object_add (section, "credential",
+                          json_object_new_string (attempt->hash));
+  return 0;
+}
+
 /* Checks the credential.  A section without one takes that of its first
    edit.  */
 static int
 check_credential (struct attempt *attempt, struct json_object *section,
                   struct err *err)
 {
+  const struct cfg_change *edit = attempt->edit;
   const char *hash = cfg_string (section, "credential");
-  const char *credential = attempt->edit->credential;
+  const char *next = edit->new_credential;
 
-  if (credential == NULL || credential[0] == '\0')
+  if (edit->credential == NULL || edit->credential[0] == '\0')
     return err_set (err, ERR_REFUSED, "config-edit", NULL,
                     "the edit of section %s carries no credential",
-                    cfg_section_name (attempt->edit->section));
-  if (hash[0] != '\0')
-    {
-      if (crypto_pwhash_str_verify (hash, credential, strlen (credential))
-          != 0)
-        return err_set (err, ERR_REFUSED, "config-edit", NULL,
-                        "the credential is not that of section %s, owned by "
-                        "%s",
-                        cfg_section_name (attempt->edit->section),
-                        cfg_string (section, "owner"));
-      return 0;
-    }
-  if (attempt->hash[0] == '\0'
-      && crypto_pwhash_str (attempt->hash, credential, strlen (credential),
-                            HASH_OPS, HASH_MEM)
+                    cfg_section_name (edit->section));
+  if (hash[0] != '\0'
+      && crypto_pwhash_str_verify (hash, edit->credential,
+                                   strlen (edit->credential))
              != 0)
-    return err_set (err, ERR_LIMIT, "config-edit", NULL,
-                    "no memory for the credential hash");
-  json_object_object_add (section, "credential",
-                          json_object_new_string (attempt->hash));
+    return err_set (err, ERR_REFUSED, "config-edit", NULL,
+                    "the credential is not that of section %s, owned by %s",
+                    cfg_section_name (edit->section),
+                    cfg_string (section, "owner"));
   if (cfg_string (section, "owner")[0] == '\0')
-    json_object_object_add (
-        section, "owner",
-        json_object_new_string (attempt->edit->operator_name));
-  return 0;
+    json_object_object_add (section, "owner",
+                            json_object_new_string (edit->operator_name));
+  if (next != NULL && next[0] == '\0')
+    return err_set (err, ERR_INVALID, "config-edit", NULL,
+                    "the new credential is empty");
+  if (next == NULL && hash[0] != '\0')
+    return 0;
+  return set_credential (attempt, section,
+                         next != NULL ? next : edit->credential, err);
 }
 
 /* Moves the current body of SECTION to the end of its history.  */
@@ -203,7 +214,7 @@
   push_history (section);
   json_object_object_add (
       section, "revision",
-      json_object_new_int64 ((int64_t)edit->base_revision + 1));
+      json_object_new_int64 (cfg_int (section, "revision", 0) + 1));
   json_object_object_add (section, "generation",
                           json_object_new_int64 (generation));
   json_object_object_add (section, "time_us",
@@ -370,14 +381,17 @@
                   "the service was not reached: %s", last.text);
 }
 
-int
-cfg_edit (struct kv *kv, const struct cfg_change *edit, GPtrArray *problems,
-          uint64_t *generation, struct err *err)
+/* Reads the body of EDIT and checks it by itself.  ATTEMPT is to be cleared
+   even on failure.  */
+static int
+start_attempt (struct attempt *attempt, const struct cfg_change *edit,
+               GPtrArray *problems, struct err *err)
 {
-  struct attempt attempt = { .edit = edit };
   struct cfg_input in;
-  int rc;
+  int rc = 0;
 
+  memset (attempt, 0, sizeof *attempt);
+  attempt->edit = edit;
   if (edit->section >= CFG_SECTION_MAX || edit->body == NULL
       || edit->source == NULL || edit->operator_name == NULL
       || edit->write_id == NULL || edit->write_id[0] == '\0')
@@ -385,16 +399,54 @@
                     "the edit needs a section, a body, its source, an "
                     "operator and a write id");
   cfg_input_init (&in, edit->source, problems);
-  attempt.problems = in.problems;
-  attempt.body = cfg_json_read (&in, edit->body, edit->body_size);
-  if (attempt.body != NULL || in.problems->len == 0)
-    cfg_check_body (&in, edit->section, attempt.body);
+  attempt->problems = g_ptr_array_ref (in.problems);
+  attempt->body = cfg_json_read (&in, edit->body, edit->body_size);
+  if (attempt->body != NULL || in.problems->len == 0)
+    cfg_check_body (&in, edit->section, attempt->body);
   if (in.problems->len > 0)
     rc = err_set (err, ERR_INVALID, "config-edit", NULL, "%u errors in %s",
                   in.problems->len, edit->source);
-  else
-    rc = edit_loop (kv, &attempt, generation, err);
-  json_object_put (attempt.body);
   cfg_input_clear (&in);
   return rc;
 }
+
+static void
+clear_attempt (struct attempt *attempt)
+{
+  json_object_put (attempt->body);
+  if (attempt->problems != NULL)
+    g_ptr_array_unref (attempt->problems);
+}
+
+int
+cfg_check_change (const struct cfg_doc *doc, const struct cfg_change *edit,
+                  GPtrArray *problems, struct err *err)
+{
+  struct attempt attempt;
+  int rc = start_attempt (&attempt, edit, problems, err);
+
+  if (rc == 0)
+    {
+      struct cfg_doc trial = { NULL };
+
+      json_object_deep_copy (doc->root, &trial.root, NULL);
+      replace_body (&trial, &attempt);
+      rc = check_result (&trial, &attempt, err);
+      json_object_put (trial.root);
+    }
+  clear_attempt (&attempt);
+  return rc;
+}
+
+int
+cfg_edit (struct kv *kv, const struct cfg_change *edit, GPtrArray *problems,
+          uint64_t *generation, struct err *err)
+{
+  struct attempt attempt;
+  int rc = start_attempt (&attempt, edit, problems, err);
+
+  if (rc == 0)
+    rc = edit_loop (kv, &attempt, generation, err);
+  clear_attempt (&attempt);
+  return rc;
+}
--- a/tests/diff_cfg.cc
+++ b/tests/diff_cfg.cc
@@ -33,15 +33,6 @@
 };
 using doc_ptr = std::unique_ptr<struct cfg_doc, doc_free>;
 
-std::string
-take (char *text)
-{
-  std::string out = text;
-
-  g_free (text);
-  return out;
-}
-
 std::string
 body (int section, int value)
 {
@@ -116,9 +107,16 @@
   {
     std::string text = body (section, value);
     std::string id = std::to_string (++writes);
-    struct cfg_change change = { SECTIONS[section], base,        text.c_str (),
-                                 text.size (),      "edit",      "op",
-                                 "secret",          id.c_str (), 1 };
+    struct cfg_change change = { SECTIONS[section],
+                                 base,
+                                 text.c_str (),
+                                 text.size (),
+                                 "edit",
+                                 "op",
+                                 "secret",
+                                 nullptr,
+                                 id.c_str (),
+                                 1 };
     struct err err = {};
     uint64_t generation = 0;
     int rc = cfg_edit (&store.kv, &change, nullptr, &generation, &err);
--- a/tests/kv_memory.hh
+++ b/tests/kv_memory.hh
@@ -1,6 +1,8 @@
 #ifndef KV_MEMORY_HH
 #define KV_MEMORY_HH
 
+#include <glib.h>
+
 #include <cstdlib>
 #include <cstring>
 #include <deque>
@@ -12,6 +14,16 @@
 #include "goldcresthatch/kv.h"
 }
 
+// Takes over a text allocated by GLib.
+inline std::string
+take (char *text)
+{
+  std::string out = text;
+
+  g_free (text);
+  return out;
+}
+
 enum class fault
 {
   NONE,
--- a/tests/unit_cfg.cc
+++ b/tests/unit_cfg.cc
@@ -16,15 +16,6 @@
 namespace
 {
 
-std::string
-take (char *text)
-{
-  std::string out = text;
-
-  g_free (text);
-  return out;
-}
-
 struct parsed
 {
   struct cfg_doc *doc;
@@ -77,7 +68,8 @@
 
   int
   edit (enum cfg_section section, uint64_t base, const std::string &body,
-        const char *credential = "secret", const char *name = "ana")
+        const char *credential = "secret", const char *name = "ana",
+        const char *next = nullptr)
   {
     char id[CFG_WRITE_ID_SIZE];
     GPtrArray *list = cfg_problems_new ();
@@ -86,8 +78,8 @@
     cfg_write_id (id);
     err = {};
     struct cfg_change edit
-        = { section,    base, body.c_str (), body.size (), "edit.json", name,
-            credential, id,   1000 };
+        = { section, base,       body.c_str (), body.size (), "edit.json",
+            name,    credential, next,          id,           1000 };
     rc = cfg_edit (&store.kv, &edit, list, &generation, &err);
     problems = take (cfg_problems_text (list));
     g_ptr_array_unref (list);
@@ -289,7 +281,29 @@
   EXPECT_EQ (cfg_majority (generations, 0, 0), -1);
 }
 
-// Guards against an edit without the section's credential.
+// Guards against "in force" counted over peers that have restarted since they
+// confirmed, are behind, or are half of the list.
+TEST (Cfg, InForceNeedsTwoRounds)
+{
+  const struct cfg_answer holds = { true, true, 1, 5 };
+  const struct cfg_answer restarted = { true, true, 2, 5 };
+  const struct cfg_answer behind = { true, true, 1, 4 };
+  const struct cfg_answer silent = { false, false, 0, 0 };
+  const struct cfg_answer first[] = { holds, holds, silent, silent };
+  const struct cfg_answer second[] = { holds, restarted, holds };
+  const struct cfg_answer late[] = { holds, holds, behind };
+  const struct cfg_answer *same[] = { first, first };
+  const struct cfg_answer *changed[] = { first, second };
+  const struct cfg_answer *lagging[] = { first, late };
+
+  EXPECT_TRUE (cfg_in_force (same, 3, 5));
+  EXPECT_FALSE (cfg_in_force (changed, 3, 5));
+  EXPECT_FALSE (cfg_in_force (lagging, 3, 5));
+  EXPECT_FALSE (cfg_in_force (same, 4, 5));
+}
+
+// Guards against an edit without the section's credential, and against a
+// replaced credential that still counts.
 TEST (CfgEdit, NeedsTheCredential)
 {
   kv_memory store;
@@ -300,6 +314,10 @@
   EXPECT_EQ (ana.edit (CFG_LIMITS, 1, queue (2), "guess"), -1);
   EXPECT_EQ (ana.err.code, ERR_REFUSED);
   EXPECT_EQ (stored_queue (store), 1);
+  store.faults = { fault::LOST_BEFORE };
+  EXPECT_EQ (ana.edit (CFG_LIMITS, 1, queue (3), "secret", "ana", "next"), 0);
+  EXPECT_EQ (ana.edit (CFG_LIMITS, 2, queue (4)), -1);
+  EXPECT_EQ (ana.edit (CFG_LIMITS, 2, queue (4), "next"), 0);
 }
 
 // Guards against a bad body that is written or reported without its line.
@@ -318,6 +336,16 @@
       -1);
   EXPECT_EQ (ana.err.code, ERR_INVALID);
   EXPECT_EQ (store.revision, 0u);
+  struct cfg_doc *doc = cfg_default ();
+  struct cfg_change change = { CFG_LIMITS, 9,       "{}",    2,   "edit.json",
+                               "ana",      nullptr, nullptr, "1", 1 };
+  EXPECT_EQ (cfg_check_change (doc, &change, nullptr, nullptr), 0);
+  change.section = CFG_FLEET;
+  change.body = "{\"runners\":{\"r\":{\"models\":[\"m\"]}}}";
+  change.body_size = strlen (change.body);
+  EXPECT_EQ (cfg_check_change (doc, &change, nullptr, nullptr), -1);
+  EXPECT_EQ (cfg_generation (doc), 0u);
+  cfg_free (doc);
 }
 
 // Guards against an edit that overwrites one that its author has not seen.
