--- /dev/null
+++ b/tests/unit_fleet.cc
@@ -0,0 +1,199 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+// msg.h has a function with the name of its struct, which C++ reports as
+// shadowing the constructor.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wshadow"
+extern "C"
+{
+#include "goldcresthatch/fleet.h"
+}
+#pragma GCC diagnostic pop
+
+namespace
+{
+
+const int64_t SECOND = 1000000;
+
+class Fleet : public testing::Test
+{
+protected:
+  struct fleet *fleet = fleet_new ();
+  std::vector<std::string> names;
+  std::vector<struct fleet_vm> vms;
+
+  void
+  SetUp () override
+  {
+    for (int i = 0; i < 8; i++)
+      names.push_back ("r" + std::to_string (i));
+    for (auto &name : names)
+      vms.push_back ({ name.c_str (), "127.0.0.1:80", "z1", FLEET_VM_LIVE });
+    ASSERT_EQ (list (), 0);
+  }
+
+  void
+  TearDown () override
+  {
+    fleet_free (fleet);
+  }
+
+  int
+  list ()
+  {
+    return fleet_list (fleet, vms.data (), vms.size (), nullptr);
+  }
+
+  int
+  report (int i, int64_t now, uint64_t state = MSG_AGENT_SERVING,
+          uint64_t window = 1, uint64_t incarnation = 7)
+  {
+    struct msg_report r = {};
+    r.agent = msg_str (names[i].c_str ());
+    r.incarnation = incarnation;
+    r.window = window;
+    r.state = state;
+    r.endpoint_up = 1;
+    r.running = 3;
+    r.queued = 1;
+    r.prompt_tokens = 500;
+    return fleet_report (fleet, &r, now, nullptr);
+  }
+
+  // Runs from FROM to TO with a report of the first N runners each second.
+  void
+  run (int64_t from, int64_t to, int n)
+  {
+    for (int64_t t = from; t <= to; t += SECOND)
+      {
+        for (int i = 0; i < n; i++)
+          report (i, t);
+        fleet_tick (fleet, t);
+      }
+  }
+
+  const struct fleet_runner *
+  at (int i)
+  {
+    return fleet_find (fleet, names[i].c_str ());
+  }
+};
+
+// Guards against new work for an agent that stopped reporting.
+TEST_F (Fleet, SilentRunnerGetsNoWork)
+{
+  run (0, 2 * SECOND, 8);
+  EXPECT_TRUE (at (7)->usable);
+  run (3 * SECOND, 9 * SECOND, 7);
+  EXPECT_FALSE (at (7)->usable);
+  report (7, 10 * SECOND);
+  EXPECT_TRUE (at (7)->usable);
+}
+
+// Guards against evicting every runner after the entry itself was paused.
+TEST_F (Fleet, TimerGapRestartsSilence)
+{
+  run (0, SECOND, 8);
+  fleet_tick (fleet, 60 * SECOND);
+  EXPECT_TRUE (at (0)->usable);
+  EXPECT_FALSE (fleet_keeping (fleet));
+  run (61 * SECOND, 67 * SECOND, 7);
+  EXPECT_TRUE (at (0)->usable);
+  EXPECT_FALSE (at (7)->usable);
+}
+
+// Guards against losing the fleet when the entry's own link fails, and against
+// keeping runners that were silent before or that are known to leave.
+TEST_F (Fleet, KeepsMajorityThatFallsSilent)
+{
+  run (0, SECOND, 8);
+  run (2 * SECOND, 20 * SECOND, 7);
+  ASSERT_FALSE (at (7)->usable);
+  run (21 * SECOND, 29 * SECOND, 1);
+  EXPECT_TRUE (fleet_keeping (fleet));
+  EXPECT_TRUE (at (3)->usable);
+  EXPECT_FALSE (at (7)->usable);
+  vms[3].state = FLEET_VM_LEAVING;
+  ASSERT_EQ (list (), 0);
+  EXPECT_FALSE (at (3)->usable);
+  run (30 * SECOND, 37 * SECOND, 5);
+  EXPECT_FALSE (fleet_keeping (fleet));
+  EXPECT_FALSE (at (6)->usable);
+}
+
+// Guards against work for a leaving VM: by the list, by its own older report
+// and by the configuration; a live list entry alone does not bring it back.
+TEST_F (Fleet, LeavingWins)
+{
+  run (0, 0, 8);
+  vms[0].state = FLEET_VM_LEAVING;
+  ASSERT_EQ (list (), 0);
+  report (0, 2);
+  EXPECT_FALSE (at (0)->usable);
+  vms[0].state = FLEET_VM_LIVE;
+  ASSERT_EQ (list (), 0);
+  EXPECT_FALSE (at (0)->usable);
+  report (0, 4);
+  EXPECT_TRUE (at (0)->usable);
+
+  report (1, 5, MSG_AGENT_SERVING, 3);
+  EXPECT_EQ (report (1, 6, MSG_AGENT_LEAVING, 2), -1);
+  report (1, 7, MSG_AGENT_SERVING, 4);
+  EXPECT_FALSE (at (1)->usable);
+  report (1, 8, MSG_AGENT_SERVING, 0, 8);
+  EXPECT_TRUE (at (1)->usable);
+  EXPECT_EQ (report (1, 9, MSG_AGENT_SERVING, 9, 7), -1);
+
+  const char *withheld[] = { "r2", "later" };
+  fleet_withhold (fleet, withheld, 2);
+  EXPECT_FALSE (at (2)->usable);
+  vms.push_back ({ "later", "127.0.0.1:81", "z1", FLEET_VM_LIVE });
+  names.push_back ("later");
+  ASSERT_EQ (list (), 0);
+  report (8, 11);
+  EXPECT_FALSE (at (8)->usable);
+}
+
+// Guards against a load that counts work twice or loses it.
+TEST_F (Fleet, LoadFollowsSentAndEnded)
+{
+  report (0, 0);
+  struct fleet_work a = fleet_sent (fleet, at (0)->ref, 100);
+  struct fleet_work b = fleet_sent (fleet, at (0)->ref, 50);
+  EXPECT_EQ (at (0)->load.requests, 6u);
+  EXPECT_EQ (at (0)->load.prompt_tokens, 650u);
+  fleet_first_token (fleet, &a);
+  EXPECT_EQ (at (0)->load.prompt_tokens, 550u);
+  struct msg_end end = {};
+  fleet_ended (fleet, &a, &end);
+  fleet_ended (fleet, &a, &end);
+  EXPECT_EQ (at (0)->load.requests, 1u) << "b is on its way";
+  fleet_ended (fleet, &b, nullptr);
+  EXPECT_EQ (at (0)->load.requests, 0u);
+}
+
+// Guards against a handle that reaches the successor of its runner, and
+// against a bad list that changes the table.
+TEST_F (Fleet, HandlesAndBadLists)
+{
+  struct fleet_ref old = at (0)->ref;
+  vms[0].address = "127.0.0.2:80";
+  ASSERT_EQ (list (), 0);
+  EXPECT_EQ (fleet_get (fleet, old), nullptr);
+  EXPECT_EQ (fleet_sent (fleet, old, 1).ref.generation, 0u);
+  struct err err = {};
+  EXPECT_EQ (fleet_list (fleet, nullptr, 0, &err), -1);
+  for (const char *bad : { "x:1", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:9x" })
+    {
+      vms[1].address = bad;
+      EXPECT_EQ (list (), -1) << bad;
+    }
+  vms[1] = vms[0];
+  EXPECT_EQ (list (), -1);
+  EXPECT_NE (at (1), nullptr);
+}
+
+} // namespace
