Add the choice of a runner

Cause: requests must go to the runner that is predicted to answer first, at a cost that does not grow with the fleet. Change: route part with rendezvous subsets, a bounded decaying estimate of prefix caches, predicted times, and least outstanding as the baseline.

--- /dev/null
+++ b/src/route.c
@@ -0,0 +1,608 @@
+#include "goldcresthatch/route.h"
+
+#include <glib.h>
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define NONE UINT32_MAX
+
+struct holder
+{
+  struct fleet_ref ref;
+  int64_t used_us;
+};
+
+/* One piece in the prefix estimate; the links are positions in the array.  */
+struct piece
+{
+  uint64_t hash;
+  struct holder holders[ROUTE_HOLDERS];
+  uint32_t chain; /* next in the hash bucket */
+  uint32_t newer;
+  uint32_t older;
+};
+
+struct subset
+{
+  struct fleet_ref refs[ROUTE_SUBSET];
+  size_t n;
+};
+
+struct warm
+{
+  uint32_t generation;
+  uint64_t version;
+};
+
+struct route
+{
+  struct route_config config;
+  uint64_t seed;
+  GHashTable *subsets; /* service -> struct subset */
+  struct piece *pieces;
+  uint32_t *buckets;
+  size_t n_buckets; /* a power of two */
+  size_t n_pieces;  /* in use */
+  uint32_t newest;
+  uint32_t oldest;
+  struct warm *warm;
+  size_t n_warm;
+};
+
+static uint64_t
+hash_string (const char *s, uint64_t seed)
+{
+  return XXH3_64bits_withSeed (s, strlen (s), seed);
+}
+
+struct route *
+route_new (const struct route_config *config)
+{
+  struct route *route = g_new0 (struct route, 1);
+  size_t i;
+
+  route->config = *config;
+  route->config.cache_pieces = MAX (config->cache_pieces, 1);
+  route->config.half_life_us = MAX (config->half_life_us, 1);
+  route->seed = hash_string (config->entry, 0);
+  route->config.entry = NULL;
+  route->subsets
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  route->pieces = g_new0 (struct piece, route->config.cache_pieces);
+  route->n_buckets = 1;
+  while (route->n_buckets < route->config.cache_pieces)
+    route->n_buckets *= 2;
+  route->buckets = g_new (uint32_t, route->n_buckets);
+  for (i = 0; i < route->n_buckets; i++)
+    route->buckets[i] = NONE;
+  route->newest = NONE;
+  route->oldest = NONE;
+  return route;
+}
+
+void
+route_free (struct route *route)
+{
+  if (!route)
+    return;
+  g_hash_table_destroy (route->subsets);
+  g_free (route->pieces);
+  g_free (route->buckets);
+  g_free (route->warm);
+  g_free (route);
+}
+
+/* A runner of a service with its rendezvous score.  */
+struct scored
+{
+  uint64_t score;
+  const char *service;
+  struct fleet_ref ref;
+  int own;
+};
+
+static int
+by_service_and_score (const void *a, const void *b)
+{
+  const struct scored *x = a;
+  const struct scored *y = b;
+  int order = strcmp (x->service, y->service);
+
+  if (order)
+    return order;
+  if (x->score != y->score)
+    return x->score > y->score ? -1 : 1;
+  return 0;
+}
+
+static size_t
+take (struct subset *subset, const struct scored *runners, size_t n, int own,
+      size_t skip, size_t limit)
+{
+  size_t seen = 0;
+  size_t i;
+
+  for (i = 0; i < n && subset->n < limit; i++)
+    if (runners[i].own == own && seen++ >= skip)
+      subset->refs[subset->n++] = runners[i].ref;
+  return subset->n;
+}
+
+static struct subset *
+make_subset (const struct scored *runners, size_t n)
+{
+  struct subset *subset = g_new0 (struct subset, 1);
+  size_t own = take (subset, runners, n, 1, 0, ROUTE_SUBSET_OWN);
+
+  take (subset, runners, n, 0, 0, ROUTE_SUBSET);
+  take (subset, runners, n, 1, own, ROUTE_SUBSET);
+  return subset;
+}
+
+void
+route_refresh (struct route *route, const struct fleet *fleet,
+               const char *zone)
+{
+  size_t slots = fleet_slots (fleet);
+  struct scored *all = g_new (struct scored, slots + 1);
+  size_t n = 0;
+  size_t i;
+  size_t end;
+
+  for (i = 0; i < slots; i++)
+    {
+      const struct fleet_runner *runner = fleet_at (fleet, i);
+
+      if (!runner || !runner->usable)
+        continue;
+      all[n].score = hash_string (runner->name, route->seed);
+      all[n].service = runner->service;
+      all[n].ref = runner->ref;
+      all[n++].own = strcmp (runner->zone, zone) == 0;
+    }
+  if (n)
+    qsort (all, n, sizeof *all, by_service_and_score);
+  g_hash_table_remove_all (route->subsets);
+  for (i = 0; i < n; i = end)
+    {
+      for (end = i + 1; end < n; end++)
+        if (strcmp (all[end].service, all[i].service) != 0)
+          break;
+      if (g_hash_table_size (route->subsets) < ROUTE_SERVICES_MAX)
+        g_hash_table_insert (route->subsets, g_strdup (all[i].service),
+                             make_subset (all + i, end - i));
+    }
+  g_free (all);
+}
+
+size_t
+route_subset (const struct route *route, const char *service,
+              struct fleet_ref *refs)
+{
+  const struct subset *subset = g_hash_table_lookup (route->subsets, service);
+
+  if (!subset)
+    return 0;
+  memcpy (refs, subset->refs, subset->n * sizeof *refs);
+  return subset->n;
+}
+
+size_t
+route_prefix (const char *service, const void *prompt, size_t size,
+              size_t piece, uint64_t *out, size_t max)
+{
+  /* Models do not share cached pieces, so the chain starts at the model.  */
+  uint64_t hash = hash_string (service, 0);
+  const char *p = prompt;
+  size_t n = 0;
+
+  if (!piece)
+    return 0;
+  for (; size >= piece && n < max; size -= piece, p += piece)
+    {
+      hash = XXH3_64bits_withSeed (p, piece, hash);
+      out[n++] = hash;
+    }
+  return n;
+}
+
+static struct piece *
+find_piece (const struct route *route, uint64_t hash)
+{
+  uint32_t at = route->buckets[hash & (route->n_buckets - 1)];
+
+  while (at != NONE && route->pieces[at].hash != hash)
+    at = route->pieces[at].chain;
+  return at == NONE ? NULL : &route->pieces[at];
+}
+
+static void
+unlink_age (struct route *route, struct piece *piece)
+{
+  if (piece->newer != NONE)
+    route->pieces[piece->newer].older = piece->older;
+  else
+    route->newest = piece->older;
+  if (piece->older != NONE)
+    route->pieces[piece->older].newer = piece->newer;
+  else
+    route->oldest = piece->newer;
+}
+
+static void
+link_newest (struct route *route, struct piece *piece)
+{
+  uint32_t at = (uint32_t)(piece - route->pieces);
+
+  piece->newer = NONE;
+  piece->older = route->newest;
+  if (route->newest != NONE)
+    route->pieces[route->newest].newer = at;
+  route->newest = at;
+  if (route->oldest == NONE)
+    route->oldest = at;
+}
+
+static void
+unlink_bucket (struct route *route, const struct piece *piece)
+{
+  uint32_t at = (uint32_t)(piece - route->pieces);
+  uint32_t *link = &route->buckets[piece->hash & (route->n_buckets - 1)];
+
+  while (*link != at)
+    link = &route->pieces[*link].chain;
+  *link = piece->chain;
+}
+
+static struct piece *
+add_piece (struct route *route, uint64_t hash)
+{
+  uint32_t *bucket = &route->buckets[hash & (route->n_buckets - 1)];
+  struct piece *piece;
+
+  if (route->n_pieces < route->config.cache_pieces)
+    piece = &route->pieces[route->n_pieces++];
+  else
+    {
+      piece = &route->pieces[route->oldest];
+      unlink_bucket (route, piece);
+      unlink_age (route, piece);
+    }
+  memset (piece, 0, sizeof *piece);
+  piece->hash = hash;
+  piece->chain = *bucket;
+  *bucket = (uint32_t)(piece - route->pieces);
+  link_newest (route, piece);
+  return piece;
+}
+
+static int
+same_ref (struct fleet_ref a, struct fleet_ref b)
+{
+  return a.index == b.index && a.generation == b.generation;
+}
+
+/* Notes REF as a holder of PIECE in place of itself or the oldest holder.  */
+static void
+set_holder (struct piece *piece, struct fleet_ref ref, int64_t now)
+{
+  struct holder *into = &piece->holders[0];
+  int i;
+
+  for (i = 0; i < ROUTE_HOLDERS; i++)
+    {
+      struct holder *holder = &piece->holders[i];
+
+      if (same_ref (holder->ref, ref))
+        {
+          into = holder;
+          break;
+        }
+      if (!holder->ref.generation
+          || (into->ref.generation && holder->used_us < into->used_us))
+        into = holder;
+    }
+  into->ref = ref;
+  into->used_us = now;
+}
+
+void
+route_served (struct route *route, struct fleet_ref ref,
+              const uint64_t *prefix, size_t n, int64_t now)
+{
+  size_t i = MIN (n, ROUTE_PIECES_MAX);
+
+  /* The first piece ends up newest, since the others are of no use without
+     it.  */
+  while (i-- > 0)
+    {
+      struct piece *piece = find_piece (route, prefix[i]);
+
+      if (piece)
+        {
+          unlink_age (route, piece);
+          link_newest (route, piece);
+        }
+      else
+        piece = add_piece (route, prefix[i]);
+      set_holder (piece, ref, now);
+    }
+}
+
+void
+route_warm (struct route *route, struct fleet_ref ref, uint64_t version)
+{
+  if (ref.index >= FLEET_MAX)
+    return;
+  if (ref.index >= route->n_warm)
+    {
+      size_t n = MAX ((size_t)ref.index + 1, 2 * route->n_warm);
+
+      route->warm = g_renew (struct warm, route->warm, n);
+      memset (route->warm + route->n_warm, 0,
+              (n - route->n_warm) * sizeof *route->warm);
+      route->n_warm = n;
+    }
+  route->warm[ref.index].generation = ref.generation;
+  route->warm[ref.index].version = version;
+}
+
+static int
+is_warm (const struct route *route, struct fleet_ref ref, uint64_t version)
+{
+  return !version
+         || (ref.index < route->n_warm
+             && route->warm[ref.index].generation == ref.generation
+             && route->warm[ref.index].version == version);
+}
+
+struct candidate
+{
+  const struct fleet_runner *runner;
+  size_t pieces; /* of the prefix, held from its start */
+  int64_t used_us;
+};
+
+static int
+is_excluded (const struct route_request *request, struct fleet_ref ref)
+{
+  size_t i;
+
+  for (i = 0; i < request->n_excluded; i++)
+    if (same_ref (request->excluded[i], ref))
+      return 1;
+  return 0;
+}
+
+static size_t
+collect (const struct subset *subset, const struct fleet *fleet,
+         const struct route_request *request, struct candidate *out)
+{
+  size_t n = 0;
+  size_t i;
+
+  for (i = 0; i < subset->n; i++)
+    {
+      const struct fleet_runner *runner = fleet_get (fleet, subset->refs[i]);
+
+      if (!runner || !runner->usable || is_excluded (request, runner->ref)
+          || strcmp (runner->service, request->service) != 0)
+        continue;
+      out[n].runner = runner;
+      out[n].pieces = 0;
+      out[n++].used_us = 0;
+    }
+  return n;
+}
+
+/* Counts for each candidate how many pieces it holds without a hole.  */
+static void
+match_prefix (const struct route *route, const struct route_request *request,
+              struct candidate *candidates, size_t n)
+{
+  size_t depth = MIN (request->n_prefix, ROUTE_PIECES_MAX);
+  size_t i;
+  size_t c;
+  int h;
+
+  for (i = 0; i < depth; i++)
+    {
+      const struct piece *piece = find_piece (route, request->prefix[i]);
+      int found = 0;
+
+      if (!piece)
+        return;
+      for (c = 0; c < n; c++)
+        for (h = 0; h < ROUTE_HOLDERS; h++)
+          if (candidates[c].pieces == i
+              && same_ref (piece->holders[h].ref, candidates[c].runner->ref))
+            {
+              candidates[c].pieces = i + 1;
+              candidates[c].used_us = piece->holders[h].used_us;
+              found = 1;
+            }
+      if (!found)
+        return;
+    }
+}
+
+static uint64_t
+next_random (uint64_t *state)
+{
+  *state += UINT64_C (0x9e3779b97f4a7c15);
+  return XXH3_64bits (state, sizeof *state);
+}
+
+/* Moves the holders of a prefix and a random sample of the others to the front
+   and returns their number.  */
+static size_t
+sample (struct candidate *candidates, size_t n, uint64_t *random)
+{
+  struct candidate swap;
+  size_t holders = 0;
+  size_t i;
+  size_t end;
+
+  for (i = 0; i < n; i++)
+    if (candidates[i].pieces)
+      {
+        swap = candidates[holders];
+        candidates[holders++] = candidates[i];
+        candidates[i] = swap;
+      }
+  end = MIN (n, holders + ROUTE_SAMPLE);
+  for (i = holders; i < end; i++)
+    {
+      size_t j = i + next_random (random) % (n - i);
+
+      swap = candidates[i];
+      candidates[i] = candidates[j];
+      candidates[j] = swap;
+    }
+  return end;
+}
+
+static uint64_t
+cached_tokens (const struct route *route, const struct route_request *request,
+               const struct candidate *candidate, int64_t now)
+{
+  double age = (double)(now - candidate->used_us);
+  double tokens = (double)candidate->pieces * ROUTE_PIECE_TOKENS;
+
+  if (!candidate->pieces)
+    return 0;
+  if (age > 0)
+    tokens *= exp2 (-age / (double)route->config.half_life_us);
+  return MIN ((uint64_t)tokens, request->prompt_tokens);
+}
+
+static int64_t
+placement_us (const struct route *route, const struct route_request *request,
+              const struct fleet_runner *runner)
+{
+  const struct route_config *config = &route->config;
+  int64_t us = 0;
+
+  if (config->distance_us)
+    us += 2 * config->distance_us (config->ctx, request->zone, runner->zone);
+  if (!is_warm (route, runner->ref, request->version))
+    us += request->speed.cold_us;
+  if ((request->phase == ROUTE_PHASE_PREFILL
+       && runner->role == config->decode_role)
+      || (request->phase == ROUTE_PHASE_DECODE
+          && runner->role == config->prefill_role))
+    us += request->speed.role_us;
+  return us;
+}
+
+static struct route_choice
+predict (const struct route *route, const struct route_request *request,
+         const struct candidate *candidate, int64_t now)
+{
+  const struct route_speed *speed = &request->speed;
+  const struct fleet_load *load = &candidate->runner->load;
+  struct route_choice choice;
+  uint64_t batch = load->requests + 1;
+  uint64_t waiting = 0;
+  uint64_t ahead = load->prompt_tokens;
+
+  if (load->capacity && batch > load->capacity)
+    {
+      waiting = batch - load->capacity;
+      batch = load->capacity;
+    }
+  /* Engines run the highest priority first.  Reports do not split the waiting
+     work by priority; half is taken to be of the highest.  */
+  if (request->priority == 0)
+    {
+      ahead /= 2;
+      waiting /= 2;
+    }
+  choice.ref = candidate->runner->ref;
+  choice.cached = cached_tokens (route, request, candidate, now);
+  choice.step_us
+      = (int64_t)(speed->step_us + (batch - 1) * speed->step_us_per_request);
+  choice.first_us
+      = placement_us (route, request, candidate->runner)
+        + (int64_t)((ahead + request->prompt_tokens - choice.cached)
+                    * speed->prefill_us_per_token)
+        + (int64_t)(waiting * request->output_tokens / batch) * choice.step_us
+        + (int64_t)((waiting / batch + 1) * speed->request_us);
+  choice.late = request->budget_us > 0 && choice.first_us > request->budget_us;
+  return choice;
+}
+
+/* Returns a negative number when A is the better choice.  */
+static int
+compare (const struct route_choice *a, const struct route_choice *b,
+         const struct route_request *request)
+{
+  int64_t tokens = (int64_t)request->output_tokens;
+  int64_t x = a->first_us + a->step_us * tokens;
+  int64_t y = b->first_us + b->step_us * tokens;
+
+  if (a->late != b->late)
+    return a->late - b->late;
+  return (x > y) - (x < y);
+}
+
+struct route_choice
+route_choose (const struct route *route, const struct fleet *fleet,
+              const struct route_request *request, uint64_t random,
+              int64_t now)
+{
+  struct route_choice best = { { 0, 0 }, 0, 0, 0, 0 };
+  const struct subset *subset
+      = g_hash_table_lookup (route->subsets, request->service);
+  struct candidate candidates[ROUTE_SUBSET];
+  uint64_t ties = 1;
+  size_t n;
+  size_t i;
+
+  if (!subset)
+    return best;
+  n = collect (subset, fleet, request, candidates);
+  match_prefix (route, request, candidates, n);
+  n = sample (candidates, n, &random);
+  for (i = 0; i < n; i++)
+    {
+      struct route_choice choice
+          = predict (route, request, &candidates[i], now);
+      int order = i ? compare (&choice, &best, request) : -1;
+
+      if (order < 0)
+        ties = 1;
+      else if (order == 0)
+        ties++;
+      if (order < 0 || (order == 0 && next_random (&random) % ties == 0))
+        best = choice;
+    }
+  return best;
+}
+
+struct fleet_ref
+route_least_outstanding (const struct fleet *fleet,
+                         const struct route_request *request, uint64_t random)
+{
+  struct fleet_ref best = { 0, 0 };
+  uint64_t least = UINT64_MAX;
+  uint64_t ties = 1;
+  size_t n = fleet_slots (fleet);
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    {
+      const struct fleet_runner *runner = fleet_at (fleet, i);
+
+      if (!runner || !runner->usable || runner->outstanding > least
+          || is_excluded (request, runner->ref)
+          || strcmp (runner->service, request->service) != 0)
+        continue;
+      ties = runner->outstanding < least ? 1 : ties + 1;
+      least = runner->outstanding;
+      if (ties == 1 || next_random (&random) % ties == 0)
+        best = runner->ref;
+    }
+  return best;
+}
