Add admission control with fair shares

Cause: under overload, late answers strand callers, and one customer or one priority class could take the whole queue. Change: lim part: early refusal by predicted time to the first token, a bounded queue with deficit round robin among customers, and a guaranteed share for each class below the highest.

--- /dev/null
+++ b/src/lim.c
@@ -0,0 +1,375 @@
+#include "goldcresthatch/lim.h"
+
+#include <glib.h>
+
+#define SECOND_US INT64_C (1000000)
+
+enum
+{
+  PERMIL = 1000,
+  /* Guaranteed cost that a class may save up, in quanta.  Without a bound, a
+     class that was idle for long would block the others when it returns.  */
+  CREDIT_QUANTA = 16
+};
+
+struct item
+{
+  struct lim_request request;
+  struct flow *flow;
+};
+
+/* The queued requests of one customer in one class.  */
+struct flow
+{
+  guint64 key;
+  unsigned class;
+  GQueue items; /* struct item, oldest first */
+  uint64_t cost;
+  uint64_t deficit;
+};
+
+struct class
+{
+  GQueue flows; /* struct flow in round-robin order */
+  uint64_t cost;
+  int64_t credit; /* of the guaranteed share, in cost times PERMIL */
+};
+
+struct lim
+{
+  struct lim_config config;
+  struct class classes[LIM_CLASSES];
+  GHashTable *flows; /* key -> struct flow */
+  GHashTable *items; /* id -> link in the items of a flow */
+};
+
+struct lim *
+lim_new (const struct lim_config *config)
+{
+  struct lim *lim = g_new0 (struct lim, 1);
+
+  lim->config = *config;
+  lim->config.queue_max = MAX (config->queue_max, 1);
+  lim->config.quantum = MAX (config->quantum, 1);
+  lim->flows = g_hash_table_new (g_int64_hash, g_int64_equal);
+  lim->items = g_hash_table_new (g_int64_hash, g_int64_equal);
+  return lim;
+}
+
+static guint64
+flow_key (const struct lim_request *request)
+{
+  /* The odd factor keeps the classes of one customer apart.  */
+  return request->customer + request->priority * UINT64_C (0x9e3779b97f4a7c15);
+}
+
+static struct flow *
+get_flow (struct lim *lim, const struct lim_request *request)
+{
+  guint64 key = flow_key (request);
+  struct flow *flow = g_hash_table_lookup (lim->flows, &key);
+
+  if (flow)
+    return flow;
+  flow = g_new0 (struct flow, 1);
+  flow->key = key;
+  flow->class = request->priority;
+  g_queue_init (&flow->items);
+  g_hash_table_insert (lim->flows, &flow->key, flow);
+  g_queue_push_tail (&lim->classes[flow->class].flows, flow);
+  return flow;
+}
+
+static void
+add_item (struct lim *lim, const struct lim_request *request)
+{
+  struct flow *flow = get_flow (lim, request);
+  struct item *item = g_new (struct item, 1);
+
+  item->request = *request;
+  item->flow = flow;
+  g_queue_push_tail (&flow->items, item);
+  g_hash_table_insert (lim->items, &item->request.id, flow->items.tail);
+  flow->cost += request->cost;
+  lim->classes[flow->class].cost += request->cost;
+}
+
+/* Removes the item at LINK, and its flow with the last one.  */
+static void
+remove_item (struct lim *lim, GList *link)
+{
+  struct item *item = link->data;
+  struct flow *flow = item->flow;
+
+  g_hash_table_remove (lim->items, &item->request.id);
+  flow->cost -= item->request.cost;
+  lim->classes[flow->class].cost -= item->request.cost;
+  g_queue_delete_link (&flow->items, link);
+  g_free (item);
+  if (!g_queue_is_empty (&flow->items))
+    return;
+  g_hash_table_remove (lim->flows, &flow->key);
+  g_queue_remove (&lim->classes[flow->class].flows, flow);
+  g_free (flow);
+}
+
+void
+lim_free (struct lim *lim)
+{
+  int i;
+
+  if (!lim)
+    return;
+  for (i = 0; i < LIM_CLASSES; i++)
+    while (!g_queue_is_empty (&lim->classes[i].flows))
+      {
+        struct flow *flow = g_queue_peek_head (&lim->classes[i].flows);
+
+        remove_item (lim, flow->items.head);
+      }
+  g_hash_table_destroy (lim->flows);
+  g_hash_table_destroy (lim->items);
+  g_free (lim);
+}
+
+/* Returns the cost that is served before a new REQUEST: all of its class and
+   above, or less when its customer has little queued, since the customers of a
+   class take turns.  */
+static uint64_t
+cost_ahead (const struct lim *lim, const struct lim_request *request)
+{
+  guint64 key = flow_key (request);
+  const struct flow *own = g_hash_table_lookup (lim->flows, &key);
+  const struct class *class = &lim->classes[request->priority];
+  uint64_t turns = (own ? own->cost : 0) + request->cost;
+  uint64_t ahead = 0;
+  unsigned i;
+
+  for (i = 0; i < request->priority; i++)
+    ahead += lim->classes[i].cost;
+  /* A turn of another customer can exceed the own one by a quantum.  */
+  turns = (turns + lim->config.quantum)
+          * g_queue_get_length ((GQueue *)&class->flows);
+  return ahead + MIN (class->cost, turns);
+}
+
+static unsigned
+retry_after (int64_t us)
+{
+  return (unsigned)CLAMP ((us + SECOND_US - 1) / SECOND_US, 1,
+                          LIM_RETRY_AFTER_MAX);
+}
+
+static struct lim_decision
+decide (enum lim_verdict verdict, int64_t first_us, int64_t retry_us)
+{
+  struct lim_decision decision = { verdict, 0, first_us, 0, 0 };
+
+  if (verdict != LIM_ADMIT && verdict != LIM_QUEUE)
+    decision.retry_after_s = retry_after (retry_us);
+  return decision;
+}
+
+/* Returns the flow with the most queued cost.  The search is over at most
+   queue_max flows and made only when the queue is full.  */
+static struct flow *
+largest_flow (struct lim *lim)
+{
+  struct flow *largest = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, lim->flows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct flow *flow = value;
+
+      /* The key makes the choice independent of the order in the table.  */
+      if (!largest || flow->cost > largest->cost
+          || (flow->cost == largest->cost && flow->key < largest->key))
+        largest = flow;
+    }
+  return largest;
+}
+
+/* Frees a place for REQUEST.  Returns 1, or 0 when its customer already has
+   the largest share.  */
+static int
+make_room (struct lim *lim, const struct lim_request *request,
+           struct lim_decision *decision)
+{
+  guint64 key = flow_key (request);
+  const struct flow *own = g_hash_table_lookup (lim->flows, &key);
+  struct flow *largest = largest_flow (lim);
+  GList *newest = largest->items.tail;
+
+  if ((own ? own->cost : 0) + request->cost >= largest->cost)
+    return 0;
+  decision->has_evicted = 1;
+  decision->evicted = ((struct item *)newest->data)->request.id;
+  remove_item (lim, newest);
+  return 1;
+}
+
+struct lim_decision
+lim_offer (struct lim *lim, const struct lim_request *request,
+           const struct lim_supply *supply, int64_t now)
+{
+  struct lim_request r = *request;
+  struct lim_decision decision;
+  int64_t first_us = supply->first_us;
+  int64_t late_us;
+  guint64 key;
+
+  r.priority = MIN (r.priority, LIM_CLASSES - 1);
+  r.cost = MAX (r.cost, 1);
+  key = flow_key (&r);
+  if (!supply->room || lim_queued (lim))
+    first_us += (int64_t)cost_ahead (lim, &r) * supply->us_per_cost;
+  late_us = r.due_us ? now + first_us - r.due_us : 0;
+  if (late_us > 0)
+    return decide (LIM_REFUSE_LATE, first_us, late_us);
+  if (supply->room && !lim_queued (lim))
+    return decide (LIM_ADMIT, first_us, 0);
+  decision = decide (LIM_QUEUE, first_us, 0);
+  if (lim_queued (lim) >= lim->config.queue_max
+      && !make_room (lim, &r, &decision))
+    return decide (g_hash_table_contains (lim->flows, &key) ? LIM_REFUSE_SHARE
+                                                            : LIM_REFUSE_FULL,
+                   first_us, first_us);
+  add_item (lim, &r);
+  return decision;
+}
+
+/* Returns the class to serve: the lowest one whose guaranteed share is due,
+   else the highest one that has work.  */
+static struct class *
+pick_class (struct lim *lim)
+{
+  struct class *highest = NULL;
+  int i;
+
+  for (i = LIM_CLASSES - 1; i >= 0; i--)
+    {
+      struct class *class = &lim->classes[i];
+
+      if (g_queue_is_empty (&class->flows))
+        continue;
+      if (i > 0 && class->credit > 0)
+        return class;
+      highest = class;
+    }
+  return highest;
+}
+
+/* Runs the rounds in which no flow of CLASS would reach the cost of its oldest
+   request, all at once.  The work then does not depend on the cost.  */
+static void
+skip_rounds (const struct lim *lim, struct class *class)
+{
+  uint64_t quantum = lim->config.quantum;
+  uint64_t least = UINT64_MAX;
+  GList *link;
+
+  for (link = class->flows.head; link; link = link->next)
+    {
+      struct flow *flow = link->data;
+      const struct item *item = g_queue_peek_head (&flow->items);
+      uint64_t missing = 0;
+
+      if (item->request.cost > flow->deficit)
+        missing = item->request.cost - flow->deficit;
+      least = MIN (least, (missing + quantum - 1) / quantum);
+    }
+  if (least <= 1)
+    return;
+  for (link = class->flows.head; link; link = link->next)
+    ((struct flow *)link->data)->deficit += (least - 1) * quantum;
+}
+
+/* Returns the flow of CLASS whose turn it is and that has saved up the cost of
+   its oldest request.  */
+static struct flow *
+pick_flow (const struct lim *lim, struct class *class)
+{
+  skip_rounds (lim, class);
+  for (;;)
+    {
+      struct flow *flow = g_queue_peek_head (&class->flows);
+      const struct item *item = g_queue_peek_head (&flow->items);
+
+      if (flow->deficit >= item->request.cost)
+        return flow;
+      flow->deficit += lim->config.quantum;
+      g_queue_push_tail (&class->flows, g_queue_pop_head (&class->flows));
+    }
+}
+
+/* Books COST taken by CLASS: every class with work earns its share, and the
+   one served pays.  */
+static void
+settle (struct lim *lim, struct class *class, uint32_t cost)
+{
+  int64_t bound = (int64_t)CREDIT_QUANTA * lim->config.quantum * PERMIL;
+  int i;
+
+  for (i = 1; i < LIM_CLASSES; i++)
+    {
+      struct class *each = &lim->classes[i];
+
+      if (g_queue_is_empty (&each->flows))
+        {
+          each->credit = 0;
+          continue;
+        }
+      each->credit += (int64_t)cost * lim->config.share_permil;
+      if (each == class)
+        each->credit -= (int64_t)cost * PERMIL;
+      each->credit = CLAMP (each->credit, -bound, bound);
+    }
+}
+
+int
+lim_next (struct lim *lim, const struct lim_supply *supply, int64_t now,
+          struct lim_request *request, struct lim_decision *decision)
+{
+  struct class *class = pick_class (lim);
+  struct flow *flow;
+  struct item *item;
+  int64_t late_us;
+
+  if (!class)
+    return 0;
+  flow = pick_flow (lim, class);
+  item = g_queue_peek_head (&flow->items);
+  *request = item->request;
+  late_us = request->due_us ? now + supply->first_us - request->due_us : 0;
+  if (late_us > 0)
+    *decision = decide (LIM_REFUSE_LATE, supply->first_us, late_us);
+  else
+    {
+      *decision = decide (LIM_ADMIT, supply->first_us, 0);
+      flow->deficit -= request->cost;
+      settle (lim, class, request->cost);
+    }
+  remove_item (lim, flow->items.head);
+  return 1;
+}
+
+int
+lim_cancel (struct lim *lim, uint64_t id)
+{
+  guint64 key = id;
+  GList *link = g_hash_table_lookup (lim->items, &key);
+
+  if (!link)
+    return -1;
+  remove_item (lim, link);
+  return 0;
+}
+
+size_t
+lim_queued (const struct lim *lim)
+{
+  return g_hash_table_size (lim->items);
+}
