--- a/include/goldcresthatch/fleet.h
+++ b/include/goldcresthatch/fleet.h
@@ -116,7 +116,8 @@
 
 /* Takes in a REPORT.  Returns 0, or -1 with ERR_NOT_FOUND for an agent that is
    not listed and ERR_CONFLICT for a report older than the one held.  An older
-   report that says leaving still stops new work.  */
+   report that says leaving still stops new work.  Incarnations have no order:
+   one that is not known is taken as newer, and the one before is refused.  */
 int fleet_report (struct fleet *fleet, const struct msg_report *report,
                   int64_t now, struct err *err);
 
