Predict prefill beside decode steps

Cause: engines that batch continuously run a decode step with each chunk of a prefill. The prediction left it out, so overload was admitted that was late. Change: route_speed has the chunk size; each chunk costs a decode step.

--- a/bench/bench_route.c
+++ b/bench/bench_route.c
@@ -135,7 +135,7 @@
                                    .priority = 1,
                                    .budget_us = 1900000,
                                    .n_prefix = PIECES,
-                                   .speed = { 50, 20000, 500, 0, 0, 0 } };
+                                   .speed = { 50, 500, 20000, 500, 0, 0, 0 } };
   uint64_t random = job->seed;
   double start = now_ns ();
   int i;
--- a/include/goldcresthatch/route.h
+++ b/include/goldcresthatch/route.h
@@ -48,7 +48,9 @@
 struct route_speed
 {
   uint32_t prefill_us_per_token;
-  uint32_t step_us;             /* decode step of a batch of one */
+  uint32_t chunk_tokens; /* prefilled beside one decode step; 0: no decode is
+                            run before the prefill has ended */
+  uint32_t step_us;      /* decode step of a batch of one */
   uint32_t step_us_per_request; /* added by each further request */
   uint32_t request_us;          /* time of a call of a plain service */
   uint32_t cold_us;             /* loading a version that is not warm */
--- a/src/route.c
+++ b/src/route.c
@@ -496,6 +496,19 @@
   return us;
 }
 
+/* Returns the time to prefill TOKENS.  An engine that batches continuously
+   runs a decode step of STEP_US with each chunk, so a full batch slows
+   prefill.  */
+static int64_t
+prefill_us (const struct route_speed *speed, uint64_t tokens, int64_t step_us)
+{
+  int64_t us = (int64_t)(tokens * speed->prefill_us_per_token);
+
+  if (speed->chunk_tokens)
+    us += (int64_t)(tokens / speed->chunk_tokens) * step_us;
+  return us;
+}
+
 static struct route_choice
 predict (const struct route *route, const struct route_request *request,
          const struct candidate *candidate, int64_t now)
@@ -525,8 +538,8 @@
       = (int64_t)(speed->step_us + (batch - 1) * speed->step_us_per_request);
   choice.first_us
       = placement_us (route, request, candidate->runner)
-        + (int64_t)((ahead + request->prompt_tokens - choice.cached)
-                    * speed->prefill_us_per_token)
+        + prefill_us (speed, ahead + request->prompt_tokens - choice.cached,
+                      load->requests ? choice.step_us : 0)
         + (int64_t)(waiting * request->output_tokens / batch) * choice.step_us
         + (int64_t)((waiting / batch + 1) * speed->request_us);
   choice.late = request->budget_us > 0 && choice.first_us > request->budget_us;
--- a/tests/unit_route.cc
+++ b/tests/unit_route.cc
@@ -52,7 +52,7 @@
     req.prompt_tokens = 4000;
     req.output_tokens = 10;
     req.priority = 1;
-    req.speed = { 100, 10000, 100, 0, 5000000, 1000000 };
+    req.speed = { 100, 0, 10000, 100, 0, 5000000, 1000000 };
   }
 
   void
@@ -172,6 +172,10 @@
   req.budget_us = 1000000;
   EXPECT_EQ (choose ().ref.index, at (1)->ref.index);
   EXPECT_FALSE (choose ().late);
+  EXPECT_EQ (choose ().first_us, 400000);
+  req.speed.chunk_tokens = 1000;
+  EXPECT_EQ (choose ().first_us, 400000 + 4 * choose ().step_us)
+      << "decode steps slow the prefill";
   req.budget_us = 1;
   EXPECT_TRUE (choose ().late);
 }
