Correct predictions by their observed error

Cause: beyond saturation a fifth of the admitted requests were late, since load reports lag and the predicted time was too low. Change: lim_observe keeps the mean error and deviation of predictions, which are added to later ones and halve each 5 s without an observation. The effect on a real engine is not measured.

--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -45,6 +45,8 @@
 struct request
 {
   int64_t at_us;
+  int64_t sent_us;
+  int64_t predicted_us; /* time to the first token when it was sent */
   int64_t first_us;
   int64_t last_us;
   uint64_t prefix[PIECES_MAX];
@@ -263,6 +265,8 @@
           g_queue_pop_head (&runner->waiting);
           head->first_us = now;
           head->done = 1;
+          lim_observe (sim->entries[head->entry].lim, head->predicted_us,
+                       now - head->sent_us, now);
           fleet_first_token (sim->entries[head->entry].fleet, &head->work);
           g_ptr_array_add (runner->batch, head);
         }
@@ -290,12 +294,14 @@
 
 static void
 send_request (struct sim *sim, struct request *request, struct fleet_ref ref,
-              int64_t now)
+              int64_t predicted_us, int64_t now)
 {
   struct entry *entry = &sim->entries[request->entry];
   struct runner *runner = &sim->runners[ref.index];
 
   request->runner = (int)ref.index;
+  request->sent_us = now;
+  request->predicted_us = predicted_us;
   request->work = fleet_sent (entry->fleet, ref, request->prompt);
   if (sim->policy)
     route_served (entry->route, ref, request->prefix, request->n_prefix, now);
@@ -346,7 +352,7 @@
       send_request (sim, request,
                     route_least_outstanding (entry->fleet, &routing,
                                              next_random (&sim->random)),
-                    now);
+                    0, now);
       return;
     }
   /* Cost in milliseconds of a runner: prefill, and a share of a batch.  */
@@ -358,7 +364,7 @@
   if (decision.has_evicted)
     sim->requests[decision.evicted].refused = 1;
   if (decision.verdict == LIM_ADMIT)
-    send_request (sim, request, choice.ref, now);
+    send_request (sim, request, choice.ref, choice.first_us, now);
   else if (decision.verdict != LIM_QUEUE)
     request->refused = 1;
 }
@@ -384,7 +390,7 @@
       request = &sim->requests[next.id];
       survey (sim, request, &choice, now);
       if (decision.verdict == LIM_ADMIT && !choice.late)
-        send_request (sim, request, choice.ref, now);
+        send_request (sim, request, choice.ref, choice.first_us, now);
       else
         request->refused = 1;
     }
--- a/include/goldcresthatch/lim.h
+++ b/include/goldcresthatch/lim.h
@@ -23,6 +23,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#define LIM_HALF_LIFE_US INT64_C (5000000)
+
 enum
 {
   LIM_CLASSES = 3,         /* priority 0 is the highest */
@@ -82,6 +84,15 @@
                                const struct lim_request *request,
                                const struct lim_supply *supply, int64_t now);
 
+/* Notes the time to the first token that was predicted for a request that was
+   sent and the one that was measured.  The mean error and its mean deviation
+   are added to later predictions of lim_offer and lim_next while they are
+   positive; a prediction is never made smaller.  Both halve with each
+   LIM_HALF_LIFE_US without an observation, since a correction that refuses
+   every request would otherwise never be corrected itself.  */
+void lim_observe (struct lim *lim, int64_t predicted_us, int64_t actual_us,
+                  int64_t now);
+
 /* Takes the next request from the queue.  Returns 1 with REQUEST and DECISION
    filled in, which is LIM_ADMIT or LIM_REFUSE_LATE, or 0 when the queue is
    empty.  A late request takes nothing from its customer's share.  To be
--- a/src/lim.c
+++ b/src/lim.c
@@ -1,6 +1,7 @@
 #include "goldcresthatch/lim.h"
 
 #include <glib.h>
+#include <stdlib.h>
 
 #define SECOND_US INT64_C (1000000)
 
@@ -9,7 +10,11 @@
   PERMIL = 1000,
   /* Guaranteed cost that a class may save up, in quanta.  Without a bound, a
      class that was idle for long would block the others when it returns.  */
-  CREDIT_QUANTA = 16
+  CREDIT_QUANTA = 16,
+  /* Weight of one observation is 1/32: load reports are up to 2 s old, and 32
+     first tokens are several reports at today's sizes.  */
+  OBSERVED = 32,
+  HALVES_MAX = 62 /* the largest shift of an int64_t */
 };
 
 struct item
@@ -38,6 +43,9 @@
 struct lim
 {
   struct lim_config config;
+  int64_t error_us;     /* mean of actual less predicted time */
+  int64_t observed_us;  /* time of the last observation */
+  int64_t deviation_us; /* mean distance of the error from its mean */
   struct class classes[LIM_CLASSES];
   GHashTable *flows; /* key -> struct flow */
   GHashTable *items; /* id -> link in the items of a flow */
@@ -211,13 +219,46 @@
   return 1;
 }
 
+/* Returns VALUE after its decay since the last observation.  */
+static int64_t
+decayed (const struct lim *lim, int64_t value, int64_t now)
+{
+  int64_t halves = (now - lim->observed_us) / LIM_HALF_LIFE_US;
+
+  return value / (INT64_C (1) << CLAMP (halves, 0, HALVES_MAX));
+}
+
+void
+lim_observe (struct lim *lim, int64_t predicted_us, int64_t actual_us,
+             int64_t now)
+{
+  int64_t off;
+
+  lim->error_us = decayed (lim, lim->error_us, now);
+  lim->deviation_us = decayed (lim, lim->deviation_us, now);
+  lim->observed_us = now;
+  off = actual_us - predicted_us - lim->error_us;
+  lim->error_us += off / OBSERVED;
+  lim->deviation_us += (llabs (off) - lim->deviation_us) / OBSERVED;
+}
+
+/* Returns the time to the first token of a request sent now, corrected by the
+   error of earlier predictions.  */
+static int64_t
+corrected (const struct lim *lim, const struct lim_supply *supply, int64_t now)
+{
+  int64_t error = decayed (lim, lim->error_us + lim->deviation_us, now);
+
+  return supply->first_us + MAX (error, 0);
+}
+
 struct lim_decision
 lim_offer (struct lim *lim, const struct lim_request *request,
            const struct lim_supply *supply, int64_t now)
 {
   struct lim_request r = *request;
   struct lim_decision decision;
-  int64_t first_us = supply->first_us;
+  int64_t first_us = corrected (lim, supply, now);
   int64_t late_us;
   guint64 key;
 
@@ -336,6 +377,7 @@
   struct class *class = pick_class (lim);
   struct flow *flow;
   struct item *item;
+  int64_t first_us = corrected (lim, supply, now);
   int64_t late_us;
 
   if (!class)
@@ -343,12 +385,12 @@
   flow = pick_flow (lim, class);
   item = g_queue_peek_head (&flow->items);
   *request = item->request;
-  late_us = request->due_us ? now + supply->first_us - request->due_us : 0;
+  late_us = request->due_us ? now + first_us - request->due_us : 0;
   if (late_us > 0)
-    *decision = decide (LIM_REFUSE_LATE, supply->first_us, late_us);
+    *decision = decide (LIM_REFUSE_LATE, first_us, late_us);
   else
     {
-      *decision = decide (LIM_ADMIT, supply->first_us, 0);
+      *decision = decide (LIM_ADMIT, first_us, 0);
       flow->deficit -= request->cost;
       settle (lim, class, request->cost);
     }
--- a/tests/unit_lim.cc
+++ b/tests/unit_lim.cc
@@ -105,6 +105,24 @@
   EXPECT_NEAR (low, 4, 1);
 }
 
+// Guards against predictions that stay too low, and against a fleet faster
+// than predicted that makes them too low.  A correction that refuses
+// everything must end by itself, as no request is left to observe.
+TEST_F (Lim, CorrectsPredictions)
+{
+  for (int i = 0; i < 500; i++)
+    lim_observe (lim, 100, 50, 0);
+  EXPECT_EQ (offer (1, 0, 1).first_us, 1000);
+  for (int i = 0; i < 500; i++)
+    lim_observe (lim, 100, 1100, 0);
+  EXPECT_GT (offer (2, 0, 1).first_us, 1900);
+  EXPECT_EQ (offer (3, 0, 1, 1800).verdict, LIM_REFUSE_LATE);
+  lim_observe (lim, 0, 1000000000, 0);
+  int64_t later = 1000 * LIM_HALF_LIFE_US;
+  struct lim_request r = { 99, 4, 0, 1, later + 1800 };
+  EXPECT_EQ (lim_offer (lim, &r, &busy, later).verdict, LIM_QUEUE);
+}
+
 // Guards against a cancelled request that is still served.
 TEST_F (Lim, CancelRemoves)
 {
