Keep the names of the fleet test in place

Cause: AddressSanitizer reported that the test read names that had moved when their vector grew. Change: the test keeps the names in a deque. Result: the unit and differential tests pass with SANITIZE=address,undefined.

--- a/tests/unit_fleet.cc
+++ b/tests/unit_fleet.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <deque>
 #include <string>
 #include <vector>
 
@@ -22,7 +23,7 @@
 {
 protected:
   struct fleet *fleet = fleet_new ();
-  std::vector<std::string> names;
+  std::deque<std::string> names; // vms points into it
   std::vector<struct fleet_vm> vms;
 
   void
