Judge silence while a runner is withheld

Cause: a runner that fell silent while drained or leaving was usable until the next tick after its release. A report could also hide own requests that were still on their way to the agent. Change: fleet_tick judges every runner; a report sets the load to at least the own requests outstanding. The naive version and the unit tests follow.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -277,7 +277,9 @@
   msg_str_copy (slot->pub.service, sizeof slot->pub.service, report->service);
   slot->pub.window = report->window;
   slot->pub.role = report->role;
-  slot->pub.load.requests = report->running + report->queued;
+  /* Requests on their way to the agent are not in its count yet.  */
+  slot->pub.load.requests
+      = MAX (report->running + report->queued, slot->pub.outstanding);
   slot->pub.load.prompt_tokens = report->prompt_tokens;
   slot->pub.load.capacity = report->capacity;
   slot->serving
@@ -357,7 +359,7 @@
   fleet->ticked = 1;
   fleet->ticked_us = now;
   for (i = 0; i < fleet->n_slots; i++)
-    if (is_member (&fleet->slots[i]))
+    if (fleet->slots[i].in_use)
       judge_silence (fleet, &fleet->slots[i], now);
   census = take_census (fleet, now);
   if (census.fallen > census.reporting)
--- a/tests/diff_policy.cc
+++ b/tests/diff_policy.cc
@@ -84,13 +84,13 @@
     int reporting = 0, silent = 0;
     for (int i = 0; i < RUNNERS; i++)
       {
-        if (!member (i))
-          continue;
         int64_t since = std::max (latest (i).at, restart);
         if (graced.count (i))
           since = std::max (since, graced[i]);
         if (!fallen.count (i) && now - since > FLEET_SILENCE_US)
           fallen[i] = now;
+        if (!member (i))
+          continue;
         if (!fallen.count (i))
           reporting++;
         else if (kept.count (i) || now - fallen[i] <= FLEET_SILENCE_US)
--- a/tests/unit_fleet.cc
+++ b/tests/unit_fleet.cc
@@ -94,6 +94,17 @@
   EXPECT_TRUE (at (7)->usable);
 }
 
+// Guards against work for a runner that fell silent while it was withheld.
+TEST_F (Fleet, SilenceCountsWhileWithheld)
+{
+  const char *withheld = "r7";
+  run (0, SECOND, 8);
+  fleet_withhold (fleet, &withheld, 1);
+  run (2 * SECOND, 10 * SECOND, 7);
+  fleet_withhold (fleet, nullptr, 0);
+  EXPECT_FALSE (at (7)->usable);
+}
+
 // Guards against evicting every runner after the entry itself was paused.
 TEST_F (Fleet, TimerGapRestartsSilence)
 {
@@ -166,8 +177,15 @@
   struct fleet_work b = fleet_sent (fleet, at (0)->ref, 50);
   EXPECT_EQ (at (0)->load.requests, 6u);
   EXPECT_EQ (at (0)->load.prompt_tokens, 650u);
+  report (0, 1);
+  EXPECT_EQ (at (0)->load.requests, 4u) << "the report includes them";
+  report (1, 0);
+  for (int i = 0; i < 5; i++)
+    fleet_sent (fleet, at (1)->ref, 1);
+  report (1, 1);
+  EXPECT_EQ (at (1)->load.requests, 5u) << "one is on its way";
   fleet_first_token (fleet, &a);
-  EXPECT_EQ (at (0)->load.prompt_tokens, 550u);
+  EXPECT_EQ (at (0)->load.prompt_tokens, 400u);
   struct msg_end end = {};
   fleet_ended (fleet, &a, &end);
   fleet_ended (fleet, &a, &end);
