--- a/tests/unit_route.cc
+++ b/tests/unit_route.cc
@@ -135,6 +135,11 @@
     same += kept.count (ref.index);
   EXPECT_EQ (same, ROUTE_SUBSET - 1);
   EXPECT_EQ (route_subset (route, "other", after), 0u);
+  build (30, 1);
+  kept.clear ();
+  for (size_t i = route_subset (route, "m", after); i > 0; i--)
+    kept.insert (after[i - 1].index);
+  EXPECT_EQ (kept.size (), (size_t)ROUTE_SUBSET) << "the own zone alone";
 }
 
 // Guards against choosing a loaded, distant, cold or wrongly made runner.
@@ -193,6 +198,9 @@
   EXPECT_NE (prefix[0], other[0]);
   req.prefix = prefix;
   req.n_prefix = 3;
+  route_served (route, at (0)->ref, prefix, 1, 0);
+  route_served (route, at (1)->ref, prefix + 1, 2, 0);
+  EXPECT_EQ (choose ().cached, 1000u) << "r1 lacks the first piece";
   route_served (route, at (1)->ref, prefix, 3, 0);
   EXPECT_EQ (choose ().ref.index, at (1)->ref.index);
   EXPECT_EQ (choose ().cached, 3000u);
