Add the authority aggregate

Engine orders need one holder per shard whose loss of the lease takes effect before a successor gives orders. auth decides on acquisition, renewal and the end of the right to order from events with time and random bits as arguments, and settles a lost answer by the write id in the record.

--- /dev/null
+++ b/include/goldcresthatch/auth.h
@@ -0,0 +1,137 @@
+#ifndef GOLDCRESTHATCH_AUTH_H
+#define GOLDCRESTHATCH_AUTH_H
+
+/*
+ * NAME
+ *   auth - authority over one shard, as seen by a candidate entry
+ *
+ * DESCRIPTION
+ *   The holder of authority/S gives orders to the engines of shard S.  The key
+ *   is created under a lease and never rewritten, so the revision of its
+ *   creation is the fencing token.  auth_handle() takes one event and returns
+ *   the action to carry out.  At most one operation is in progress; its result
+ *   is reported with the number in the action, and other results are ignored.
+ *
+ *   A lease is certain for AUTH_LEASE_US from the moment before its grant or
+ *   renewal was sent, by the clock of the holder.
+ *
+ * UNITS
+ *   Times are microseconds of a monotonic clock.
+ */
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "goldcresthatch/err.h"
+#include "goldcresthatch/msg.h"
+
+enum
+{
+  AUTH_LEASE_US = 10 * 1000 * 1000,
+  AUTH_RENEW_US = 3 * 1000 * 1000,
+  AUTH_RETRY_US = 1000 * 1000,    /* after a failed call of the service */
+  AUTH_POLL_US = 3 * 1000 * 1000, /* between the reads of a follower */
+  /* An order that leaves the holder is read back against the key by the agent
+     within 1 s; the rest covers delivery and clock drift.  */
+  AUTH_MARGIN_US = 4 * 1000 * 1000,
+  /* Twice the age at which an agent's read is void.  */
+  AUTH_WAIT_US = 2 * 1000 * 1000,
+  AUTH_RECORD_MAX = 512 /* bytes of an encoded record */
+};
+
+enum auth_state
+{
+  AUTH_FOLLOWER,
+  AUTH_ACQUIRING,
+  AUTH_WAITING, /* holds the key and gives no orders yet */
+  AUTH_HOLDER,
+  AUTH_LOST, /* gave up its token; becomes a follower at the next time event */
+  AUTH_STATE_MAX
+};
+
+struct auth_record
+{
+  char holder[MSG_NAME_MAX + 1];
+  uint64_t incarnation;
+  struct msg_id write_id;
+  uint64_t lease;
+};
+
+enum auth_event_kind
+{
+  AUTH_EV_TIME,
+  AUTH_EV_GRANTED, /* result of AUTH_DO_GRANT */
+  AUTH_EV_CAS,     /* result of AUTH_DO_CAS */
+  AUTH_EV_RENEWED, /* result of AUTH_DO_RENEW */
+  AUTH_EV_READ,    /* result of AUTH_DO_READ */
+  AUTH_EV_MAX
+};
+
+/* The result RC is that of the key-value call: 1 for done or present, 0 for
+   refused, ended or absent, -1 when unknown.  A grant has 0 for done.  */
+struct auth_event
+{
+  enum auth_event_kind kind;
+  int64_t now_us;
+  uint64_t op; /* number of the action that this is the result of */
+  int rc;
+  uint64_t lease;                   /* GRANTED */
+  uint64_t revision;                /* CAS, READ */
+  const struct auth_record *record; /* READ; null when malformed */
+  struct msg_id draw;               /* random bits, for every event */
+};
+
+enum auth_action_kind
+{
+  AUTH_DO_NOTHING,
+  AUTH_DO_READ,
+  AUTH_DO_GRANT,
+  AUTH_DO_CAS, /* create the key with RECORD under LEASE, previous 0 */
+  AUTH_DO_RENEW,
+  AUTH_DO_STOP /* give no more orders and drop plans in progress */
+};
+
+struct auth_action
+{
+  enum auth_action_kind kind;
+  uint64_t op;
+  uint64_t lease;
+  struct auth_record record;
+};
+
+struct auth
+{
+  enum auth_state state;
+  char holder[MSG_NAME_MAX + 1];
+  uint64_t incarnation;
+  uint64_t op; /* number of the last action */
+  int pending; /* the result of OP is awaited */
+  int64_t sent_us;
+  int64_t next_us;    /* earliest time of the next operation */
+  int64_t certain_us; /* end of the time for which the lease is certain */
+  int64_t orders_us;  /* first time at which orders may be given */
+  uint64_t lease;
+  uint64_t token; /* fencing token, 0 unless waiting or holder */
+  struct msg_id write_id;
+};
+
+/* Makes AUTH a follower for the entry HOLDER.  */
+void auth_init (struct auth *auth, const char *holder, uint64_t incarnation);
+
+/* Applies EVENT and fills in the action to carry out.  */
+void auth_handle (struct auth *auth, const struct auth_event *event,
+                  struct auth_action *action);
+
+/* Returns the fencing token when an order may be given at NOW_US, else 0.  */
+uint64_t auth_token (const struct auth *auth, int64_t now_us);
+
+/* Encodes RECORD as JSON text in BUF.  Returns its length, or -1 with
+   ERR_LIMIT.  */
+int auth_record_encode (const struct auth_record *record, char *buf,
+                        size_t size, struct err *err);
+
+/* Decodes SIZE bytes of JSON text.  Returns 0, or -1 with ERR_PROTOCOL.  */
+int auth_record_decode (const char *data, size_t size,
+                        struct auth_record *record, struct err *err);
+
+#endif
--- /dev/null
+++ b/tests/unit_auth.cc
@@ -0,0 +1,142 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+
+// msg.h has a function with the name of its struct, as C allows.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wshadow"
+extern "C"
+{
+#include "goldcresthatch/auth.h"
+}
+#pragma GCC diagnostic pop
+
+namespace
+{
+const int64_t S = 1000 * 1000;
+
+class Auth : public ::testing::Test
+{
+protected:
+  struct auth a = {};
+  struct auth_action act = {};
+
+  void
+  SetUp () override
+  {
+    auth_init (&a, "entry-1", 7);
+  }
+
+  enum auth_action_kind
+  send (enum auth_event_kind kind, int64_t now, int rc, uint64_t value = 0,
+        const struct auth_record *record = nullptr)
+  {
+    struct auth_event ev = {};
+    ev.kind = kind;
+    ev.now_us = now;
+    ev.op = a.op;
+    ev.rc = rc;
+    ev.lease = value;
+    ev.revision = value;
+    ev.record = record;
+    ev.draw = { 1, 2 };
+    auth_handle (&a, &ev, &act);
+    return act.kind;
+  }
+
+  // Grants at 0, creates the key with revision 42, known at KNOWN.
+  void
+  acquire (int64_t known)
+  {
+    EXPECT_EQ (send (AUTH_EV_TIME, 0, 0), AUTH_DO_READ);
+    EXPECT_EQ (send (AUTH_EV_READ, 0, 0), AUTH_DO_GRANT);
+    EXPECT_EQ (send (AUTH_EV_GRANTED, 0, 0, 5), AUTH_DO_CAS);
+    send (AUTH_EV_CAS, known, 1, 42);
+  }
+};
+
+// Guards against a new holder that gives orders while an agent may still act
+// on a read made under its predecessor.
+TEST_F (Auth, WaitsBeforeTheFirstOrder)
+{
+  acquire (1 * S);
+  send (AUTH_EV_TIME, 3 * S - 1, 0);
+  EXPECT_EQ (auth_token (&a, 3 * S - 1), 0u);
+  send (AUTH_EV_TIME, 3 * S, 0);
+  EXPECT_EQ (auth_token (&a, 3 * S), 42u);
+}
+
+// Guards against orders when a slow renewal leaves less than the margin: the
+// lease counts from the sending of the renewal, not from its answer.
+TEST_F (Auth, CountsTheLeaseFromTheSending)
+{
+  acquire (0);
+  EXPECT_EQ (send (AUTH_EV_TIME, 2 * S, 0), AUTH_DO_RENEW);
+  send (AUTH_EV_RENEWED, 7 * S, 1);
+  EXPECT_EQ (auth_token (&a, 8 * S), 42u);
+  EXPECT_EQ (auth_token (&a, 8 * S + 1), 0u);
+  EXPECT_EQ (send (AUTH_EV_TIME, 12 * S, 0), AUTH_DO_STOP);
+  EXPECT_EQ (a.state, AUTH_LOST);
+}
+
+// Guards against a holder that goes on after the service ended its lease.
+TEST_F (Auth, LosesAuthorityWhenTheLeaseHasEnded)
+{
+  acquire (0);
+  send (AUTH_EV_TIME, 2 * S, 0);
+  EXPECT_EQ (send (AUTH_EV_RENEWED, 2 * S, 0), AUTH_DO_STOP);
+  EXPECT_EQ (auth_token (&a, 2 * S), 0u);
+}
+
+// Guards against a creation that is taken for failed, or another entry's that
+// is taken for its own, when the answer was lost.
+TEST_F (Auth, SettlesALostAnswerByItsWriteId)
+{
+  struct auth_record rec = { "entry-1", 7, { 1, 2 }, 5 };
+
+  send (AUTH_EV_TIME, 0, 0);
+  send (AUTH_EV_READ, 0, 0);
+  send (AUTH_EV_GRANTED, 0, 0, 5);
+  EXPECT_EQ (send (AUTH_EV_CAS, 0, -1), AUTH_DO_READ);
+  struct auth lost = a;
+  send (AUTH_EV_READ, 0, 1, 43, &rec);
+  EXPECT_EQ (a.state, AUTH_WAITING);
+  EXPECT_EQ (a.token, 43u);
+  a = lost;
+  rec.write_id.lo = 3;
+  send (AUTH_EV_READ, 0, 1, 43, &rec);
+  EXPECT_EQ (a.state, AUTH_FOLLOWER);
+}
+
+// Guards against a late result of an earlier operation.
+TEST_F (Auth, IgnoresResultsOfOtherOperations)
+{
+  acquire (0);
+  struct auth_event late = {};
+  late.kind = AUTH_EV_RENEWED;
+  late.op = 1;
+  auth_handle (&a, &late, &act);
+  EXPECT_EQ (act.kind, AUTH_DO_NOTHING);
+  EXPECT_EQ (a.state, AUTH_WAITING);
+}
+
+// Guards against a record that loses a field, and bad input that is accepted.
+TEST (AuthRecord, RoundTripAndBadInput)
+{
+  struct auth_record rec = { "e", UINT64_MAX, { 1, UINT64_MAX }, 9 };
+  struct auth_record got;
+  struct err err = {};
+  char buf[AUTH_RECORD_MAX];
+  int n = auth_record_encode (&rec, buf, sizeof buf, &err);
+
+  ASSERT_GT (n, 0);
+  ASSERT_EQ (auth_record_decode (buf, n, &got, &err), 0);
+  EXPECT_STREQ (got.holder, "e");
+  EXPECT_EQ (got.incarnation, UINT64_MAX);
+  EXPECT_TRUE (msg_id_equal (got.write_id, rec.write_id));
+  EXPECT_EQ (got.lease, 9u);
+  EXPECT_EQ (auth_record_encode (&rec, buf, 8, &err), -1);
+  for (const char *bad : { "", "[]", "{}", "{\"holder\":\"e\"}", "nul" })
+    EXPECT_EQ (auth_record_decode (bad, strlen (bad), &got, &err), -1) << bad;
+}
+}
