Add the planning of engine roles

A change takes an engine out of service for seconds, so a plan must follow lasting shifts of the mix and leave bursts alone. role compares the work gained over a horizon with the cost of a change in three windows, holds a decision for a time and gives out one change at a time.

--- /dev/null
+++ b/src/role.c
@@ -0,0 +1,342 @@
+#include "goldcresthatch/role.h"
+
+#include <math.h>
+#include <string.h>
+
+enum
+{
+  WINDOW_LONG = ROLE_WINDOWS - 1
+};
+
+static const double window_s[ROLE_WINDOWS] = { 10, 30, 120 };
+
+static const double us_per_s = 1e6;
+
+/* A runner with a dedicated role counts dearer than one with role both, whose
+   change leaves the side that it stays on no smaller.  */
+static const double dedicated_cost = 1.25;
+
+/* Rates of the usable runners, in tokens/s, by role.  */
+struct capacity
+{
+  double prefill[ENG_ROLE_MAX];
+  double decode[ENG_ROLE_MAX];
+  unsigned count[ENG_ROLE_MAX];
+  unsigned runners;
+};
+
+struct role_settings
+role_settings_default (void)
+{
+  /* The efficiency and the target are estimates until runs measure them.  */
+  struct role_settings settings = {
+    .role_change_cost_s = 10,
+    .horizon_s = 120,
+    .hysteresis = 0.25,
+    .hold_s = 6,
+    .settle_s = 20,
+    .both_efficiency = 0.85,
+    .target_use = 0.85,
+  };
+
+  return settings;
+}
+
+static int
+in_range (double value, double low, double high)
+{
+  return isfinite (value) && value >= low && value <= high;
+}
+
+int
+role_settings_check (const struct role_settings *s, struct err *err)
+{
+  static const double day_s = 86400;
+  const struct
+  {
+    const char *name;
+    double value;
+    double low;
+    double high;
+  } rules[] = {
+    { "role_change_cost_s", s->role_change_cost_s, 0, day_s },
+    { "horizon_s", s->horizon_s, 1, day_s },
+    { "hysteresis", s->hysteresis, 0, 100 },
+    { "hold_s", s->hold_s, 0, day_s },
+    { "settle_s", s->settle_s, 0, day_s },
+    { "both_efficiency", s->both_efficiency, 0.01, 1 },
+    { "target_use", s->target_use, 0.01, 1 },
+  };
+  size_t i;
+
+  for (i = 0; i < sizeof rules / sizeof rules[0]; i++)
+    if (!in_range (rules[i].value, rules[i].low, rules[i].high))
+      return err_set (err, ERR_INVALID, "role-settings", NULL,
+                      "%s must be between %g and %g", rules[i].name,
+                      rules[i].low, rules[i].high);
+  return 0;
+}
+
+void
+role_stats_init (struct role_stats *stats)
+{
+  memset (stats, 0, sizeof *stats);
+  stats->start_us = -1;
+}
+
+void
+role_stats_add (struct role_stats *stats, int64_t now_us,
+                double prefill_tokens, double decode_tokens)
+{
+  double elapsed_s;
+  double keep;
+  int i;
+
+  if (!in_range (prefill_tokens, 0, HUGE_VAL)
+      || !in_range (decode_tokens, 0, HUGE_VAL))
+    return;
+  /* The first sample covers an unknown time and only starts the clock.  */
+  if (stats->start_us < 0)
+    {
+      stats->start_us = now_us;
+      stats->last_us = now_us;
+      return;
+    }
+  elapsed_s = now_us > stats->last_us
+                  ? (double)(now_us - stats->last_us) / us_per_s
+                  : 0;
+  for (i = 0; i < ROLE_WINDOWS; i++)
+    {
+      keep = exp (-elapsed_s / window_s[i]);
+      stats->sum[i].prefill = stats->sum[i].prefill * keep + prefill_tokens;
+      stats->sum[i].decode = stats->sum[i].decode * keep + decode_tokens;
+    }
+  if (now_us > stats->last_us)
+    stats->last_us = now_us;
+}
+
+struct role_demand
+role_stats_rate (const struct role_stats *stats, unsigned window)
+{
+  struct role_demand rate = { 0, 0 };
+  double age_s;
+  double span_s;
+
+  if (stats->start_us < 0 || stats->last_us <= stats->start_us)
+    return rate;
+  /* The part of the window that has been seen, so that a young average is not
+     taken for a low demand.  */
+  age_s = (double)(stats->last_us - stats->start_us) / us_per_s;
+  span_s = window_s[window] * (1 - exp (-age_s / window_s[window]));
+  rate.prefill = stats->sum[window].prefill / span_s;
+  rate.decode = stats->sum[window].decode / span_s;
+  return rate;
+}
+
+void
+role_planner_init (struct role_planner *planner,
+                   const struct role_settings *settings)
+{
+  memset (planner, 0, sizeof *planner);
+  planner->settings = *settings;
+  planner->last_us = -1;
+  planner->since_us = -1;
+}
+
+static int
+is_counted (const struct role_runner *runner)
+{
+  return runner->usable && runner->role < ENG_ROLE_MAX
+         && in_range (runner->prefill_rate, 1e-9, HUGE_VAL)
+         && in_range (runner->decode_rate, 1e-9, HUGE_VAL);
+}
+
+/* Adds RUNNER to CAP as if it had ROLE; SIGN -1 takes it out.  */
+static void
+count_runner (struct capacity *cap, const struct role_runner *runner,
+              enum eng_role role, int sign)
+{
+  cap->prefill[role] += sign * runner->prefill_rate;
+  cap->decode[role] += sign * runner->decode_rate;
+  cap->count[role] += (unsigned)sign;
+  cap->runners += (unsigned)sign;
+}
+
+/* Returns the largest multiple of DEMAND that CAP serves, with the runners of
+   role both divided between the sides in the best way.  */
+static double
+served_multiple (const struct capacity *cap, const struct role_demand *demand,
+                 double both_efficiency)
+{
+  double p = cap->prefill[ENG_ROLE_PREFILL];
+  double d = cap->decode[ENG_ROLE_DECODE];
+  double bp = cap->prefill[ENG_ROLE_BOTH] * both_efficiency;
+  double bd = cap->decode[ENG_ROLE_BOTH] * both_efficiency;
+  double share = 0;
+
+  if (demand->prefill <= 0 && demand->decode <= 0)
+    return HUGE_VAL;
+  if (demand->prefill <= 0)
+    return (d + bd) / demand->decode;
+  if (demand->decode <= 0)
+    return (p + bp) / demand->prefill;
+  if (bp > 0 && bd > 0)
+    share = ((d + bd) / demand->decode - p / demand->prefill)
+            / (bp / demand->prefill + bd / demand->decode);
+  share = fmin (1, fmax (0, share));
+  return fmin ((p + share * bp) / demand->prefill,
+               (d + (1 - share) * bd) / demand->decode);
+}
+
+/* Returns the work, in runners, that DEMAND asks for.  */
+static double
+work (const struct capacity *cap, const struct role_demand *demand)
+{
+  double prefill = 0;
+  double decode = 0;
+  int i;
+
+  for (i = 0; i < ENG_ROLE_MAX; i++)
+    {
+      prefill += cap->prefill[i];
+      decode += cap->decode[i];
+    }
+  return demand->prefill * cap->runners / prefill
+         + demand->decode * cap->runners / decode;
+}
+
+/* Returns the work gained over the horizon when BEFORE becomes AFTER.  */
+static double
+gain (const struct role_settings *s, const struct capacity *before,
+      const struct capacity *after, const struct role_demand *demand)
+{
+  double was = served_multiple (before, demand, s->both_efficiency);
+  double will = served_multiple (after, demand, s->both_efficiency);
+
+  return work (before, demand)
+         * (fmin (1, will * s->target_use) - fmin (1, was * s->target_use))
+         * s->horizon_s;
+}
+
+/* Returns nonzero when both sides keep a runner while one of ROLE is out.  */
+static int
+leaves_both_sides (const struct capacity *cap, enum eng_role role)
+{
+  unsigned both = cap->count[ENG_ROLE_BOTH] - (role == ENG_ROLE_BOTH);
+  unsigned prefill = cap->count[ENG_ROLE_PREFILL] - (role == ENG_ROLE_PREFILL);
+  unsigned decode = cap->count[ENG_ROLE_DECODE] - (role == ENG_ROLE_DECODE);
+
+  return prefill + both > 0 && decode + both > 0;
+}
+
+static double
+cost (const struct role_settings *s, const struct role_runner *runner)
+{
+  double load = in_range (runner->load, 0, 1) ? runner->load : 1;
+  double cache = in_range (runner->cache_value_s, 0, HUGE_VAL)
+                     ? runner->cache_value_s
+                     : 0;
+  double change = s->role_change_cost_s * (1 + load);
+
+  if (runner->role != ENG_ROLE_BOTH)
+    change *= dedicated_cost;
+  return change + cache;
+}
+
+/* Fills in OUT when moving RUNNER to the role TO pays.  */
+static int
+weigh (const struct role_settings *s, const struct capacity *cap,
+       const struct role_stats *stats, const struct role_runner *runner,
+       enum eng_role to, struct role_change *out)
+{
+  struct capacity after = *cap;
+  struct role_demand demand;
+  double least = HUGE_VAL;
+  double price = cost (s, runner);
+  unsigned i;
+
+  count_runner (&after, runner, runner->role, -1);
+  count_runner (&after, runner, to, 1);
+  for (i = 0; i < WINDOW_LONG; i++)
+    {
+      demand = role_stats_rate (stats, i);
+      least = fmin (least, gain (s, cap, &after, &demand));
+    }
+  demand = role_stats_rate (stats, WINDOW_LONG);
+  if (!(least > price * (1 + s->hysteresis))
+      || !(gain (s, cap, &after, &demand) >= -price))
+    return 0;
+  out->handle = runner->handle;
+  out->from = runner->role;
+  out->to = to;
+  out->gain_s = least;
+  out->cost_s = price;
+  return 1;
+}
+
+/* Finds the change with the highest gain after its cost.  */
+static int
+best_change (const struct role_settings *s, const struct capacity *cap,
+             const struct role_stats *stats, const struct role_runner *runners,
+             size_t count, struct role_change *best)
+{
+  struct role_change change;
+  int found = 0;
+  size_t i;
+  int to;
+
+  for (i = 0; i < count; i++)
+    {
+      if (!is_counted (&runners[i]) || runners[i].fixed
+          || !leaves_both_sides (cap, runners[i].role))
+        continue;
+      for (to = 0; to < ENG_ROLE_MAX; to++)
+        if (to != (int)runners[i].role
+            && weigh (s, cap, stats, &runners[i], (enum eng_role)to, &change)
+            && (!found
+                || change.gain_s - change.cost_s
+                       > best->gain_s - best->cost_s))
+          {
+            *best = change;
+            found = 1;
+          }
+    }
+  return found;
+}
+
+int
+role_plan (struct role_planner *planner, int64_t now_us,
+           const struct role_stats *stats, const struct role_runner *runners,
+           size_t count, struct role_change *change)
+{
+  const struct role_settings *s = &planner->settings;
+  struct capacity cap = { 0 };
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      if (runners[i].changing)
+        return 0;
+      if (is_counted (&runners[i]))
+        count_runner (&cap, &runners[i], runners[i].role, 1);
+    }
+  if (planner->last_us >= 0
+      && (double)(now_us - planner->last_us) < s->settle_s * us_per_s)
+    return 0;
+  if (cap.runners == 0
+      || !best_change (s, &cap, stats, runners, count, change))
+    {
+      planner->since_us = -1;
+      return 0;
+    }
+  if (planner->since_us < 0 || planner->towards != change->to)
+    {
+      planner->since_us = now_us;
+      planner->towards = change->to;
+    }
+  if ((double)(now_us - planner->since_us) < s->hold_s * us_per_s)
+    return 0;
+  planner->last_us = now_us;
+  planner->since_us = -1;
+  return 1;
+}
