--- a/tests/unit_auth.cc
+++ b/tests/unit_auth.cc
@@ -2,14 +2,7 @@
 
 #include <cstring>
 
-// msg.h has a function with the name of its struct, as C allows.
-#pragma GCC diagnostic push
-#pragma GCC diagnostic ignored "-Wshadow"
-extern "C"
-{
-#include "goldcresthatch/auth.h"
-}
-#pragma GCC diagnostic pop
+#include "eng_headers.hh"
 
 namespace
 {
--- a/tests/unit_eng.cc
+++ b/tests/unit_eng.cc
@@ -1,236 +1,178 @@
 #include <gtest/gtest.h>
 
-#include <cstdio>
+#include <cstring>
+#include <sstream>
 
-// msg.h has a function with the name of its struct, as C allows.
-#pragma GCC diagnostic push
-#pragma GCC diagnostic ignored "-Wshadow"
-extern "C"
-{
-#include "goldcresthatch/eng.h"
-}
-#pragma GCC diagnostic pop
+#include "eng_headers.hh"
 
 namespace
 {
-const int64_t S = 1000 * 1000;
-
+// Runs a script of events against an aggregate for the shard "z1" that starts
+// idle with role both, having read token 5.  Steps: oTOKENROLE[+] order (+ for
+// drain, @ for
+// another shard), rTOKEN read ("!" failed, "~" too slow), d drained, a applied
+// ("!" failed, "?" unknown, "-" not sent), qROLE queried ("*" in progress), c
+// crash, s restart, t time.  ROLE is b, p or d.  Returns the actions, - for
+// none.
 class Eng : public ::testing::Test
 {
-protected:
   struct eng e = {};
-  struct eng_actions acts = {};
-  struct eng_event ev = {};
-  uint64_t next_id = 0;
+  int64_t now = 0;
+  uint64_t last_id = 0;
 
-  void
-  handle (enum eng_event_kind kind)
+  static std::string
+  text (const struct eng_action &a)
   {
-    ev.kind = kind;
-    ev.op = kind == ENG_EV_DRAINED ? e.drain_op : e.op;
-    eng_handle (&e, &ev, &acts);
+    const char *answers[] = { "accepted", "refused", "reached", "failed" };
+    if (a.kind == ENG_DO_ANSWER)
+      return answers[a.state];
+    if (a.kind == ENG_DO_SEND)
+      return "send" + std::to_string (a.order.token)
+             + eng_role_name (a.order.target.role)[0];
+    const char *names[] = { "read", "stop", "resume", "", "query" };
+    return names[a.kind];
   }
 
-  void
-  order (uint64_t token, enum eng_role role, int drain = 0)
+  std::string
+  step (const std::string &s)
   {
+    const char *kinds = "sordaqct"; // in the order of enum eng_event_kind
+    const char *roles = "bpd";
+    const char *flags = "!?-";
     struct eng_order o = {};
-    snprintf (o.shard, sizeof o.shard, "z1");
-    o.token = token;
-    o.id.lo = ++next_id;
-    o.target.role = role;
-    o.target.drain = drain;
+    struct eng_event ev = {};
+    struct eng_actions acts;
+    ev.kind = static_cast<enum eng_event_kind> (strchr (kinds, s[0]) - kinds);
+    if (s[0] == 's')
+      eng_init (&e, "z1");
+    strcpy (o.shard, "z1");
+    o.id.lo = ++last_id;
+    ev.op = s[0] == 'd' ? e.drain_op : e.op;
     ev.order = &o;
-    handle (ENG_EV_ORDER);
-    ev.order = nullptr;
-  }
-
-  void
-  read (uint64_t revision, int64_t took = 0)
-  {
-    ev.revision = revision;
-    ev.start_us = ev.now_us;
-    ev.now_us += took;
-    handle (ENG_EV_READ);
+    ev.start_us = now;
+    now += s[0] == 't' ? ENG_RETRY_US : 0;
+    for (char c : s.substr (1))
+      if (isdigit (c))
+        o.token = ev.revision = c - '0';
+      else if (strchr (roles, c) != nullptr)
+        o.target.role = ev.actual.role
+            = static_cast<enum eng_role> (strchr (roles, c) - roles);
+      else if (strchr (flags, c) != nullptr)
+        ev.result
+            = static_cast<enum eng_result> (1 + (strchr (flags, c) - flags));
+      else if (c == '@')
+        strcpy (o.shard, "z2");
+      else if (c == '~')
+        now += ENG_READ_MAX_US + 1;
+      else
+        o.target.drain = ev.in_progress = 1;
+    ev.now_us = now;
+    eng_handle (&e, &ev, &acts);
+    std::string out;
+    for (unsigned i = 0; i < acts.count; i++)
+      out += (i > 0 ? " " : "") + text (acts.item[i]);
+    return out.empty () ? "-" : out;
   }
 
-  // Reports the answer to a query: idle with ROLE.
-  void
-  queried (enum eng_role role)
+protected:
+  std::string
+  run (const std::string &script)
   {
-    ev.actual.role = role;
-    handle (ENG_EV_QUERIED);
+    std::istringstream in (script);
+    std::string out, s;
+    while (in >> s)
+      out += (out.empty () ? "" : ", ") + step (s);
+    return out;
   }
 
   void
   SetUp () override
   {
-    eng_init (&e, "z1");
-    handle (ENG_EV_START);
-    queried (ENG_ROLE_BOTH);
-    read (5);
-    ASSERT_EQ (e.state, ENG_IDLE);
+    ASSERT_EQ (run ("s qb r5"), "query, read, -");
   }
 
-  void
-  expect_answer (enum msg_order_state state, unsigned item = 0)
+  // Called in place of a pause between the read and the request.
+  bool
+  may_send_after (int64_t us)
   {
-    ASSERT_LT (item, acts.count);
-    EXPECT_EQ (acts.item[item].kind, ENG_DO_ANSWER);
-    EXPECT_EQ (acts.item[item].state, state) << acts.item[item].err.text;
-  }
-
-  // Brings an order of token 5 to the point before its request.
-  void
-  apply ()
-  {
-    order (5, ENG_ROLE_DECODE);
-    read (5);
-    handle (ENG_EV_DRAINED);
-    read (5);
-    ASSERT_EQ (e.state, ENG_APPLYING);
+    return eng_may_send (&e, now + us);
   }
 };
 
-// Guards against a change that skips the drain, either read or the end of the
-// stop of new work.
+// Guards against a change that skips the drain, either read or the return to
+// work, and a drain of an engine that is already in the state ordered.
 TEST_F (Eng, DrainsAndReadsTwice)
 {
-  order (5, ENG_ROLE_DECODE);
-  EXPECT_EQ (acts.item[0].kind, ENG_DO_READ);
-  read (5);
-  expect_answer (MSG_ORDER_ACCEPTED);
-  EXPECT_EQ (acts.item[1].kind, ENG_DO_STOP_WORK);
-  handle (ENG_EV_DRAINED);
-  EXPECT_EQ (acts.item[0].kind, ENG_DO_READ);
-  read (5);
-  EXPECT_EQ (acts.item[0].kind, ENG_DO_SEND);
-  EXPECT_EQ (acts.item[0].order.token, 5u);
-  handle (ENG_EV_APPLIED);
-  expect_answer (MSG_ORDER_REACHED);
-  EXPECT_EQ (acts.item[1].kind, ENG_DO_RESUME_WORK);
+  EXPECT_EQ (run ("o5d r5 d r5 a o5d r5"),
+             "read, accepted stop, read, send5d, reached resume, read, "
+             "reached");
 }
 
 // Guards against an order that is taken while a request of an earlier process
 // may be under way, or while the authority cannot be read.
 TEST_F (Eng, RefusesUntilQueriedAndRead)
 {
-  eng_init (&e, "z1");
-  handle (ENG_EV_START);
-  ev.in_progress = 1;
-  queried (ENG_ROLE_BOTH);
-  order (5, ENG_ROLE_DECODE);
-  expect_answer (MSG_ORDER_REFUSED);
-  ev.now_us += 1 * S;
-  handle (ENG_EV_TIME);
-  EXPECT_EQ (acts.item[0].kind, ENG_DO_QUERY);
-  ev.in_progress = 0;
-  queried (ENG_ROLE_BOTH);
-  ev.result = ENG_RESULT_FAILED;
-  read (0);
-  order (5, ENG_ROLE_DECODE);
-  expect_answer (MSG_ORDER_REFUSED);
+  EXPECT_EQ (run ("s qb* o5d t qb o5d r! o5d t r5 o5d"),
+             "query, -, refused, query, read, refused, -, refused, read, -, "
+             "read");
 }
 
-// Guards against orders under a token that is old, unread or read too slowly.
+// Guards against orders under a token that is of another shard, old,
+// superseded, unreadable or read too slowly.
 TEST_F (Eng, RefusesTokensThatAreNotCurrent)
 {
-  order (4, ENG_ROLE_DECODE);
-  expect_answer (MSG_ORDER_REFUSED);
-  order (5, ENG_ROLE_DECODE);
-  read (6);
-  expect_answer (MSG_ORDER_REFUSED);
-  order (6, ENG_ROLE_DECODE);
-  read (6, 1 * S + 1);
-  expect_answer (MSG_ORDER_REFUSED);
-  order (6, ENG_ROLE_DECODE);
-  ev.result = ENG_RESULT_FAILED;
-  read (6);
-  expect_answer (MSG_ORDER_REFUSED);
-  EXPECT_EQ (e.state, ENG_IDLE);
+  EXPECT_EQ (run ("o9d@ o4d o5d r6 o5d o6d r6~ o6d r! o6d r6"),
+             "refused, refused, read, refused, refused, read, refused, read, "
+             "refused, "
+             "read, accepted stop");
 }
 
 // Guards against a request that goes out long after its read.
 TEST_F (Eng, VoidsTheReadOfAPausedRequest)
 {
-  apply ();
-  EXPECT_TRUE (eng_may_send (&e, ev.now_us + 1 * S));
-  EXPECT_FALSE (eng_may_send (&e, ev.now_us + 1 * S + 1));
-  ev.result = ENG_RESULT_NOT_SENT;
-  handle (ENG_EV_APPLIED);
-  EXPECT_EQ (acts.item[0].kind, ENG_DO_READ);
+  run ("o5d r5 d r5");
+  EXPECT_TRUE (may_send_after (ENG_READ_MAX_US));
+  EXPECT_FALSE (may_send_after (ENG_READ_MAX_US + 1));
+  EXPECT_EQ (run ("a- r5 a"), "read, send5d, reached resume");
 }
 
 // Guards against two orders at once, and against a draining order that cannot
-// be replaced.
+// be replaced or called off.
 TEST_F (Eng, ReplacesOnlyAnOrderThatDrains)
 {
-  order (5, ENG_ROLE_DECODE);
-  read (5);
-  order (5, ENG_ROLE_PREFILL);
-  handle (ENG_EV_DRAINED);
-  EXPECT_EQ (acts.count, 0u);
-  read (5);
-  expect_answer (MSG_ORDER_FAILED, 0);
-  expect_answer (MSG_ORDER_ACCEPTED, 1);
-  read (5);
-  EXPECT_EQ (acts.item[0].order.target.role, ENG_ROLE_PREFILL);
-  order (5, ENG_ROLE_DECODE);
-  expect_answer (MSG_ORDER_REFUSED);
-}
-
-// Guards against a drain of an engine that is already in the state ordered.
-TEST_F (Eng, ReachedTargetChangesNothing)
-{
-  order (5, ENG_ROLE_BOTH);
-  read (5);
-  expect_answer (MSG_ORDER_REACHED);
-  EXPECT_EQ (acts.count, 1u);
+  EXPECT_EQ (run ("o5d r5 o5p o5d d r5 o5d r5 o5d"),
+             "read, accepted stop, read, refused, -, failed accepted read, "
+             "refused, send5p, refused");
+  EXPECT_EQ (run ("a o5d r5 o5p r5"),
+             "reached resume, read, accepted stop, read, "
+             "failed reached resume");
 }
 
-// Guards against a drained engine that is not stopped, or not resumed after.
+// Guards against an engine that is ordered to drain and is not stopped, or is
+// not resumed after.
 TEST_F (Eng, DrainNeedsNoRequest)
 {
-  order (5, ENG_ROLE_BOTH, 1);
-  read (5);
-  handle (ENG_EV_DRAINED);
-  expect_answer (MSG_ORDER_REACHED);
-  EXPECT_EQ (acts.count, 1u);
-  order (5, ENG_ROLE_BOTH, 0);
-  read (5);
-  EXPECT_EQ (acts.item[1].kind, ENG_DO_RESUME_WORK);
+  EXPECT_EQ (run ("o5b+ r5 d o5b r5"),
+             "read, accepted stop, reached, read, reached resume");
 }
 
-// Guards against a target applied again after a crash under an old token.
-TEST_F (Eng, CrashInAChangeNeedsACurrentToken)
+// Guards against a target that is applied again after a crash or a lost
+// answer without a query or under an old token, or is not applied again.
+TEST_F (Eng, QueriesAfterACrashOrALostAnswer)
 {
-  apply ();
-  handle (ENG_EV_CRASHED);
-  EXPECT_EQ (acts.item[0].kind, ENG_DO_QUERY);
-  queried (ENG_ROLE_BOTH);
-  EXPECT_EQ (acts.item[0].kind, ENG_DO_READ);
-  read (6);
-  expect_answer (MSG_ORDER_FAILED);
-  EXPECT_EQ (acts.item[1].kind, ENG_DO_RESUME_WORK);
+  EXPECT_EQ (run ("o5d r5 d r5 a? qb r5 c qb* t qb r6"),
+             "read, accepted stop, read, send5d, query, read, send5d, query, "
+             "-, query, read, failed resume");
+  EXPECT_EQ (run ("o6p r6 d r6 a? qp"),
+             "read, accepted stop, read, send6p, query, reached resume");
 }
 
 // Guards against an engine kept from its work by an outage of the service.
 TEST_F (Eng, GivesUpWhenTheAuthorityStaysUnreadable)
 {
-  order (5, ENG_ROLE_DECODE);
-  read (5);
-  handle (ENG_EV_DRAINED);
-  ev.result = ENG_RESULT_FAILED;
+  run ("o5d r5 d");
   for (int i = 1; i < ENG_READ_TRIES; i++)
-    {
-      read (0);
-      EXPECT_EQ (acts.count, 0u);
-      ev.now_us += ENG_RETRY_US;
-      handle (ENG_EV_TIME);
-      EXPECT_EQ (acts.item[0].kind, ENG_DO_READ);
-    }
-  read (0);
-  expect_answer (MSG_ORDER_FAILED);
-  EXPECT_EQ (acts.item[1].kind, ENG_DO_RESUME_WORK);
+    EXPECT_EQ (run ("r! t"), "-, read");
+  EXPECT_EQ (run ("r!"), "failed resume");
 }
 }
