Notice a removed key and state the limits of the model

A lease lives on when its key is removed, so the holder would have planned beside its successor while its orders were refused. It now reads the key after each renewal.

--- a/model/authority.pml
+++ b/model/authority.pml
@@ -1,10 +1,11 @@
 /* Authority over one engine: two candidates, the key-value service, one agent
    and its engine (docs/design.md 6.2).
 
-   One tick of the clock is 1 s.  The lease and the margin of the holder are
-   shortened, which only adds behaviours.  A process may rest for any number of
-   ticks between two steps: a candidate also between its check and its send,
-   and past its lease.
+   One tick of the clock is 1 s.  The wait and the age of a void read have
+   their real lengths; the lease and the margin of the holder are shortened to
+   keep the search small, and TICKS bounds it.  Lost answers of writes are left
+   to the unit tests.  A process may rest for any number of ticks between two
+   steps: a candidate also between its check and its send, and past its lease.
 
    Two assumptions: the agent's last check of the time and its request to the
    engine are one step, and the engine takes requests in the order of their
--- a/src/auth.c
+++ b/src/auth.c
@@ -163,6 +163,9 @@
     {
       auth->certain_us = auth->sent_us + AUTH_LEASE_US;
       auth->next_us = auth->sent_us + AUTH_RENEW_US;
+      /* A key that was removed would leave two entries that plan for the
+         shard, as the lease lives on without it.  */
+      begin (auth, AUTH_DO_READ, ev->now_us, act);
     }
 }
 
--- a/tests/unit_auth.cc
+++ b/tests/unit_auth.cc
@@ -60,13 +60,22 @@
   EXPECT_EQ (a.state, AUTH_LOST);
 }
 
-// Guards against a holder that goes on after the service ended its lease.
+// Guards against a holder that goes on after the service ended its lease, or
+// after its key was removed under a lease that lives on.
 TEST_F (Auth, LosesAuthorityWhenTheLeaseHasEnded)
 {
   send (AUTH_EV_CAS, 0, 1, 42);
   send (AUTH_EV_TIME, 2 * S, 0);
+  struct auth renewing = a;
   EXPECT_EQ (send (AUTH_EV_RENEWED, 2 * S, 0), AUTH_DO_STOP);
   EXPECT_EQ (auth_token (&a, 2 * S), 0u);
+  a = renewing;
+  EXPECT_EQ (send (AUTH_EV_RENEWED, 2 * S, 1), AUTH_DO_READ);
+  EXPECT_EQ (send (AUTH_EV_READ, 2 * S, 1, 42), AUTH_DO_NOTHING);
+  EXPECT_EQ (auth_token (&a, 2 * S), 42u);
+  EXPECT_EQ (send (AUTH_EV_TIME, 5 * S, 0), AUTH_DO_RENEW);
+  EXPECT_EQ (send (AUTH_EV_RENEWED, 5 * S, 1), AUTH_DO_READ);
+  EXPECT_EQ (send (AUTH_EV_READ, 5 * S, 0), AUTH_DO_STOP);
 }
 
 // Guards against a creation that is taken for failed, or another entry's that
