--- /dev/null
+++ b/tests/diff_eng.cc
@@ -0,0 +1,273 @@
+// Compares the engine aggregate with a naive version that sees one global
+// truth: the current token at each moment and all requests ever sent.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cstring>
+#include <deque>
+#include <vector>
+
+#include "eng_headers.hh"
+
+namespace
+{
+const int64_t TICK_US = 100 * 1000;
+
+// The agent, its engine, which ignores tokens, and the key-value service.
+struct world
+{
+  struct eng eng = {};
+  int64_t now = 1;
+  uint64_t truth = 1;       // current token
+  int64_t truth_since = -1; // time of its creation
+  uint64_t last_id = 0;
+  // Requests on their way to the engine, oldest first.
+  std::deque<struct eng_action> wire;
+  bool running = false;
+  struct eng_action run = {}; // op 0 when the agent that sent it is gone
+  struct eng_target actual = {};
+  uint64_t applied = 0; // highest token applied
+  // Actions whose results the agent awaits.
+  struct eng_action read = {}, send = {};
+  int64_t read_start = 0;
+  uint64_t read_value = 0; // 0 until the service has read the key
+  uint64_t drain = 0;
+  unsigned reached = 0;
+  bool working = true;
+
+  void
+  tell (struct eng_event ev, enum eng_event_kind kind, uint64_t op = 0,
+        enum eng_result result = ENG_RESULT_OK)
+  {
+    struct eng_actions acts;
+    ev.kind = kind;
+    ev.op = op;
+    ev.result = result;
+    ev.now_us = now;
+    eng_handle (&eng, &ev, &acts);
+    for (unsigned i = 0; i < acts.count; i++)
+      carry_out (acts.item[i]);
+  }
+
+  void
+  carry_out (const struct eng_action &a)
+  {
+    if (a.kind == ENG_DO_READ)
+      {
+        read = a;
+        read_start = now;
+        read_value = 0;
+      }
+    else if (a.kind == ENG_DO_QUERY)
+      wire.push_back (a);
+    else if (a.kind == ENG_DO_SEND)
+      send = a;
+    else if (a.kind == ENG_DO_ANSWER && a.state == MSG_ORDER_REACHED)
+      {
+        reached++;
+        RC_ASSERT (a.order.target.role == actual.role);
+      }
+    else if (a.kind == ENG_DO_STOP_WORK)
+      {
+        drain = a.op;
+        working = false;
+      }
+    else if (a.kind == ENG_DO_RESUME_WORK)
+      working = true;
+  }
+
+  // Answers go to the process that asked, which is gone.
+  void
+  restart ()
+  {
+    eng_init (&eng, "z");
+    for (auto &a : wire)
+      a.op = 0;
+    run.op = read.op = send.op = drain = 0;
+    working = true;
+    tell ({}, ENG_EV_START);
+  }
+
+  void
+  order (uint64_t token, unsigned role)
+  {
+    struct eng_order o = {};
+    struct eng_event ev = {};
+    strcpy (o.shard, "z");
+    o.token = token;
+    o.id.lo = ++last_id;
+    o.target.role = static_cast<enum eng_role> (role % ENG_ROLE_MAX);
+    ev.order = &o;
+    tell (ev, ENG_EV_ORDER);
+  }
+
+  // The naive rule: a predecessor's order goes out only within the wait of its
+  // successor, and never to an engine that takes work.
+  void
+  send_request ()
+  {
+    uint64_t op = send.op;
+    send.op = 0;
+    if (op == 0)
+      return;
+    if (!eng_may_send (&eng, now))
+      {
+        tell ({}, ENG_EV_APPLIED, op, ENG_RESULT_NOT_SENT);
+        return;
+      }
+    if (send.order.token != truth)
+      RC_ASSERT (now - truth_since < AUTH_WAIT_US);
+    RC_ASSERT (!working);
+    wire.push_back (send);
+    wire.back ().op = op;
+  }
+
+  void
+  engine_receives ()
+  {
+    if (wire.empty ())
+      return;
+    struct eng_action a = wire.front ();
+    wire.pop_front ();
+    if (a.kind == ENG_DO_SEND)
+      {
+        RC_ASSERT (!running);
+        RC_ASSERT (a.order.token >= applied);
+        applied = a.order.token;
+        running = true;
+        run = a;
+        return;
+      }
+    struct eng_event ev = {};
+    ev.in_progress = running;
+    ev.actual = actual;
+    tell (ev, ENG_EV_QUERIED, a.op);
+  }
+
+  // An answer that is lost leaves the engine at work.
+  void
+  engine_completes (enum eng_result result)
+  {
+    uint64_t op = run.op;
+    if (!running)
+      return;
+    running = result == ENG_RESULT_UNKNOWN;
+    run.op = 0;
+    if (result == ENG_RESULT_OK)
+      actual = run.order.target;
+    tell ({}, ENG_EV_APPLIED, op, result);
+  }
+
+  void
+  rare_fault (unsigned arg)
+  {
+    if (arg % 24 == 0)
+      restart ();
+    else if (arg % 24 == 1)
+      {
+        // The connections end, so that requests under way are gone.
+        running = false;
+        wire.clear ();
+        send.op = 0;
+        actual.role = ENG_ROLE_BOTH;
+        tell ({}, ENG_EV_CRASHED);
+      }
+    else if (arg % 24 < 4)
+      {
+        truth++;
+        truth_since = now;
+      }
+  }
+
+  void
+  step (unsigned what, unsigned arg)
+  {
+    static const enum eng_result results[]
+        = { ENG_RESULT_OK, ENG_RESULT_OK, ENG_RESULT_FAILED,
+            ENG_RESULT_UNKNOWN };
+    struct eng_event ev = {};
+    now += arg % 4 == 3 ? TICK_US : 0;
+    switch (what)
+      {
+      case 0:
+        rare_fault (arg);
+        break;
+      case 1:
+        // A holder orders after its wait, a predecessor that resumes at once.
+        if (arg % 3 == 0 && truth > 1)
+          order (truth - 1, arg);
+        else if (now - truth_since >= AUTH_WAIT_US)
+          order (truth, arg);
+        break;
+      case 2:
+        now += (arg % 8 == 0 ? 15 : arg % 5) * TICK_US;
+        tell ({}, ENG_EV_TIME);
+        break;
+      case 3: // the service reads the key
+        read_value = read_value == 0 ? truth : read_value;
+        break;
+      case 4:
+        ev.start_us = read_start;
+        ev.revision = read_value;
+        if (read_value != 0)
+          tell (ev, ENG_EV_READ, read.op,
+                arg % 8 == 7 ? ENG_RESULT_FAILED : ENG_RESULT_OK);
+        break;
+      case 5:
+        tell ({}, ENG_EV_DRAINED, drain);
+        break;
+      case 6:
+        send_request ();
+        break;
+      case 7:
+        engine_receives ();
+        break;
+      default: // rare, so that restarts find the engine at work
+        if (arg % 8 == 1)
+          engine_completes (results[arg / 8 % 4]);
+      }
+  }
+
+  // Takes 1000 steps drawn at nominal size, so that orders come to their end.
+  void
+  run_script ()
+  {
+    restart ();
+    auto script = *rc::gen::resize (
+        rc::kNominalSize,
+        rc::gen::container<std::vector<std::pair<unsigned, unsigned>>> (
+            1000, rc::gen::pair (rc::gen::inRange (0u, 9u),
+                                 rc::gen::inRange (0u, 256u))));
+    for (const auto &s : script)
+      step (s.first, s.second);
+  }
+};
+
+// Guards against an order log with a conflict: an old token after a newer one,
+// two orders at once, an order under a token known to be gone, a change of an
+// engine that takes work, or an answer "reached" that is not true.
+RC_GTEST_PROP (EngDiff, OrderLogIsConflictFree, ())
+{
+  struct world w;
+  w.run_script ();
+  RC_CLASSIFY (w.applied > 0, "a request was applied");
+  RC_CLASSIFY (w.applied > 1, "a successor's request was applied");
+}
+
+// Guards against an aggregate that makes no progress after faults.
+RC_GTEST_PROP (EngDiff, ReachesATargetAfterFaults, ())
+{
+  struct world w;
+  w.run_script ();
+  w.now += AUTH_WAIT_US;
+  unsigned before = w.reached;
+  for (unsigned i = 0; i < 400 && w.reached == before; i++)
+    {
+      if (i % 40 == 0)
+        w.order (w.truth, w.actual.role + 1);
+      for (unsigned what = 2; what < 9; what++)
+        w.step (what, 1);
+    }
+  RC_ASSERT (w.reached > before);
+}
+}
--- /dev/null
+++ b/tests/unit_auth.cc
@@ -0,0 +1,130 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+
+#include "eng_headers.hh"
+
+namespace
+{
+const int64_t S = 1000 * 1000;
+
+class Auth : public ::testing::Test
+{
+protected:
+  struct auth a = {};
+
+  // Reports RC, with VALUE as lease and revision; returns the action.
+  enum auth_action_kind
+  send (enum auth_event_kind kind, int64_t now, int rc, uint64_t value = 0,
+        const struct auth_record *record = nullptr)
+  {
+    struct auth_event ev
+        = { kind, now, a.op, rc, value, value, record, { 1, 2 } };
+    struct auth_action act;
+    auth_handle (&a, &ev, &act);
+    return act.kind;
+  }
+
+  // Comes to the creation of the key, at 0.
+  void
+  SetUp () override
+  {
+    auth_init (&a, "entry-1", 7);
+    EXPECT_EQ (send (AUTH_EV_TIME, 0, 0), AUTH_DO_READ);
+    EXPECT_EQ (send (AUTH_EV_READ, 0, 0), AUTH_DO_GRANT);
+    EXPECT_EQ (send (AUTH_EV_GRANTED, 0, 0, 5), AUTH_DO_CAS);
+  }
+};
+
+// Guards against a new holder that gives orders while an agent may still act
+// on a read made under its predecessor.
+TEST_F (Auth, WaitsBeforeTheFirstOrder)
+{
+  send (AUTH_EV_CAS, 1 * S, 1, 42);
+  send (AUTH_EV_TIME, 3 * S - 1, 0);
+  EXPECT_EQ (auth_token (&a, 3 * S - 1), 0u);
+  send (AUTH_EV_TIME, 3 * S, 0);
+  EXPECT_EQ (auth_token (&a, 3 * S), 42u);
+}
+
+// Guards against orders when a slow renewal leaves less than the margin: the
+// lease counts from the sending of the renewal, not from its answer.
+TEST_F (Auth, CountsTheLeaseFromTheSending)
+{
+  send (AUTH_EV_CAS, 0, 1, 42);
+  EXPECT_EQ (send (AUTH_EV_TIME, 2 * S, 0), AUTH_DO_RENEW);
+  send (AUTH_EV_RENEWED, 7 * S, 1);
+  EXPECT_EQ (auth_token (&a, 8 * S), 42u);
+  EXPECT_EQ (auth_token (&a, 8 * S + 1), 0u);
+  EXPECT_EQ (send (AUTH_EV_TIME, 12 * S, 0), AUTH_DO_STOP);
+  EXPECT_EQ (a.state, AUTH_LOST);
+}
+
+// Guards against a holder that goes on after the service ended its lease, or
+// after its key was removed under a lease that lives on.
+TEST_F (Auth, LosesAuthorityWhenTheLeaseHasEnded)
+{
+  send (AUTH_EV_CAS, 0, 1, 42);
+  send (AUTH_EV_TIME, 2 * S, 0);
+  struct auth renewing = a;
+  EXPECT_EQ (send (AUTH_EV_RENEWED, 2 * S, 0), AUTH_DO_STOP);
+  EXPECT_EQ (auth_token (&a, 2 * S), 0u);
+  a = renewing;
+  EXPECT_EQ (send (AUTH_EV_RENEWED, 2 * S, 1), AUTH_DO_READ);
+  EXPECT_EQ (send (AUTH_EV_READ, 2 * S, 1, 42), AUTH_DO_NOTHING);
+  EXPECT_EQ (auth_token (&a, 2 * S), 42u);
+  EXPECT_EQ (send (AUTH_EV_TIME, 5 * S, 0), AUTH_DO_RENEW);
+  EXPECT_EQ (send (AUTH_EV_RENEWED, 5 * S, 1), AUTH_DO_READ);
+  EXPECT_EQ (send (AUTH_EV_READ, 5 * S, 0), AUTH_DO_STOP);
+}
+
+// Guards against a creation that is taken for failed, or another entry's that
+// is taken for its own, when the answer was lost.
+TEST_F (Auth, SettlesALostAnswerByItsWriteId)
+{
+  struct auth_record rec = { "entry-1", 7, { 1, 2 }, 5 };
+
+  EXPECT_EQ (send (AUTH_EV_CAS, 0, -1), AUTH_DO_READ);
+  struct auth lost = a;
+  send (AUTH_EV_READ, 0, 1, 43, &rec);
+  EXPECT_EQ (a.state, AUTH_WAITING);
+  EXPECT_EQ (a.token, 43u);
+  a = lost;
+  rec.write_id.lo = 3;
+  send (AUTH_EV_READ, 0, 1, 43, &rec);
+  EXPECT_EQ (a.state, AUTH_FOLLOWER);
+}
+
+// Guards against a late result of an earlier operation.
+TEST_F (Auth, IgnoresResultsOfOtherOperations)
+{
+  send (AUTH_EV_CAS, 0, 1, 42);
+  EXPECT_EQ (send (AUTH_EV_TIME, 0, 0), AUTH_DO_RENEW);
+  struct auth_event late
+      = { AUTH_EV_RENEWED, 0, a.op - 1, 0, 0, 0, nullptr, {} };
+  struct auth_action act;
+  auth_handle (&a, &late, &act);
+  EXPECT_EQ (act.kind, AUTH_DO_NOTHING);
+  EXPECT_EQ (a.state, AUTH_WAITING);
+}
+
+// Guards against a record that loses a field, and bad input that is accepted.
+TEST (AuthRecord, RoundTripAndBadInput)
+{
+  struct auth_record rec = { "e", UINT64_MAX, { 1, UINT64_MAX }, 9 };
+  struct auth_record got;
+  struct err err = {};
+  char buf[AUTH_RECORD_MAX];
+  int n = auth_record_encode (&rec, buf, sizeof buf, &err);
+
+  ASSERT_GT (n, 0);
+  ASSERT_EQ (auth_record_decode (buf, n, &got, &err), 0);
+  EXPECT_STREQ (got.holder, "e");
+  EXPECT_EQ (got.incarnation, UINT64_MAX);
+  EXPECT_TRUE (msg_id_equal (got.write_id, rec.write_id));
+  EXPECT_EQ (got.lease, 9u);
+  EXPECT_EQ (auth_record_encode (&rec, buf, 8, &err), -1);
+  for (const char *bad : { "", "[]", "{}", "{\"holder\":\"e\"}", "nul" })
+    EXPECT_EQ (auth_record_decode (bad, strlen (bad), &got, &err), -1) << bad;
+}
+}
