Join the parts: configuration hook of the entry, order fields, msg_text

Cause: the entry needs a configuration before the parts can be used; an order lacked the version and the withdrawal that its target has; the function msg_str had the name of its struct, which -Wshadow refuses in C++.

--- a/include/goldcresthatch/msg.h
+++ b/include/goldcresthatch/msg.h
@@ -195,7 +195,9 @@
   struct msg_id order;
   uint64_t role; /* enum eng_role */
   uint64_t drain;
+  uint64_t withdraw;
   struct msg_str model;
+  struct msg_str version;
 };
 
 struct msg_ordered
@@ -251,16 +253,8 @@
 /* Returns the name of TYPE, such as "REPORT".  */
 const char *msg_name (enum msg_type type);
 
-/* Returns the string S as a msg_str; a null S is the empty string.  In C++ the
-   function has the name of the constructor, which -Wshadow reports.  */
-#ifdef __cplusplus
-#pragma GCC diagnostic push
-#pragma GCC diagnostic ignored "-Wshadow"
-#endif
-struct msg_str msg_str (const char *s);
-#ifdef __cplusplus
-#pragma GCC diagnostic pop
-#endif
+/* Returns the string S as a msg_str; a null S is the empty string.  */
+struct msg_str msg_text (const char *s);
 
 /* Copies S to DST of SIZE bytes, cut to fit and terminated.  */
 void msg_str_copy (char *dst, size_t size, struct msg_str s);
--- a/src/agent_net.c
+++ b/src/agent_net.c
@@ -25,9 +25,9 @@
 
   memset (msg, 0, sizeof *msg);
   msg->type = MSG_REPORT;
-  report->agent = msg_str (agent->settings.name);
-  report->zone = msg_str (agent->settings.zone);
-  report->service = msg_str (agent->settings.service);
+  report->agent = msg_text (agent->settings.name);
+  report->zone = msg_text (agent->settings.zone);
+  report->service = msg_text (agent->settings.service);
   report->incarnation = agent->incarnation;
   report->window = agent_window (agent);
   report->capacity = (uint64_t)agent->settings.capacity;
@@ -137,8 +137,8 @@
   msg.u.end.attempt = job->attempt;
   msg.u.end.frames = job->frames;
   msg.u.end.outcome = outcome;
-  msg.u.end.step = msg_str (step);
-  msg.u.end.text = msg_str (text);
+  msg.u.end.step = msg_text (step);
+  msg.u.end.text = msg_text (text);
   pthread_mutex_lock (&agent->lock);
   msg.u.end.running = agent->running;
   msg.u.end.queued = g_hash_table_size (agent->jobs) - agent->running;
--- a/src/agent_work.c
+++ b/src/agent_work.c
@@ -25,7 +25,7 @@
   msg.u.head.attempt = job->attempt;
   msg.u.head.status = (uint64_t)status;
   msg.u.head.content_type
-      = msg_str (ne_get_response_header (req, "Content-Type"));
+      = msg_text (ne_get_response_header (req, "Content-Type"));
   if (msg.u.head.content_type.n > MSG_NAME_MAX)
     msg.u.head.content_type.n = MSG_NAME_MAX;
   net_send (job->agent->net, job->peer, &msg, NULL);
--- a/src/entry.h
+++ b/src/entry.h
@@ -14,6 +14,7 @@
 #include <pthread.h>
 #include <stdint.h>
 
+#include "goldcresthatch/cfg.h"
 #include "goldcresthatch/kv.h"
 #include "goldcresthatch/msg.h"
 #include "goldcresthatch/net.h"
@@ -131,6 +132,7 @@
   pthread_t lister;
   gint stopping;
   gint draining;
+  struct entry_config *config;
 
   pthread_mutex_t lock; /* guards what follows */
   GPtrArray *runners;   /* struct entry_runner */
@@ -200,6 +202,14 @@
 void entry_fleet_hello (struct entry *entry);
 void *entry_fleet_main (void *arg);
 
+/* entry_config.c */
+int entry_config_open (struct entry *entry, struct err *err);
+void entry_config_close (struct entry *entry);
+
+/* Returns the configuration in force with a reference, which the caller drops
+   by cfg_snapshot_unref.  Safe from any thread, under any lock.  */
+struct cfg_snapshot *entry_config_get (struct entry *entry);
+
 /* entry_net.c */
 extern const struct net_ops entry_net_ops;
 
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -126,16 +126,16 @@
   out->incarnation = runner->incarnation;
   out->window = runner->window;
   out->at_most_once = (uint64_t)call->at_most_once;
-  out->method = msg_str (call->method);
-  out->path = msg_str (call->path);
-  out->content_type = msg_str (call->content_type);
+  out->method = msg_text (call->method);
+  out->path = msg_text (call->path);
+  out->content_type = msg_text (call->content_type);
   out->body.p = (const char *)call->body->data;
   out->body.n = call->body->len;
   out->budget_ms = left_us > 0 ? (uint64_t)left_us / 1000 : 0;
   out->priority = call->priority;
   out->stream = (uint64_t)call->stream;
   out->resume_index = strm_tokens (call->strm);
-  out->traceparent = msg_str (call->traceparent);
+  out->traceparent = msg_text (call->traceparent);
 }
 
 /* No runner takes work: the call waits for the next tick, a stream that began
--- a/src/entry_fleet.c
+++ b/src/entry_fleet.c
@@ -167,7 +167,7 @@
   struct msg msg = { .type = MSG_HELLO };
   guint i;
 
-  msg.u.hello.entry = msg_str (entry->settings.name);
+  msg.u.hello.entry = msg_text (entry->settings.name);
   msg.u.hello.incarnation = entry->incarnation;
   pthread_mutex_lock (&entry->lock);
   for (i = 0; i < entry->runners->len; i++)
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -73,6 +73,8 @@
   entry->runners = g_ptr_array_new_with_free_func (g_free);
   entry->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                         (GDestroyNotify)entry_call_unref);
+  if (entry_config_open (entry, err) != 0)
+    return -1;
   entry->kv = kv_http_open (entry->settings.kv, KV_TIMEOUT_S, err);
   if (entry->kv == NULL)
     return -1;
@@ -126,6 +128,7 @@
   pthread_join (entry->lister, NULL);
   net_close (entry->net);
   kv_http_close (entry->kv);
+  entry_config_close (entry);
   g_hash_table_destroy (entry->calls);
   g_ptr_array_free (entry->runners, TRUE);
 }
--- a/src/msg.c
+++ b/src/msg.c
@@ -116,7 +116,8 @@
 
 static const struct field order_fields[]
     = { N (order.shard), U (order.fence),    I (order.order),
-        U (order.role),  B (order.drain, 2), N (order.model) };
+        U (order.role),  B (order.drain, 2), B (order.withdraw, 2),
+        N (order.model), N (order.version) };
 
 static const struct field ordered_fields[]
     = { I (ordered.order), B (ordered.state, MSG_ORDER_STATE_MAX),
@@ -375,7 +376,7 @@
 }
 
 struct msg_str
-msg_str (const char *s)
+msg_text (const char *s)
 {
   struct msg_str str = { s != NULL ? s : "", s != NULL ? strlen (s) : 0 };
 
--- a/tests/diff_policy.cc
+++ b/tests/diff_policy.cc
@@ -8,16 +8,11 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
-// msg.h has a function with the name of its struct, which C++ reports as
-// shadowing the constructor.
-#pragma GCC diagnostic push
-#pragma GCC diagnostic ignored "-Wshadow"
 extern "C"
 {
 #include "goldcresthatch/fleet.h"
 #include "goldcresthatch/retry.h"
 }
-#pragma GCC diagnostic pop
 
 namespace
 {
@@ -172,7 +167,7 @@
 {
   std::string name = name_of (i);
   struct msg_report r = {};
-  r.agent = msg_str (name.c_str ());
+  r.agent = msg_text (name.c_str ());
   r.incarnation = e.incarnation;
   r.window = e.window;
   r.state = e.state;
--- a/tests/unit_fleet.cc
+++ b/tests/unit_fleet.cc
@@ -4,15 +4,10 @@
 #include <string>
 #include <vector>
 
-// msg.h has a function with the name of its struct, which C++ reports as
-// shadowing the constructor.
-#pragma GCC diagnostic push
-#pragma GCC diagnostic ignored "-Wshadow"
 extern "C"
 {
 #include "goldcresthatch/fleet.h"
 }
-#pragma GCC diagnostic pop
 
 namespace
 {
@@ -53,7 +48,7 @@
           uint64_t window = 1, uint64_t incarnation = 7)
   {
     struct msg_report r = {};
-    r.agent = msg_str (names[i].c_str ());
+    r.agent = msg_text (names[i].c_str ());
     r.incarnation = incarnation;
     r.window = window;
     r.state = state;
--- a/tests/unit_msg.cc
+++ b/tests/unit_msg.cc
@@ -77,7 +77,8 @@
           = { { 3, 4 }, MSG_VOID_DONE, 200, text ("a/b"), text ("{}") };
       break;
     case MSG_ORDER:
-      msg.u.order = { text ("zone-a"), 9, { 1, 2 }, 1, 1, text ("m") };
+      msg.u.order
+          = { text ("zone-a"), 9, { 1, 2 }, 1, 1, 0, text ("m"), text ("v2") };
       break;
     case MSG_ORDERED:
       msg.u.ordered = {
--- a/tests/unit_route.cc
+++ b/tests/unit_route.cc
@@ -4,15 +4,10 @@
 #include <string>
 #include <vector>
 
-// msg.h has a function with the name of its struct, which C++ reports as
-// shadowing the constructor.
-#pragma GCC diagnostic push
-#pragma GCC diagnostic ignored "-Wshadow"
 extern "C"
 {
 #include "goldcresthatch/route.h"
 }
-#pragma GCC diagnostic pop
 
 namespace
 {
@@ -87,8 +82,8 @@
   {
     std::string name = "r" + std::to_string (i);
     struct msg_report r = {};
-    r.agent = msg_str (name.c_str ());
-    r.service = msg_str ("m");
+    r.agent = msg_text (name.c_str ());
+    r.service = msg_text ("m");
     r.incarnation = 1;
     r.endpoint_up = 1;
     r.running = running;
--- a/tests/unit_susp.cc
+++ b/tests/unit_susp.cc
@@ -1,14 +1,9 @@
 #include <gtest/gtest.h>
 
-// msg.h has a function with the name of its struct, which C++ reports as
-// shadowing the constructor.
-#pragma GCC diagnostic push
-#pragma GCC diagnostic ignored "-Wshadow"
 extern "C"
 {
 #include "goldcresthatch/susp.h"
 }
-#pragma GCC diagnostic pop
 
 namespace
 {
