--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 DIFF_SRC = $(wildcard tests/diff_*.cc)
 BENCH_SRC = $(wildcard bench/bench_*.c)
 BENCH_BIN = $(BENCH_SRC:bench/%.c=$(BUILD)/%)
-BENCH_SCRIPTS = $(wildcard bench/*.sh)
+BENCH_SCRIPTS = $(filter-out bench/capacity.sh,$(wildcard bench/*.sh))
 HAVE_MAIN = $(foreach p,$(PROGRAMS),$(if \
 	$(wildcard src/$(MAIN_$(p)).c),$(BUILD)/$(p)))
 HAVE_STANDIN = $(foreach s,$(STANDINS),$(if \
@@ -44,7 +44,7 @@
 CC_FILES = $(wildcard tests/*.cc tests/*.hh)
 
 .PHONY: all deps programs tests check check-format check-lint demo bench \
-	install clean
+	bench-capacity install clean
 .SECONDARY:
 
 all: deps
@@ -127,6 +127,10 @@
 	@for b in $(BENCH_SCRIPTS); do echo "== $${b##*/}"; \
 		BUILD=$(BUILD) bash $$b || exit 1; done
 
+bench-capacity: deps
+	@$(MAKE) -s -j$$(nproc) programs $(BUILD)/load-latency
+	@BUILD=$(BUILD) bash bench/capacity.sh
+
 install: all
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib \
 	  $(DESTDIR)$(PREFIX)/include/goldcresthatch \
