Add the non-idempotent call aggregate and its claim record

Cause: a booking or an order must run at most once, and "not run" must be said only when it is proved.

--- /dev/null
+++ b/include/goldcresthatch/call.h
@@ -0,0 +1,190 @@
+#ifndef GOLDCRESTHATCH_CALL_H
+#define GOLDCRESTHATCH_CALL_H
+
+/*
+ * NAME
+ *   call - claim record and outcome of one non-idempotent call
+ *
+ * DESCRIPTION
+ *   An entry drives one struct call per request.  call_step takes an event and
+ *   returns the one action to carry out next; the result of that action is a
+ *   later event.  A key-value operation is answered before any other event is
+ *   given.  An event that has no meaning in the current state is ignored and
+ *   yields CALL_ACT_NONE.
+ *
+ *   The attempt in a record is the identity of the write.  "Not run" is
+ *   answered only when the claim was refused for certain, so that nothing was
+ *   sent, or when a FREE record was confirmed for a key under which nothing
+ *   ran.  In the first case it speaks of this request only: while the service
+ *   is down, an earlier request under the same key cannot be seen.
+ *
+ *   When an action has ANSWER set, the caller is answered with OUTCOME and
+ *   RESULT.  Later actions only bring the record up to date and may be carried
+ *   out in the background; CALL_ACT_OVER ends them.
+ */
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "goldcresthatch/err.h"
+#include "goldcresthatch/msg.h"
+
+enum
+{
+  CALL_BODY_MAX = 16 << 10, /* bytes of a result kept in a record */
+  CALL_TEXT_MAX = 64 << 10, /* bytes of an encoded record accepted */
+  CALL_STATUS_MAX = 999     /* highest HTTP status */
+};
+
+enum call_record_state
+{
+  CALL_CLAIMED,
+  CALL_DONE,
+  CALL_UNKNOWN,
+  CALL_FREE, /* provably not run; the next attempt may claim it */
+  CALL_RECORD_STATE_MAX
+};
+
+/* The result of a call.  BODY is null when the result was larger than
+   CALL_BODY_MAX; SIZE and DIGEST (XXH64) describe the whole body.  */
+struct call_result
+{
+  unsigned status;
+  char content_type[MSG_NAME_MAX + 1];
+  char *body;
+  size_t size;
+  uint64_t digest;
+};
+
+struct call_record
+{
+  uint64_t fingerprint;
+  enum call_record_state state;
+  struct msg_id attempt;
+  char agent[MSG_NAME_MAX + 1];
+  uint64_t incarnation;
+  uint64_t window;
+  char entry[MSG_NAME_MAX + 1];
+  struct call_result result; /* all zero unless the state is CALL_DONE */
+};
+
+/* Encodes RECORD as JSON text that the caller frees with free().  Returns 0,
+   or -1 with ERR_LIMIT or ERR_INVALID.  */
+int call_record_encode (const struct call_record *record, char **text,
+                        struct err *err);
+
+/* Decodes SIZE bytes of TEXT.  Missing, unknown or ill-typed members fail.
+   Returns 0, or -1 with ERR_PROTOCOL and RECORD empty.  RECORD is released
+   with call_record_clear.  */
+int call_record_decode (const char *text, size_t size,
+                        struct call_record *record, struct err *err);
+
+void call_record_clear (struct call_record *record);
+
+/* Copies FROM to the empty record TO.  */
+void call_record_copy (struct call_record *to, const struct call_record *from);
+
+enum call_outcome
+{
+  CALL_OUTCOME_NONE,
+  CALL_OUTCOME_DONE,
+  CALL_OUTCOME_NOT_RUN,
+  CALL_OUTCOME_UNKNOWN,
+  CALL_OUTCOME_INVALID, /* the key belongs to another request */
+  CALL_OUTCOME_MAX
+};
+
+enum call_event_kind
+{
+  CALL_EV_START,
+  CALL_EV_WRITE_DONE,     /* REVISION is the new one */
+  CALL_EV_WRITE_CONFLICT, /* the revision differed */
+  CALL_EV_WRITE_LOST,     /* the write may have taken or may yet take effect */
+  CALL_EV_WRITE_REFUSED,  /* the write has and will have no effect */
+  CALL_EV_READ_DONE,      /* RECORD at REVISION */
+  CALL_EV_READ_ABSENT,
+  CALL_EV_READ_FAILED,
+  CALL_EV_READ_BAD,    /* the value is not a claim record */
+  CALL_EV_SEND_FAILED, /* CALL did not leave and never will */
+  CALL_EV_END,         /* ATTEMPT, END_OUTCOME, RESULT */
+  CALL_EV_VOIDED,      /* ATTEMPT, VOID_STATE, RESULT */
+  CALL_EV_NO_ANSWER,   /* neither END nor VOIDED within the entry's limit */
+  CALL_EV_AGENT_GONE,  /* a new incarnation of the agent asked was seen */
+  CALL_EV_RETRY,       /* the pause asked for by CALL_ACT_WAIT is over */
+  CALL_EV_DEADLINE,    /* the caller's deadline has passed */
+  CALL_EV_MAX
+};
+
+struct call_event
+{
+  enum call_event_kind kind;
+  uint64_t revision;
+  const struct call_record *record;
+  struct msg_id attempt;
+  enum msg_outcome end_outcome;
+  enum msg_void_state void_state;
+  const struct call_result *result;
+};
+
+enum call_action_kind
+{
+  CALL_ACT_NONE,
+  CALL_ACT_WRITE, /* CAS of RECORD at revision PREV */
+  CALL_ACT_READ,
+  CALL_ACT_SEND, /* CALL for RECORD, once, over a connected socket */
+  CALL_ACT_VOID, /* VOID for RECORD's attempt, to RECORD's agent */
+  CALL_ACT_WAIT, /* give CALL_EV_RETRY after a pause */
+  CALL_ACT_OVER
+};
+
+/* RECORD and RESULT belong to the call and are valid until its next step.  */
+struct call_action
+{
+  enum call_action_kind kind;
+  const struct call_record *record;
+  uint64_t prev;
+  int answer;
+  enum call_outcome outcome;
+  const struct call_result *result; /* with CALL_OUTCOME_DONE only */
+};
+
+enum call_state
+{
+  CALL_ST_START,
+  CALL_ST_CLAIM,     /* writing the claim */
+  CALL_ST_READ,      /* reading the record */
+  CALL_ST_BACKOFF,   /* pausing before the next read */
+  CALL_ST_SENT,      /* waiting for END */
+  CALL_ST_ASK_OWN,   /* waiting for VOIDED of the own attempt */
+  CALL_ST_ASK_OTHER, /* waiting for VOIDED of the recorded attempt */
+  CALL_ST_WAIT,      /* the recorded attempt runs */
+  CALL_ST_FREE,      /* writing FREE before "not run" may be answered */
+  CALL_ST_SETTLE,    /* answered; writing the record */
+  CALL_ST_SETTLE_WAIT,
+  CALL_ST_SETTLE_READ,
+  CALL_ST_OVER,
+  CALL_ST_MAX
+};
+
+struct call
+{
+  enum call_state state;
+  struct call_record own;  /* this request's claim */
+  struct call_record held; /* the record last read */
+  struct call_record next; /* the record being written */
+  uint64_t prev;           /* revision at which NEXT is written */
+  int write_open;          /* a write of the claim may yet take effect */
+  int spent;               /* the own attempt can no longer run */
+  enum call_outcome outcome;
+  struct call_result result;
+};
+
+/* Starts a call whose claim is CLAIM; its state and result are ignored.  The
+   attempt must be new.  */
+void call_init (struct call *call, const struct call_record *claim);
+void call_clear (struct call *call);
+
+void call_step (struct call *call, const struct call_event *event,
+                struct call_action *action);
+
+#endif
--- /dev/null
+++ b/src/call.c
@@ -0,0 +1,475 @@
+#include "goldcresthatch/call.h"
+
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+static void
+act (struct call *call, struct call_action *action, enum call_state state,
+     enum call_action_kind kind, const struct call_record *record)
+{
+  call->state = state;
+  action->kind = kind;
+  action->record = record;
+  action->prev = call->prev;
+}
+
+static void
+act_read (struct call *call, struct call_action *action)
+{
+  act (call, action, CALL_ST_READ, CALL_ACT_READ, NULL);
+}
+
+static void
+act_back_off (struct call *call, struct call_action *action)
+{
+  act (call, action, CALL_ST_BACKOFF, CALL_ACT_WAIT, NULL);
+}
+
+static void
+result_set (struct call_result *to, const struct call_result *from)
+{
+  g_free (to->body);
+  memset (to, 0, sizeof *to);
+  if (from == NULL)
+    return;
+  *to = *from;
+  if (from->body == NULL)
+    return;
+  to->body = g_malloc0 (from->size + 1);
+  memcpy (to->body, from->body, from->size);
+  to->digest = XXH64 (from->body, from->size, 0);
+}
+
+static void
+answer (struct call *call, struct call_action *action,
+        enum call_outcome outcome)
+{
+  call->outcome = outcome;
+  action->answer = 1;
+  action->outcome = outcome;
+  action->result = outcome == CALL_OUTCOME_DONE ? &call->result : NULL;
+}
+
+/* Answers when the record needs no update.  */
+static void
+finish (struct call *call, struct call_action *action,
+        enum call_outcome outcome)
+{
+  answer (call, action, outcome);
+  act (call, action, CALL_ST_OVER, CALL_ACT_OVER, NULL);
+}
+
+/* Makes NEXT a copy of FROM in STATE.  */
+static void
+next_set (struct call *call, const struct call_record *from,
+          enum call_record_state state)
+{
+  call_record_clear (&call->next);
+  call->next = *from;
+  call->next.state = state;
+  memset (&call->next.result, 0, sizeof call->next.result);
+  if (state != CALL_DONE)
+    return;
+  result_set (&call->next.result, &call->result);
+  if (call->result.size > CALL_BODY_MAX)
+    {
+      g_free (call->next.result.body);
+      call->next.result.body = NULL;
+    }
+}
+
+/* Answers, then writes the record of FROM's attempt in STATE.  */
+static void
+settle (struct call *call, struct call_action *action,
+        enum call_outcome outcome, const struct call_record *from,
+        enum call_record_state state)
+{
+  answer (call, action, outcome);
+  next_set (call, from, state);
+  act (call, action, CALL_ST_SETTLE, CALL_ACT_WRITE, &call->next);
+}
+
+/* Writes the own claim, or FREE when the own attempt can no longer run.  The
+   record at PREV is absent, FREE, or of an attempt that provably never ran. */
+static void
+act_claim (struct call *call, struct call_action *action)
+{
+  if (call->spent)
+    {
+      next_set (call, &call->own, CALL_FREE);
+      act (call, action, CALL_ST_FREE, CALL_ACT_WRITE, &call->next);
+      return;
+    }
+  next_set (call, &call->own, CALL_CLAIMED);
+  act (call, action, CALL_ST_CLAIM, CALL_ACT_WRITE, &call->next);
+}
+
+/* "Not run" is answered only after FREE is confirmed at the revision of the
+   own claim: otherwise a resend may have taken the claim over and run.  */
+static void
+act_free (struct call *call, struct call_action *action)
+{
+  call->spent = 1;
+  act_claim (call, action);
+}
+
+static void
+give_up (struct call *call, struct call_action *action)
+{
+  /* A FREE record at the same revision keeps an open write from leaving a
+     claim whose CALL was never sent.  */
+  if (call->write_open)
+    settle (call, action, CALL_OUTCOME_UNKNOWN, &call->own, CALL_FREE);
+  else
+    finish (call, action, CALL_OUTCOME_UNKNOWN);
+}
+
+static void
+on_start (struct call *call, const struct call_event *event,
+          struct call_action *action)
+{
+  if (event->kind != CALL_EV_START)
+    return;
+  call->prev = 0;
+  act_claim (call, action);
+}
+
+static void
+on_claim (struct call *call, const struct call_event *event,
+          struct call_action *action)
+{
+  switch (event->kind)
+    {
+    case CALL_EV_WRITE_DONE:
+      call->prev = event->revision;
+      call->write_open = 0;
+      act (call, action, CALL_ST_SENT, CALL_ACT_SEND, &call->own);
+      break;
+    case CALL_EV_WRITE_LOST:
+      call->write_open = 1;
+      act_read (call, action);
+      break;
+    case CALL_EV_WRITE_CONFLICT:
+      act_read (call, action);
+      break;
+    case CALL_EV_WRITE_REFUSED:
+      if (call->prev == 0 && !call->write_open)
+        finish (call, action, CALL_OUTCOME_NOT_RUN);
+      else
+        act_back_off (call, action);
+      break;
+    default:
+      break;
+    }
+}
+
+/* Continues from a record of the own attempt.  */
+static void
+follow_own (struct call *call, struct call_action *action)
+{
+  if (call->held.state != CALL_CLAIMED)
+    finish (call, action, CALL_OUTCOME_UNKNOWN);
+  else if (call->spent)
+    act_free (call, action);
+  else
+    act (call, action, CALL_ST_SENT, CALL_ACT_SEND, &call->own);
+}
+
+/* Continues from the record just read, at revision PREV.  */
+static void
+follow (struct call *call, struct call_action *action)
+{
+  const struct call_record *held = &call->held;
+
+  if (held->fingerprint != call->own.fingerprint)
+    finish (call, action, CALL_OUTCOME_INVALID);
+  else if (held->state == CALL_DONE)
+    {
+      result_set (&call->result, &held->result);
+      call->result.digest = held->result.digest;
+      finish (call, action, CALL_OUTCOME_DONE);
+    }
+  else if (held->state == CALL_UNKNOWN)
+    finish (call, action, CALL_OUTCOME_UNKNOWN);
+  else if (held->state == CALL_FREE && call->spent)
+    finish (call, action, CALL_OUTCOME_NOT_RUN);
+  else if (held->state == CALL_FREE)
+    act_claim (call, action);
+  else if (msg_id_equal (held->attempt, call->own.attempt))
+    follow_own (call, action);
+  else
+    act (call, action, CALL_ST_ASK_OTHER, CALL_ACT_VOID, held);
+}
+
+static void
+on_read (struct call *call, const struct call_event *event,
+         struct call_action *action)
+{
+  switch (event->kind)
+    {
+    case CALL_EV_READ_DONE:
+      /* An open write is bound to the revision at which it was sent.  */
+      if (event->revision != call->prev)
+        call->write_open = 0;
+      call->prev = event->revision;
+      call_record_clear (&call->held);
+      call_record_copy (&call->held, event->record);
+      follow (call, action);
+      break;
+    case CALL_EV_READ_ABSENT:
+      call->prev = 0;
+      act_claim (call, action);
+      break;
+    case CALL_EV_READ_FAILED:
+      act_back_off (call, action);
+      break;
+    case CALL_EV_READ_BAD:
+      finish (call, action, CALL_OUTCOME_UNKNOWN);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_back_off (struct call *call, const struct call_event *event,
+             struct call_action *action)
+{
+  if (event->kind == CALL_EV_RETRY)
+    act_read (call, action);
+  else if (event->kind == CALL_EV_DEADLINE)
+    give_up (call, action);
+}
+
+static void
+done (struct call *call, const struct call_event *event,
+      struct call_action *action, const struct call_record *record)
+{
+  result_set (&call->result, event->result);
+  settle (call, action, CALL_OUTCOME_DONE, record, CALL_DONE);
+}
+
+static void
+unknown (struct call *call, struct call_action *action,
+         const struct call_record *record)
+{
+  settle (call, action, CALL_OUTCOME_UNKNOWN, record, CALL_UNKNOWN);
+}
+
+static void
+own_end (struct call *call, const struct call_event *event,
+         struct call_action *action)
+{
+  if (!msg_id_equal (event->attempt, call->own.attempt))
+    return;
+  if (event->end_outcome == MSG_OUTCOME_DONE)
+    done (call, event, action, &call->own);
+  else if (event->end_outcome == MSG_OUTCOME_NOT_RUN)
+    act_free (call, action);
+  else
+    unknown (call, action, &call->own);
+}
+
+static void
+own_voided (struct call *call, const struct call_event *event,
+            struct call_action *action)
+{
+  if (!msg_id_equal (event->attempt, call->own.attempt))
+    return;
+  if (event->void_state == MSG_VOID_DONE)
+    done (call, event, action, &call->own);
+  else if (event->void_state == MSG_VOID_NEVER_RAN)
+    act_free (call, action);
+  else if (event->void_state == MSG_VOID_RUNNING)
+    call->state = CALL_ST_SENT;
+  else
+    unknown (call, action, &call->own);
+}
+
+/* The own CALL has left; only END or VOIDED can prove what became of it.  */
+static void
+on_sent (struct call *call, const struct call_event *event,
+         struct call_action *action)
+{
+  switch (event->kind)
+    {
+    case CALL_EV_SEND_FAILED:
+      act_free (call, action);
+      break;
+    case CALL_EV_END:
+      own_end (call, event, action);
+      break;
+    case CALL_EV_VOIDED:
+      own_voided (call, event, action);
+      break;
+    case CALL_EV_NO_ANSWER:
+      act (call, action, CALL_ST_ASK_OWN, CALL_ACT_VOID, &call->own);
+      break;
+    case CALL_EV_AGENT_GONE:
+    case CALL_EV_DEADLINE:
+      unknown (call, action, &call->own);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_ask_other (struct call *call, const struct call_event *event,
+              struct call_action *action)
+{
+  const struct call_record *held = &call->held;
+
+  if (event->kind == CALL_EV_AGENT_GONE || event->kind == CALL_EV_DEADLINE)
+    unknown (call, action, held);
+  else if (event->kind == CALL_EV_NO_ANSWER)
+    act (call, action, CALL_ST_ASK_OTHER, CALL_ACT_VOID, held);
+  if (event->kind != CALL_EV_VOIDED
+      || !msg_id_equal (event->attempt, held->attempt))
+    return;
+  if (event->void_state == MSG_VOID_DONE)
+    done (call, event, action, held);
+  else if (event->void_state == MSG_VOID_NEVER_RAN)
+    act_claim (call, action);
+  else if (event->void_state == MSG_VOID_RUNNING)
+    act (call, action, CALL_ST_WAIT, CALL_ACT_WAIT, NULL);
+  else
+    unknown (call, action, held);
+}
+
+static void
+on_wait (struct call *call, const struct call_event *event,
+         struct call_action *action)
+{
+  if (event->kind == CALL_EV_RETRY)
+    act_read (call, action);
+  /* The owner still waits for the result and records it.  */
+  else if (event->kind == CALL_EV_DEADLINE)
+    finish (call, action, CALL_OUTCOME_UNKNOWN);
+}
+
+static void
+on_free (struct call *call, const struct call_event *event,
+         struct call_action *action)
+{
+  switch (event->kind)
+    {
+    case CALL_EV_WRITE_DONE:
+      finish (call, action, CALL_OUTCOME_NOT_RUN);
+      break;
+    case CALL_EV_WRITE_CONFLICT:
+      act_read (call, action);
+      break;
+    case CALL_EV_WRITE_LOST:
+    case CALL_EV_WRITE_REFUSED:
+      call->write_open = 1;
+      act_back_off (call, action);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_settle (struct call *call, const struct call_event *event,
+           struct call_action *action)
+{
+  switch (event->kind)
+    {
+    case CALL_EV_WRITE_DONE:
+      act (call, action, CALL_ST_OVER, CALL_ACT_OVER, NULL);
+      break;
+    case CALL_EV_WRITE_CONFLICT:
+      act (call, action, CALL_ST_SETTLE_READ, CALL_ACT_READ, NULL);
+      break;
+    case CALL_EV_WRITE_LOST:
+    case CALL_EV_WRITE_REFUSED:
+      act (call, action, CALL_ST_SETTLE_WAIT, CALL_ACT_WAIT, NULL);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_settle_wait (struct call *call, const struct call_event *event,
+                struct call_action *action)
+{
+  if (event->kind == CALL_EV_RETRY)
+    act (call, action, CALL_ST_SETTLE, CALL_ACT_WRITE, &call->next);
+}
+
+/* Returns nonzero when the record read is of the attempt being settled and
+   knows less about it: DONE may follow UNKNOWN, FREE only CLAIMED.  */
+static int
+may_replace (const struct call *call, const struct call_record *record)
+{
+  if (!msg_id_equal (record->attempt, call->next.attempt))
+    return 0;
+  return record->state == CALL_CLAIMED
+         || (record->state == CALL_UNKNOWN && call->next.state == CALL_DONE);
+}
+
+static void
+on_settle_read (struct call *call, const struct call_event *event,
+                struct call_action *action)
+{
+  if (event->kind == CALL_EV_READ_FAILED)
+    act (call, action, CALL_ST_SETTLE_WAIT, CALL_ACT_WAIT, NULL);
+  else if (event->kind == CALL_EV_READ_DONE
+           && may_replace (call, event->record))
+    {
+      call->prev = event->revision;
+      act (call, action, CALL_ST_SETTLE, CALL_ACT_WRITE, &call->next);
+    }
+  else if (event->kind == CALL_EV_READ_DONE
+           || event->kind == CALL_EV_READ_ABSENT
+           || event->kind == CALL_EV_READ_BAD)
+    act (call, action, CALL_ST_OVER, CALL_ACT_OVER, NULL);
+}
+
+static void (*const handlers[CALL_ST_MAX]) (struct call *,
+                                            const struct call_event *,
+                                            struct call_action *)
+    = {
+        [CALL_ST_START] = on_start,
+        [CALL_ST_CLAIM] = on_claim,
+        [CALL_ST_READ] = on_read,
+        [CALL_ST_BACKOFF] = on_back_off,
+        [CALL_ST_SENT] = on_sent,
+        [CALL_ST_ASK_OWN] = on_sent,
+        [CALL_ST_ASK_OTHER] = on_ask_other,
+        [CALL_ST_WAIT] = on_wait,
+        [CALL_ST_FREE] = on_free,
+        [CALL_ST_SETTLE] = on_settle,
+        [CALL_ST_SETTLE_WAIT] = on_settle_wait,
+        [CALL_ST_SETTLE_READ] = on_settle_read,
+        [CALL_ST_OVER] = NULL,
+      };
+
+void
+call_init (struct call *call, const struct call_record *claim)
+{
+  memset (call, 0, sizeof *call);
+  call->own = *claim;
+  call->own.state = CALL_CLAIMED;
+  memset (&call->own.result, 0, sizeof call->own.result);
+}
+
+void
+call_clear (struct call *call)
+{
+  call_record_clear (&call->held);
+  call_record_clear (&call->next);
+  result_set (&call->result, NULL);
+}
+
+void
+call_step (struct call *call, const struct call_event *event,
+           struct call_action *action)
+{
+  memset (action, 0, sizeof *action);
+  if (handlers[call->state] != NULL)
+    handlers[call->state](call, event, action);
+}
