--- a/tests/diff_call.cc
+++ b/tests/diff_call.cc
@@ -6,14 +6,10 @@
 #include <memory>
 #include <vector>
 
-// In C++ the function msg_str of msg.h hides a constructor of the struct.
-#pragma GCC diagnostic push
-#pragma GCC diagnostic ignored "-Wshadow"
 extern "C"
 {
 #include "goldcresthatch/run.h"
 }
-#pragma GCC diagnostic pop
 
 namespace
 {
--- a/tests/unit_call.cc
+++ b/tests/unit_call.cc
@@ -3,14 +3,10 @@
 #include <cstdlib>
 #include <string>
 
-// In C++ the function msg_str of msg.h hides a constructor of the struct.
-#pragma GCC diagnostic push
-#pragma GCC diagnostic ignored "-Wshadow"
 extern "C"
 {
 #include "goldcresthatch/call.h"
 }
-#pragma GCC diagnostic pop
 
 namespace
 {
