Add a run with the thread sanitizer

Cause: the shared tables of entry and agent had no race check. Change: make check-tsan runs scripted runs with a thread sanitizer build; the libraries that are not built with it are suppressed. Without the suppressions, reports come from the HTTP library's connections in the stand-ins.

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 CC_FILES = $(wildcard tests/*.cc tests/*.hh)
 
 .PHONY: all deps programs tests check check-format check-lint demo bench \
-	bench-capacity install clean
+	bench-capacity check-tsan install clean
 .SECONDARY:
 
 all: deps
@@ -114,6 +114,18 @@
 	@$(MAKE) -j$$(nproc) tests
 	@BUILD=$(BUILD) MAKE=$(MAKE) tests/run-checks
 
+# Scripted runs with the thread sanitizer; a daemon that saw a race exits with
+# a status that the scripts take as a failure.
+TSAN_RUNS = path resume
+check-tsan: deps
+	@$(MAKE) -s -j$$(nproc) programs SANITIZE=thread
+	@for run in $(TSAN_RUNS); do \
+	  TSAN_OPTIONS="suppressions=$(CURDIR)/tests/tsan.supp" \
+	  BUILD=build-thread bash tests/scripts/$$run.sh \
+	    | diff tests/scripts/$$run.out - || exit 1; \
+	done
+	@echo "no race seen in: $(TSAN_RUNS)"
+
 demo: all
 	BUILD=$(BUILD) scripts/demo
 
