Encrypt and authenticate connections between entries and agents

Cause: any process that reached an agent's port could send calls and orders. Cost: not measured here.

--- a/include/goldcresthatch/net.h
+++ b/include/goldcresthatch/net.h
@@ -13,6 +13,8 @@
  *   Lock order: the queue's lock is a leaf; no callback runs under it.
  */
 
+#include <glib.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "goldcresthatch/err.h"
@@ -20,6 +22,28 @@
 
 struct net;
 
+enum
+{
+  NET_KEY_MAX = 41,     /* bytes of a key in Z85 with the zero byte */
+  NET_KEYS_ALLOWED = 64 /* public keys of entries that an agent admits */
+};
+
+/* CURVE keys of a process.  An agent admits the entries whose public keys are
+   ALLOWED; an entry talks only to agents with the key pair of SERVER.  */
+struct net_keys
+{
+  char public_key[NET_KEY_MAX];
+  char secret_key[NET_KEY_MAX];
+  char server[NET_KEY_MAX];
+  size_t allowed_count;
+  char allowed[NET_KEYS_ALLOWED][NET_KEY_MAX];
+};
+
+/* Reads keys from FILE, JSON with comments: public_key, secret_key, and server
+   for an entry or allowed for an agent.  Returns 0, or -1 after appending the
+   errors to ERRORS.  */
+int net_keys_read (const char *file, struct net_keys *keys, GString *errors);
+
 struct net_ops
 {
   /* A message arrived from PEER; its strings live until the return.  */
@@ -33,14 +57,16 @@
   void (*lost) (void *ctx, uint64_t peer);
 };
 
-/* Opens the agent's side, bound to ADDRESS, "IP:PORT".  Returns null on
-   failure.  */
-struct net *net_open_agent (const char *address, const struct net_ops *ops,
-                            void *ctx, struct err *err);
+/* Opens the agent's side, bound to ADDRESS, "IP:PORT".  KEYS may be null for
+   connections in the clear.  Returns null on failure.  */
+struct net *net_open_agent (const char *address, const struct net_keys *keys,
+                            const struct net_ops *ops, void *ctx,
+                            struct err *err);
 
 /* Opens the entry's side under IDENTITY, which no other process uses.  */
-struct net *net_open_entry (const char *identity, const struct net_ops *ops,
-                            void *ctx, struct err *err);
+struct net *net_open_entry (const char *identity, const struct net_keys *keys,
+                            const struct net_ops *ops, void *ctx,
+                            struct err *err);
 
 /* Starts a connection of the entry's side to ADDRESS and returns its peer
    handle, which is never reused.  */
--- a/include/goldcresthatch/set.h
+++ b/include/goldcresthatch/set.h
@@ -26,7 +26,8 @@
   SET_TEXT,
   SET_ADDRESS, /* "IP:PORT" */
   SET_NUMBER,
-  SET_ADDRESSES /* list of "IP:PORT" */
+  SET_ADDRESSES, /* list of "IP:PORT" */
+  SET_TEXTS      /* list of texts */
 };
 
 struct set_list
@@ -36,7 +37,7 @@
 };
 
 /* One member: TEXT and ADDRESS fill a char array of SET_TEXT_MAX bytes, NUMBER
-   an int64_t, ADDRESSES a struct set_list.  */
+   an int64_t, ADDRESSES and TEXTS a struct set_list.  */
 struct set_member
 {
   const char *name;
--- a/src/agent.h
+++ b/src/agent.h
@@ -29,8 +29,9 @@
   char health_path[SET_TEXT_MAX]; /* of the runner */
   char kv[SET_TEXT_MAX];
   char log_level[SET_TEXT_MAX];
-  int64_t capacity;      /* requests run at once */
-  int64_t drain_limit_s; /* of a graceful shutdown */
+  char keys[SET_TEXT_MAX]; /* file of CURVE keys, empty for none */
+  int64_t capacity;        /* requests run at once */
+  int64_t drain_limit_s;   /* of a graceful shutdown */
 };
 
 /* A call that runs or waits for a worker.  Reference-counted: the table of
--- a/src/agent_main.c
+++ b/src/agent_main.c
@@ -36,6 +36,7 @@
   MEMBER (kv, SET_ADDRESS, .required = 1),
   MEMBER (log_level, SET_TEXT, .text = "info",
           .words = "error|warn|info|debug"),
+  MEMBER (keys, SET_TEXT),
   MEMBER (capacity, SET_NUMBER, .number = 32, .min = 1, .max = 1024),
   MEMBER (drain_limit_s, SET_NUMBER, .number = 60, .min = 1, .max = 3600),
 };
@@ -76,7 +77,7 @@
 }
 
 static int
-agent_open (struct agent *agent, struct err *err)
+agent_open (struct agent *agent, const struct net_keys *keys, struct err *err)
 {
   agent->start_us = g_get_monotonic_time ();
   randombytes_buf (&agent->incarnation, sizeof agent->incarnation);
@@ -90,8 +91,8 @@
   agent->kv = kv_http_open (agent->settings.kv, KV_TIMEOUT_S, err);
   if (agent->kv == NULL)
     return -1;
-  agent->net
-      = net_open_agent (agent->settings.listen, &agent_net_ops, agent, err);
+  agent->net = net_open_agent (agent->settings.listen, keys, &agent_net_ops,
+                               agent, err);
   if (agent->net == NULL)
     return -1;
   if (pthread_create (&agent->probe, NULL, agent_probe_main, agent) != 0)
@@ -145,6 +146,7 @@
 {
   static struct agent agent;
   enum log_level level = LOG_LEVEL_INFO;
+  struct net_keys *keys = NULL;
   struct err err;
   unsigned cut;
   int lock_fd;
@@ -165,11 +167,13 @@
   if (log_open (program.name, level) != 0 || sodium_init () < 0
       || http_init () != 0)
     return EXIT_FAILURE;
+  if (daemon_read_keys (agent.settings.keys, &keys) != 0)
+    return EXIT_FAILURE;
   daemon_block_signals ();
   lock_fd = bind_lock (agent.settings.lock, &err);
   if (lock_fd < 0)
     goto fail;
-  if (agent_open (&agent, &err) != 0)
+  if (agent_open (&agent, keys, &err) != 0)
     goto fail_lock;
   log_write (LOG_LEVEL_INFO, NULL, "start", agent.settings.listen,
              "agent %s serves %s", agent.settings.name,
--- a/src/ctr.c
+++ b/src/ctr.c
@@ -61,6 +61,9 @@
   [CTR_CFG_GENERATION]
   = { "config_generation", "Generation of the configuration in force.",
       KIND_GAUGE },
+  [CTR_PEERS_REFUSED]
+  = { "peers_refused_total",
+      "Connections refused because their key is not allowed.", KIND_COUNTER },
   [CTR_ENDPOINT_CRASHES]
   = { "endpoint_crashes_total", "Endpoint crashes seen.", KIND_COUNTER },
 };
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -62,6 +62,23 @@
   return start;
 }
 
+int
+daemon_read_keys (const char *file, struct net_keys **keys)
+{
+  GString *errors;
+  int rc;
+
+  *keys = NULL;
+  if (file[0] == '\0')
+    return 0;
+  errors = g_string_new (NULL);
+  *keys = g_new0 (struct net_keys, 1);
+  rc = net_keys_read (file, *keys, errors);
+  fputs (errors->str, stderr);
+  g_string_free (errors, TRUE);
+  return rc;
+}
+
 static void
 signal_set (sigset_t *set)
 {
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -8,6 +8,7 @@
 
 #include <stddef.h>
 
+#include "goldcresthatch/net.h"
 #include "goldcresthatch/set.h"
 
 #define GOLDCRESTHATCH_VERSION "0.1"
@@ -32,6 +33,10 @@
 enum daemon_start daemon_start (const struct daemon_program *program, int argc,
                                 char **argv, void *out);
 
+/* Reads the keys in FILE, unless its name is empty, into *KEYS, which lives as
+   long as the process.  Returns 0, or -1 after printing the errors.  */
+int daemon_read_keys (const char *file, struct net_keys **keys);
+
 /* Blocks SIGTERM and SIGINT in the calling thread and those that it starts
    later, and ignores SIGPIPE.  */
 void daemon_block_signals (void);
--- a/src/entry.h
+++ b/src/entry.h
@@ -39,6 +39,7 @@
   int64_t deadline_ms; /* of a request that names none */
   int64_t workers;
   struct set_list config_peers;
+  char keys[SET_TEXT_MAX]; /* file of CURVE keys, empty for none */
 };
 
 /* A runner as this entry sees it.  */
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -33,6 +33,7 @@
   MEMBER (deadline_ms, SET_NUMBER, .number = 60000, .min = 1, .max = 3600000),
   MEMBER (workers, SET_NUMBER, .number = 16, .min = 1, .max = 256),
   MEMBER (config_peers, SET_ADDRESSES),
+  MEMBER (keys, SET_TEXT),
 };
 
 static const struct daemon_program program = {
@@ -64,7 +65,7 @@
 }
 
 static int
-entry_open (struct entry *entry, struct err *err)
+entry_open (struct entry *entry, const struct net_keys *keys, struct err *err)
 {
   char identity[SET_TEXT_MAX + 32];
 
@@ -80,7 +81,7 @@
     return -1;
   snprintf (identity, sizeof identity, "%.64s/%016llx", entry->settings.name,
             (unsigned long long)entry->incarnation);
-  entry->net = net_open_entry (identity, &entry_net_ops, entry, err);
+  entry->net = net_open_entry (identity, keys, &entry_net_ops, entry, err);
   if (entry->net == NULL)
     return -1;
   if (pthread_create (&entry->lister, NULL, entry_fleet_main, entry) != 0
@@ -138,6 +139,7 @@
 {
   static struct entry entry;
   enum log_level level = LOG_LEVEL_INFO;
+  struct net_keys *keys = NULL;
   struct err err;
   unsigned cut;
 
@@ -156,8 +158,10 @@
   if (log_open (program.name, level) != 0 || sodium_init () < 0
       || http_init () != 0)
     return EXIT_FAILURE;
+  if (daemon_read_keys (entry.settings.keys, &keys) != 0)
+    return EXIT_FAILURE;
   daemon_block_signals ();
-  if (entry_open (&entry, &err) != 0)
+  if (entry_open (&entry, keys, &err) != 0)
     {
       log_err (LOG_LEVEL_ERROR, NULL, &err);
       _exit (EXIT_FAILURE);
--- a/src/net.c
+++ b/src/net.c
@@ -12,6 +12,7 @@
 
 #include "goldcresthatch/ctr.h"
 #include "goldcresthatch/log.h"
+#include "net_auth.h"
 
 enum
 {
@@ -54,7 +55,9 @@
   const struct net_ops *ops;
   void *ctx;
   void *zmq;
-  void *router; /* of the agent's side */
+  void *router;          /* of the agent's side */
+  struct net_auth *auth; /* of an agent with keys */
+  struct net_keys keys;  /* of an entry; empty without */
   char identity[IDENTITY_MAX];
   int wake_fd;
   pthread_t thread;
@@ -162,6 +165,8 @@
   set_int (peer->socket, ZMQ_IMMEDIATE, 1);
   zmq_setsockopt (peer->socket, ZMQ_ROUTING_ID, net->identity,
                   strlen (net->identity));
+  if (net->keys.public_key[0] != '\0')
+    net_auth_client (peer->socket, &net->keys);
   open_monitor (net, peer);
   if (zmq_connect (peer->socket, endpoint) != 0)
     log_write (LOG_LEVEL_WARN, NULL, "connect", command->address, "%s",
@@ -355,20 +360,25 @@
 
 enum
 {
-  ITEMS_PER_PEER = 2 /* socket and monitor */
+  ITEMS_PER_PEER = 2, /* socket and monitor */
+  AGENT_ITEMS = 2     /* ROUTER and authentication */
 };
 
 static zmq_pollitem_t *
 poll_items (struct net *net, int *count)
 {
-  int n
-      = 1 + (net->router != NULL ? 1 : ITEMS_PER_PEER * (int)net->order->len);
-  zmq_pollitem_t *items = g_new0 (zmq_pollitem_t, n);
+  int n = 1 + ITEMS_PER_PEER * (int)net->order->len;
+  zmq_pollitem_t *items;
   guint i;
 
+  if (net->router != NULL)
+    n += net->auth != NULL ? AGENT_ITEMS : 1;
+  items = g_new0 (zmq_pollitem_t, n);
   items[0].fd = net->wake_fd;
   if (net->router != NULL)
     items[1].socket = net->router;
+  if (net->auth != NULL)
+    items[2].socket = net_auth_socket (net->auth);
   for (i = 0; i < net->order->len; i++)
     {
       struct peer *peer = g_ptr_array_index (net->order, i);
@@ -389,6 +399,8 @@
 
   if (net->router != NULL && (items[1].revents & ZMQ_POLLIN))
     receive_router (net);
+  if (net->auth != NULL && (items[2].revents & ZMQ_POLLIN))
+    net_auth_answer (net->auth);
   for (i = 0; i < net->order->len; i++)
     {
       struct peer *peer = g_ptr_array_index (net->order, i);
@@ -453,6 +465,7 @@
   g_hash_table_destroy (net->by_handle);
   if (net->router != NULL)
     zmq_close (net->router);
+  net_auth_close (net->auth);
   zmq_ctx_term (net->zmq);
   close (net->wake_fd);
   pthread_mutex_destroy (&net->lock);
@@ -460,8 +473,8 @@
 }
 
 struct net *
-net_open_agent (const char *address, const struct net_ops *ops, void *ctx,
-                struct err *err)
+net_open_agent (const char *address, const struct net_keys *keys,
+                const struct net_ops *ops, void *ctx, struct err *err)
 {
   struct net *net = net_new (ops, ctx);
   char endpoint[ERR_PEER_MAX + 8];
@@ -472,6 +485,11 @@
   set_int (net->router, ZMQ_LINGER, 1000);
   set_int (net->router, ZMQ_ROUTER_MANDATORY, 1);
   set_int (net->router, ZMQ_ROUTER_HANDOVER, 1);
+  if (keys != NULL)
+    {
+      net->auth = net_auth_open (net->zmq, keys);
+      net_auth_server (net->router, keys);
+    }
   if (zmq_bind (net->router, endpoint) != 0)
     {
       err_set (err, ERR_IO, "bind", address, "%s", zmq_strerror (errno));
@@ -489,11 +507,13 @@
 }
 
 struct net *
-net_open_entry (const char *identity, const struct net_ops *ops, void *ctx,
-                struct err *err)
+net_open_entry (const char *identity, const struct net_keys *keys,
+                const struct net_ops *ops, void *ctx, struct err *err)
 {
   struct net *net = net_new (ops, ctx);
 
+  if (keys != NULL)
+    net->keys = *keys;
   snprintf (net->identity, sizeof net->identity, "%s", identity);
   if (pthread_create (&net->thread, NULL, net_main, net) != 0)
     {
--- a/src/set.c
+++ b/src/set.c
@@ -103,7 +103,7 @@
   if (!json_object_is_type (value, json_type_array)
       || json_object_array_length (value) > SET_LIST_MAX)
     {
-      fail (reader, member->name, "expected a list of at most %d addresses",
+      fail (reader, member->name, "expected a list of at most %d items",
             SET_LIST_MAX);
       return;
     }
@@ -113,7 +113,10 @@
       struct json_object *item = json_object_array_get_idx (value, i);
 
       if (!json_object_is_type (item, json_type_string)
-          || !set_is_address (json_object_get_string (item)))
+          || json_object_get_string_len (item) >= SET_TEXT_MAX)
+        fail (reader, member->name, "item %zu: expected a text", i);
+      else if (member->kind == SET_ADDRESSES
+               && !set_is_address (json_object_get_string (item)))
         fail (reader, member->name, "item %zu: expected \"IP:PORT\"", i);
       else
         snprintf (dst->items[i], SET_TEXT_MAX, "%s",
@@ -149,6 +152,7 @@
       read_number (reader, member, value, (int64_t *)at);
       return;
     case SET_ADDRESSES:
+    case SET_TEXTS:
       read_list (reader, member, value, (struct set_list *)at);
       return;
     }
