Carry out orders to the engine in the agent

The engine aggregate had no caller. A driver thread feeds it orders, crash notices and time; one worker thread makes its reads, queries and requests, so a query follows every request sent before it. Calls are admitted only after the first query shows no order in progress. REPORT carries the state in force, the highest fencing token and the tokens served.

--- a/include/goldcresthatch/msg.h
+++ b/include/goldcresthatch/msg.h
@@ -115,6 +115,13 @@
   uint64_t capacity;      /* requests that the endpoint may run at once */
   uint64_t cfg_generation;
   uint64_t fence; /* highest fencing token accepted */
+  uint64_t known; /* the next four and ROLE were read from the runner */
+  uint64_t drain;
+  uint64_t withdraw;
+  struct msg_str model; /* loaded by the engine */
+  struct msg_str version;
+  uint64_t prompt_done; /* tokens served since the agent started */
+  uint64_t output_done;
 };
 
 struct msg_call
--- a/src/agent.h
+++ b/src/agent.h
@@ -12,6 +12,7 @@
 #include <pthread.h>
 #include <stdint.h>
 
+#include "goldcresthatch/eng.h"
 #include "goldcresthatch/kv.h"
 #include "goldcresthatch/msg.h"
 #include "goldcresthatch/net.h"
@@ -57,6 +58,16 @@
   gint cancelled;
 };
 
+struct agent_orders;
+
+/* What a REPORT says of the orders.  */
+struct agent_order_status
+{
+  struct eng_target actual;
+  uint64_t fence;
+  int known; /* ACTUAL has been read from the engine */
+};
+
 struct agent
 {
   struct agent_settings settings;
@@ -65,6 +76,7 @@
   GThreadPool *workers;
   uint64_t incarnation;
   gint64 start_us;
+  struct agent_orders *orders;
 
   pthread_mutex_t lock; /* guards what follows */
   enum msg_agent_state state;
@@ -72,6 +84,8 @@
   GHashTable *jobs;  /* by attempt */
   GHashTable *peers; /* entries by handle: time of the last HELLO */
   unsigned running;
+  uint64_t prompt_done; /* tokens served */
+  uint64_t output_done;
 
   pthread_t probe;
   gint stopping;
@@ -98,4 +112,28 @@
 /* Thread that checks the endpoint's health.  */
 void *agent_probe_main (void *arg);
 
+/* agent_order.c: opened before the network, started after it; stopped before
+   the network closes.  */
+void agent_order_open (struct agent *agent);
+int agent_order_start (struct agent *agent, struct err *err);
+void agent_order_stop (struct agent *agent);
+void agent_order_close (struct agent *agent);
+
+/* An ORDER arrived from PEER.  */
+void agent_order_arrived (struct agent *agent, uint64_t peer,
+                          const struct msg_order *order);
+
+/* The health check found the runner down.  */
+void agent_order_crashed (struct agent *agent);
+
+/* Returns the number of orders that the engine is carrying out.  */
+unsigned agent_order_busy (struct agent *agent);
+
+/* Adds the tokens of the usage record in a piece of an engine's answer, if it
+   has one, to the totals of REPORT.  */
+void agent_order_count_usage (struct agent *agent, const char *data,
+                              size_t size);
+
+void agent_order_status (struct agent *agent, struct agent_order_status *out);
+
 #endif
--- a/src/agent_main.c
+++ b/src/agent_main.c
@@ -87,6 +87,7 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   agent->workers = g_thread_pool_new (
       agent_work, agent, (gint)agent->settings.capacity, FALSE, NULL);
+  agent_order_open (agent);
   agent->kv = kv_http_open (agent->settings.kv, KV_TIMEOUT_S, err);
   if (agent->kv == NULL)
     return -1;
@@ -96,7 +97,7 @@
     return -1;
   if (pthread_create (&agent->probe, NULL, agent_probe_main, agent) != 0)
     return err_set (err, ERR_LIMIT, "thread", NULL, "cannot start a thread");
-  return 0;
+  return agent_order_start (agent, err);
 }
 
 static unsigned
@@ -107,7 +108,7 @@
   pthread_mutex_lock (&agent->lock);
   left = g_hash_table_size (agent->jobs);
   pthread_mutex_unlock (&agent->lock);
-  return left;
+  return left + agent_order_busy (agent);
 }
 
 /* Takes no new work and waits for the jobs in progress, until the limit or a
@@ -133,8 +134,10 @@
 {
   g_atomic_int_set (&agent->stopping, 1);
   pthread_join (agent->probe, NULL);
+  agent_order_stop (agent);
   g_thread_pool_free (agent->workers, FALSE, TRUE);
   net_close (agent->net);
+  agent_order_close (agent);
   kv_http_close (agent->kv);
   g_hash_table_destroy (agent->jobs);
   g_hash_table_destroy (agent->peers);
--- a/src/agent_net.c
+++ b/src/agent_net.c
@@ -18,8 +18,10 @@
   return 1 + (uint64_t)(g_get_monotonic_time () - agent->start_us) / WINDOW_US;
 }
 
+/* The strings of MSG point into STATUS.  */
 static void
-fill_report (struct agent *agent, struct msg *msg)
+fill_report (struct agent *agent, struct msg *msg,
+             struct agent_order_status *status)
 {
   struct msg_report *report = &msg->u.report;
 
@@ -31,11 +33,21 @@
   report->incarnation = agent->incarnation;
   report->window = agent_window (agent);
   report->capacity = (uint64_t)agent->settings.capacity;
+  agent_order_status (agent, status);
+  report->role = status->actual.role;
+  report->fence = status->fence;
+  report->known = status->known != 0;
+  report->drain = status->actual.drain != 0;
+  report->withdraw = status->actual.withdraw != 0;
+  report->model = msg_text (status->actual.model);
+  report->version = msg_text (status->actual.version);
   pthread_mutex_lock (&agent->lock);
   report->state = agent->state;
   report->endpoint_up = (uint64_t)agent->endpoint_up;
   report->running = agent->running;
   report->queued = g_hash_table_size (agent->jobs) - agent->running;
+  report->prompt_done = agent->prompt_done;
+  report->output_done = agent->output_done;
   pthread_mutex_unlock (&agent->lock);
 }
 
@@ -63,11 +75,12 @@
 void
 agent_report (struct agent *agent, uint64_t peer)
 {
+  struct agent_order_status status;
   struct msg msg;
   GArray *peers;
   guint i;
 
-  fill_report (agent, &msg);
+  fill_report (agent, &msg, &status);
   if (peer != 0)
     {
       net_send (agent->net, peer, &msg, NULL);
@@ -202,12 +215,19 @@
   pthread_mutex_unlock (&agent->lock);
 }
 
+static void
+on_order (struct agent *agent, uint64_t peer, const struct msg *msg)
+{
+  agent_order_arrived (agent, peer, &msg->u.order);
+}
+
 static void (*const handlers[MSG_TYPE_MAX]) (struct agent *, uint64_t,
                                              const struct msg *)
     = {
         [MSG_HELLO] = on_hello,
         [MSG_CALL] = on_call,
         [MSG_CANCEL] = on_cancel,
+        [MSG_ORDER] = on_order,
       };
 
 static void
--- /dev/null
+++ b/src/agent_order.c
@@ -0,0 +1,370 @@
+#include "agent_order.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "goldcresthatch/ctr.h"
+#include "goldcresthatch/log.h"
+
+enum
+{
+  ORDER_TICK_US = 20 * 1000
+};
+
+int
+agent_order_is_engine (const struct agent_orders *orders)
+{
+  return strcmp (orders->agent->settings.kind, "engine") == 0;
+}
+
+void
+agent_order_post (struct agent_orders *orders, struct agent_order_event *event)
+{
+  g_async_queue_push (orders->events, event);
+}
+
+/* Brings the state that admits calls in line; reports it when it changed.  */
+static void
+apply_admission (struct agent_orders *orders)
+{
+  struct agent *agent = orders->agent;
+  enum msg_agent_state state;
+  int changed;
+
+  pthread_mutex_lock (&orders->lock);
+  state = orders->stopped || !orders->known ? MSG_AGENT_DRAINING
+                                            : MSG_AGENT_SERVING;
+  pthread_mutex_unlock (&orders->lock);
+  pthread_mutex_lock (&agent->lock);
+  changed = agent->state != MSG_AGENT_LEAVING && agent->state != state;
+  if (changed)
+    agent->state = state;
+  pthread_mutex_unlock (&agent->lock);
+  if (changed)
+    agent_report (agent, 0);
+}
+
+static void
+set_stopped (struct agent_orders *orders, int stopped)
+{
+  pthread_mutex_lock (&orders->lock);
+  orders->stopped = stopped;
+  pthread_mutex_unlock (&orders->lock);
+  apply_admission (orders);
+}
+
+static void
+start_op (struct agent_orders *orders, const struct eng_action *action)
+{
+  struct agent_order_op *op = g_new0 (struct agent_order_op, 1);
+
+  op->kind = action->kind;
+  op->op = action->op;
+  op->order = action->order;
+  g_thread_pool_push (orders->worker, op, NULL);
+}
+
+static void
+send_ordered (struct agent_orders *orders, uint64_t peer, struct msg_id id,
+              enum msg_order_state state, const struct err *err)
+{
+  struct msg msg = { .type = MSG_ORDERED };
+
+  msg.u.ordered.order = id;
+  msg.u.ordered.state = state;
+  msg.u.ordered.step = msg_text (err->step);
+  msg.u.ordered.text = msg_text (err->text);
+  net_send (orders->agent->net, peer, &msg, NULL);
+}
+
+static void
+count_answer (struct agent_orders *orders, enum msg_order_state state,
+              const struct eng_order *order, const struct err *err)
+{
+  static const char *const names[MSG_ORDER_STATE_MAX]
+      = { "accepted", "refused", "reached", "failed" };
+
+  if (state == MSG_ORDER_ACCEPTED)
+    ctr_add (CTR_ORDERS_ACCEPTED, 1);
+  else if (state == MSG_ORDER_REFUSED)
+    ctr_add (CTR_ORDERS_REFUSED, 1);
+  log_write (LOG_LEVEL_INFO, NULL, "order", orders->agent->settings.endpoint,
+             "order with token %llu %s%s%s", (unsigned long long)order->token,
+             names[state], err->text[0] != '\0' ? ": " : "", err->text);
+}
+
+/* The REPORT goes out first, so that an entry never takes a report from before
+   the change for a newer one.  */
+static void
+answer (struct agent_orders *orders, const struct eng_action *action)
+{
+  uint64_t *peer = g_hash_table_lookup (orders->senders, &action->order.id);
+
+  count_answer (orders, action->state, &action->order, &action->err);
+  if (peer == NULL)
+    return;
+  if (action->state == MSG_ORDER_REACHED)
+    agent_report (orders->agent, *peer);
+  send_ordered (orders, *peer, action->order.id, action->state, &action->err);
+  if (action->state != MSG_ORDER_ACCEPTED)
+    g_hash_table_remove (orders->senders, &action->order.id);
+}
+
+static void
+carry_out (struct agent_orders *orders, const struct eng_action *action)
+{
+  switch (action->kind)
+    {
+    case ENG_DO_STOP_WORK:
+      orders->drain_op = action->op;
+      set_stopped (orders, 1);
+      return;
+    case ENG_DO_RESUME_WORK:
+      orders->drain_op = 0;
+      set_stopped (orders, 0);
+      return;
+    case ENG_DO_ANSWER:
+      answer (orders, action);
+      return;
+    case ENG_DO_READ:
+    case ENG_DO_SEND:
+    case ENG_DO_QUERY:
+      start_op (orders, action);
+      return;
+    }
+}
+
+static void
+handle (struct agent_orders *orders, const struct eng_event *event)
+{
+  struct eng_actions actions;
+  unsigned i;
+
+  pthread_mutex_lock (&orders->lock);
+  eng_handle (&orders->eng, event, &actions);
+  if (orders->eng.state != ENG_QUERYING)
+    orders->known = 1;
+  pthread_mutex_unlock (&orders->lock);
+  for (i = 0; i < actions.count; i++)
+    carry_out (orders, &actions.item[i]);
+  apply_admission (orders);
+}
+
+/* Returns nonzero for an order that a plain service can't carry out.  */
+static int
+needs_engine (const struct eng_target *target)
+{
+  return target->role != ENG_ROLE_BOTH || target->model[0] != '\0'
+         || target->version[0] != '\0';
+}
+
+static void
+take_event (struct agent_orders *orders, struct agent_order_event *event)
+{
+  struct err err = { 0 };
+
+  if (event->event.kind != ENG_EV_ORDER)
+    {
+      handle (orders, &event->event);
+      return;
+    }
+  if (!agent_order_is_engine (orders) && needs_engine (&event->order.target))
+    {
+      err_set (&err, ERR_INVALID, "engine-order", event->order.shard,
+               "a plain service takes drain and withdraw only");
+      count_answer (orders, MSG_ORDER_REFUSED, &event->order, &err);
+      send_ordered (orders, event->peer, event->order.id, MSG_ORDER_REFUSED,
+                    &err);
+      return;
+    }
+  event->event.order = &event->order;
+  g_hash_table_insert (orders->senders,
+                       g_memdup2 (&event->order.id, sizeof event->order.id),
+                       g_memdup2 (&event->peer, sizeof event->peer));
+  handle (orders, &event->event);
+}
+
+/* Tells the aggregate when no job is left after a stop of work.  */
+static void
+check_drained (struct agent_orders *orders)
+{
+  struct agent *agent = orders->agent;
+  struct eng_event event = { .kind = ENG_EV_DRAINED, .op = orders->drain_op };
+  unsigned left;
+
+  if (orders->drain_op == 0)
+    return;
+  pthread_mutex_lock (&agent->lock);
+  left = g_hash_table_size (agent->jobs);
+  pthread_mutex_unlock (&agent->lock);
+  if (left > 0)
+    return;
+  orders->drain_op = 0;
+  event.now_us = g_get_monotonic_time ();
+  handle (orders, &event);
+}
+
+static void *
+order_main (void *arg)
+{
+  struct agent_orders *orders = arg;
+  struct eng_event event = { .kind = ENG_EV_START };
+  struct agent_order_event *next;
+
+  event.now_us = g_get_monotonic_time ();
+  handle (orders, &event);
+  while (!g_atomic_int_get (&orders->agent->stopping))
+    {
+      next = g_async_queue_timeout_pop (orders->events, ORDER_TICK_US);
+      if (next != NULL)
+        take_event (orders, next);
+      g_free (next);
+      check_drained (orders);
+      event.kind = ENG_EV_TIME;
+      event.now_us = g_get_monotonic_time ();
+      handle (orders, &event);
+    }
+  return NULL;
+}
+
+void
+agent_order_open (struct agent *agent)
+{
+  struct agent_orders *orders = g_new0 (struct agent_orders, 1);
+
+  orders->agent = agent;
+  orders->events = g_async_queue_new_full (g_free);
+  orders->worker = g_thread_pool_new (agent_order_run, orders, 1, FALSE, NULL);
+  orders->senders
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  pthread_mutex_init (&orders->lock, NULL);
+  eng_init (&orders->eng, agent->settings.zone);
+  /* No calls until it is known that no order of an earlier process of the
+     agent is in progress at the engine.  */
+  agent->state = MSG_AGENT_DRAINING;
+  agent->orders = orders;
+}
+
+int
+agent_order_start (struct agent *agent, struct err *err)
+{
+  if (pthread_create (&agent->orders->thread, NULL, order_main, agent->orders)
+      != 0)
+    return err_set (err, ERR_LIMIT, "thread", NULL, "cannot start a thread");
+  return 0;
+}
+
+void
+agent_order_stop (struct agent *agent)
+{
+  struct agent_orders *orders = agent->orders;
+
+  pthread_join (orders->thread, NULL);
+  g_thread_pool_free (orders->worker, FALSE, TRUE);
+}
+
+void
+agent_order_close (struct agent *agent)
+{
+  struct agent_orders *orders = agent->orders;
+
+  g_async_queue_unref (orders->events);
+  g_hash_table_destroy (orders->senders);
+  pthread_mutex_destroy (&orders->lock);
+  g_free (orders);
+}
+
+void
+agent_order_arrived (struct agent *agent, uint64_t peer,
+                     const struct msg_order *order)
+{
+  struct agent_order_event *event = g_new0 (struct agent_order_event, 1);
+
+  event->peer = peer;
+  event->event.kind = ENG_EV_ORDER;
+  event->event.now_us = g_get_monotonic_time ();
+  event->order.token = order->fence;
+  event->order.id = order->order;
+  msg_str_copy (event->order.shard, sizeof event->order.shard, order->shard);
+  event->order.target.role
+      = order->role < ENG_ROLE_MAX ? (enum eng_role)order->role : ENG_ROLE_MAX;
+  event->order.target.drain = order->drain != 0;
+  event->order.target.withdraw = order->withdraw != 0;
+  msg_str_copy (event->order.target.model, sizeof event->order.target.model,
+                order->model);
+  msg_str_copy (event->order.target.version,
+                sizeof event->order.target.version, order->version);
+  agent_order_post (agent->orders, event);
+}
+
+void
+agent_order_crashed (struct agent *agent)
+{
+  struct agent_order_event *event = g_new0 (struct agent_order_event, 1);
+
+  event->event.kind = ENG_EV_CRASHED;
+  event->event.now_us = g_get_monotonic_time ();
+  agent_order_post (agent->orders, event);
+}
+
+/* Returns the number after the member NAME in DATA, or 0.  */
+static uint64_t
+find_number (const char *data, size_t size, const char *name)
+{
+  const char *at = memmem (data, size, name, strlen (name));
+  const char *end = data + size;
+  uint64_t n = 0;
+
+  if (at == NULL)
+    return 0;
+  for (at += strlen (name); at < end && *at == ' '; at++)
+    ;
+  for (; at < end && g_ascii_isdigit (*at) && n < UINT32_MAX; at++)
+    n = n * 10 + (uint64_t)(*at - '0');
+  return n;
+}
+
+/* A usage record that two pieces share is missed, which lowers the measured
+   demand by one request.  */
+void
+agent_order_count_usage (struct agent *agent, const char *data, size_t size)
+{
+  uint64_t prompt;
+  uint64_t output;
+
+  if (!agent_order_is_engine (agent->orders))
+    return;
+  prompt = find_number (data, size, "\"prompt_tokens\":");
+  output = find_number (data, size, "\"completion_tokens\":");
+  if (prompt == 0 && output == 0)
+    return;
+  pthread_mutex_lock (&agent->lock);
+  agent->prompt_done += prompt;
+  agent->output_done += output;
+  pthread_mutex_unlock (&agent->lock);
+}
+
+unsigned
+agent_order_busy (struct agent *agent)
+{
+  struct agent_orders *orders = agent->orders;
+  unsigned busy;
+
+  pthread_mutex_lock (&orders->lock);
+  busy = orders->eng.state == ENG_APPLYING;
+  pthread_mutex_unlock (&orders->lock);
+  return busy;
+}
+
+void
+agent_order_status (struct agent *agent, struct agent_order_status *out)
+{
+  struct agent_orders *orders = agent->orders;
+
+  pthread_mutex_lock (&orders->lock);
+  out->actual = orders->eng.actual;
+  out->fence = orders->eng.highest;
+  out->known = orders->known;
+  pthread_mutex_unlock (&orders->lock);
+}
--- /dev/null
+++ b/src/agent_order_io.c
@@ -0,0 +1,209 @@
+#include "agent_order.h"
+
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "goldcresthatch/log.h"
+#include "http.h"
+
+enum
+{
+  ORDER_TIMEOUT_S = 600, /* loading a model takes minutes */
+  STATE_TIMEOUT_S = 2,
+  STATE_MAX = 64 * 1024, /* bytes of an engine's state */
+  STATUS_OK = 200
+};
+
+static void
+post_result (struct agent_orders *orders, const struct eng_event *result)
+{
+  struct agent_order_event *event = g_new0 (struct agent_order_event, 1);
+
+  event->event = *result;
+  event->event.now_us = g_get_monotonic_time ();
+  agent_order_post (orders, event);
+}
+
+static void
+read_authority (struct agent_orders *orders, struct eng_event *result)
+{
+  char key[KV_KEY_MAX];
+  struct kv_value value = { 0 };
+  struct err err;
+
+  snprintf (key, sizeof key, "authority/%s", orders->eng.shard);
+  result->kind = ENG_EV_READ;
+  result->start_us = g_get_monotonic_time ();
+  if (kv_get (orders->agent->kv, key, &value, &err) < 0)
+    {
+      log_err (LOG_LEVEL_WARN, NULL, &err);
+      result->result = ENG_RESULT_FAILED;
+    }
+  result->revision = value.revision;
+  kv_value_free (&value);
+}
+
+static int
+append (void *ctx, const char *data, size_t size)
+{
+  GString *body = ctx;
+
+  g_string_append_len (body, data, (gssize)size);
+  return body->len > STATE_MAX;
+}
+
+static const char *
+text_member (struct json_object *root, const char *name)
+{
+  struct json_object *value;
+
+  if (!json_object_object_get_ex (root, name, &value)
+      || !json_object_is_type (value, json_type_string)
+      || json_object_get_string_len (value) > MSG_NAME_MAX)
+    return NULL;
+  return json_object_get_string (value);
+}
+
+/* Returns 0, or -1 when TEXT is not the state of an engine.  */
+static int
+parse_state (const char *text, struct eng_event *result)
+{
+  struct json_object *root = json_tokener_parse (text);
+  struct json_object *busy;
+  const char *role = text_member (root, "role");
+  const char *model = text_member (root, "model");
+  const char *version = text_member (root, "version");
+  int i;
+  int rc = -1;
+
+  if (role == NULL || model == NULL || version == NULL
+      || !json_object_object_get_ex (root, "in_progress", &busy))
+    goto out;
+  result->in_progress = json_object_get_boolean (busy);
+  snprintf (result->actual.model, sizeof result->actual.model, "%s", model);
+  snprintf (result->actual.version, sizeof result->actual.version, "%s",
+            version);
+  for (i = 0; i < ENG_ROLE_MAX; i++)
+    if (strcmp (role, eng_role_name ((enum eng_role)i)) == 0)
+      {
+        result->actual.role = (enum eng_role)i;
+        rc = 0;
+      }
+out:
+  json_object_put (root);
+  return rc;
+}
+
+static void
+query_engine (struct agent_orders *orders, struct eng_event *result)
+{
+  GString *body = g_string_new (NULL);
+  struct http_call call = { .address = orders->agent->settings.endpoint,
+                            .method = "GET",
+                            .path = "/state",
+                            .timeout_s = STATE_TIMEOUT_S,
+                            .ctx = body,
+                            .on_data = append };
+  struct err err;
+  int status;
+
+  result->kind = ENG_EV_QUERIED;
+  /* A plain service has no state beyond what the agent itself holds.  */
+  if (agent_order_is_engine (orders))
+    {
+      result->result = ENG_RESULT_FAILED;
+      if (http_run (&call, &status, &err) == HTTP_OK && status == STATUS_OK
+          && parse_state (body->str, result) == 0)
+        result->result = ENG_RESULT_OK;
+    }
+  g_string_free (body, TRUE);
+}
+
+static char *
+order_json (const struct eng_order *order)
+{
+  struct json_object *root = json_object_new_object ();
+  char *text;
+
+  json_object_object_add (root, "token",
+                          json_object_new_uint64 (order->token));
+  json_object_object_add (
+      root, "role",
+      json_object_new_string (eng_role_name (order->target.role)));
+  json_object_object_add (root, "model",
+                          json_object_new_string (order->target.model));
+  json_object_object_add (root, "version",
+                          json_object_new_string (order->target.version));
+  text = g_strdup (
+      json_object_to_json_string_ext (root, JSON_C_TO_STRING_PLAIN));
+  json_object_put (root);
+  return text;
+}
+
+/* A request without an answer may be under way, also when the connection was
+   refused: the query that follows finds out.  */
+static enum eng_result
+result_of (enum http_result result, int status)
+{
+  if (result != HTTP_OK)
+    return ENG_RESULT_UNKNOWN;
+  return status == STATUS_OK ? ENG_RESULT_OK : ENG_RESULT_FAILED;
+}
+
+static void
+send_order (struct agent_orders *orders, const struct agent_order_op *op,
+            struct eng_event *result)
+{
+  char *body = order_json (&op->order);
+  struct http_call call = { .address = orders->agent->settings.endpoint,
+                            .method = "POST",
+                            .path = "/orders",
+                            .content_type = "application/json",
+                            .body = body,
+                            .body_size = strlen (body),
+                            .timeout_s = ORDER_TIMEOUT_S };
+  enum http_result rc;
+  struct err err;
+  int status;
+  int may;
+
+  result->kind = ENG_EV_APPLIED;
+  pthread_mutex_lock (&orders->lock);
+  may = orders->eng.op == op->op
+        && eng_may_send (&orders->eng, g_get_monotonic_time ());
+  pthread_mutex_unlock (&orders->lock);
+  if (!may)
+    result->result = ENG_RESULT_NOT_SENT;
+  else
+    {
+      rc = http_run (&call, &status, &err);
+      result->result = result_of (rc, status);
+      if (rc != HTTP_OK)
+        log_err (LOG_LEVEL_WARN, NULL, &err);
+    }
+  g_free (body);
+}
+
+void
+agent_order_run (gpointer data, gpointer ctx)
+{
+  struct agent_order_op *op = data;
+  struct agent_orders *orders = ctx;
+  struct eng_event result = { .op = op->op };
+
+  switch (op->kind)
+    {
+    case ENG_DO_READ:
+      read_authority (orders, &result);
+      break;
+    case ENG_DO_QUERY:
+      query_engine (orders, &result);
+      break;
+    default:
+      send_order (orders, op, &result);
+      break;
+    }
+  g_free (op);
+  post_result (orders, &result);
+}
--- a/src/agent_probe.c
+++ b/src/agent_probe.c
@@ -44,7 +44,10 @@
                      agent->settings.endpoint, "endpoint is %s",
                      up ? "up" : "down");
           if (!up)
-            ctr_add (CTR_ENDPOINT_CRASHES, 1);
+            {
+              ctr_add (CTR_ENDPOINT_CRASHES, 1);
+              agent_order_crashed (agent);
+            }
           agent_report (agent, 0);
         }
       g_usleep (PROBE_PERIOD_US);
--- a/src/agent_work.c
+++ b/src/agent_work.c
@@ -44,6 +44,7 @@
   msg.u.data.bytes.p = data;
   msg.u.data.bytes.n = size;
   net_send (job->agent->net, job->peer, &msg, NULL);
+  agent_order_count_usage (job->agent, data, size);
   return g_atomic_int_get (&job->cancelled);
 }
 
--- a/src/msg.c
+++ b/src/msg.c
@@ -33,7 +33,7 @@
 enum
 {
   HEADER_FIELDS = 2, /* version and type */
-  FIELDS_MAX = 18
+  FIELDS_MAX = 21
 };
 
 /* First bytes of msgpack objects.  */
@@ -80,7 +80,11 @@
         N (report.zone),           U (report.role),
         U (report.running),        U (report.queued),
         U (report.prompt_tokens),  U (report.capacity),
-        U (report.cfg_generation), U (report.fence) };
+        U (report.cfg_generation), U (report.fence),
+        B (report.known, 2),       B (report.drain, 2),
+        B (report.withdraw, 2),    N (report.model),
+        N (report.version),        U (report.prompt_done),
+        U (report.output_done) };
 
 static const struct field call_fields[] = {
   I (call.call),         I (call.attempt),         U (call.incarnation),
