Hold the authority of shards in the entry and give orders

Nothing gave orders to engines. One thread in each entry is a candidate for the authority of each zone that a runner reports. As the holder it compares the target of each runner (configuration, and role planning where the rates of an engine could be measured) with the state reported and sends ORDER when they differ. One engine of a shard is in change at a time. The rates come from samples with full engines, so there is no planning before such samples.

--- a/src/agent_order.c
+++ b/src/agent_order.c
@@ -94,8 +94,6 @@
              names[state], err->text[0] != '\0' ? ": " : "", err->text);
 }
 
-/* The REPORT goes out first, so that an entry never takes a report from before
-   the change for a newer one.  */
 static void
 answer (struct agent_orders *orders, const struct eng_action *action)
 {
@@ -104,9 +102,9 @@
   count_answer (orders, action->state, &action->order, &action->err);
   if (peer == NULL)
     return;
-  if (action->state == MSG_ORDER_REACHED)
-    agent_report (orders->agent, *peer);
   send_ordered (orders, *peer, action->order.id, action->state, &action->err);
+  if (action->state == MSG_ORDER_REACHED)
+    agent_report (orders->agent, 0);
   if (action->state != MSG_ORDER_ACCEPTED)
     g_hash_table_remove (orders->senders, &action->order.id);
 }
--- a/src/entry.h
+++ b/src/entry.h
@@ -35,6 +35,7 @@
   char admin[SET_TEXT_MAX];  /* operators and peers */
   char kv[SET_TEXT_MAX];
   char log_level[SET_TEXT_MAX];
+  char role_planning[SET_TEXT_MAX]; /* "on" or "off" */
   int64_t drain_limit_s;
   int64_t deadline_ms; /* of a request that names none */
   int64_t workers;
@@ -133,6 +134,7 @@
   gint stopping;
   gint draining;
   struct entry_config *config;
+  struct entry_control *control;
 
   pthread_mutex_t lock; /* guards what follows */
   GPtrArray *runners;   /* struct entry_runner */
@@ -210,6 +212,23 @@
    by cfg_snapshot_unref.  Safe from any thread, under any lock.  */
 struct cfg_snapshot *entry_config_get (struct entry *entry);
 
+/* entry_control.c: opened before the network, started after it; stopped
+   before the network closes.  The thread ends when the entry drains and then
+   gives up every authority.  */
+void entry_control_open (struct entry *entry);
+int entry_control_start (struct entry *entry, struct err *err);
+void entry_control_stop (struct entry *entry);
+void entry_control_close (struct entry *entry);
+
+void entry_control_report (struct entry *entry, uint64_t peer,
+                           const struct msg_report *report);
+void entry_control_ordered (struct entry *entry,
+                            const struct msg_ordered *ordered);
+
+/* Returns the shards with the state and token of this entry, as JSON text that
+   the caller frees by g_free.  */
+char *entry_control_page (struct entry *entry);
+
 /* entry_net.c */
 extern const struct net_ops entry_net_ops;
 
--- /dev/null
+++ b/src/entry_control.h
@@ -0,0 +1,103 @@
+#ifndef ENTRY_CONTROL_H
+#define ENTRY_CONTROL_H
+
+/*
+ * Private to entry_control*.c: the authority over shards and the orders that
+ * its holder gives.  A shard is the runners of one zone.
+ */
+
+#include "entry.h"
+#include "goldcresthatch/auth.h"
+#include "goldcresthatch/eng.h"
+#include "goldcresthatch/role.h"
+
+enum
+{
+  /* Three intervals of REPORT; a runner silent for longer gets no order.  */
+  CONTROL_SILENCE_US = 6 * G_USEC_PER_SEC
+};
+
+/* A runner by its reports, and the order that this entry gave it last.  */
+struct control_runner
+{
+  char name[MSG_NAME_MAX + 1];
+  char zone[MSG_NAME_MAX + 1];
+  char service[MSG_NAME_MAX + 1];
+  uint64_t peer;
+  uint64_t incarnation;
+  enum msg_agent_state state;
+  int endpoint_up;
+  int known; /* ACTUAL was read from the runner */
+  struct eng_target actual;
+  gint64 reported_us;
+
+  uint64_t running;
+  uint64_t queued;
+  uint64_t capacity;
+  uint64_t prompt_done; /* tokens served by this incarnation */
+  uint64_t output_done;
+  uint64_t prompt_counted; /* of these, tokens in the demand already */
+  uint64_t output_counted;
+
+  int has_role; /* ROLE was planned by this holder */
+  enum eng_role role;
+
+  int ordered; /* an order is outstanding */
+  int accepted;
+  struct msg_id order;
+  struct eng_target target;
+  uint64_t token;
+  enum eng_role from; /* role before the order */
+  gint64 first_us;    /* ORDER was sent for the first time */
+  gint64 sent_us;     /* and for the last time */
+  gint64 next_us;     /* earliest time of the next new order */
+  gint64 backoff_us;  /* after the next refusal */
+};
+
+struct control_shard
+{
+  char zone[MSG_NAME_MAX + 1];
+  struct auth auth;
+  GHashTable *plans; /* struct control_plan by model */
+  gint64 planned_us;
+};
+
+struct entry_control
+{
+  struct entry *entry;
+  pthread_t thread;
+
+  pthread_mutex_t lock; /* a leaf; guards what follows */
+  GHashTable *runners;  /* struct control_runner by name */
+  GPtrArray *shards;    /* struct control_shard, never removed */
+};
+
+/* Returns nonzero when RUNNER belongs to SHARD and may be given orders.  */
+int control_fresh (const struct control_runner *runner,
+                   const struct control_shard *shard, gint64 now_us);
+
+/* Returns nonzero while the engine of RUNNER is, or may be, in a change of
+   role, model or version.  */
+int control_changing (const struct control_runner *runner, gint64 now_us);
+
+/* entry_control_order.c: with the lock held, as the holder of SHARD with
+   TOKEN.  */
+void control_direct (struct entry_control *control,
+                     struct control_shard *shard, uint64_t token);
+
+/* Takes in an ORDERED; the lock is held.  */
+void control_ordered (struct entry_control *control,
+                      const struct msg_ordered *ordered);
+
+/* Forgets orders and plans of a shard whose authority was lost; the lock is
+   held.  */
+void control_forget (struct entry_control *control,
+                     struct control_shard *shard);
+
+/* entry_control_plan.c: plans at most one role for the runners of SHARD; the
+   lock is held.  */
+void control_plan_roles (struct entry_control *control,
+                         struct control_shard *shard, double change_cost_s);
+void control_plan_free (gpointer plan);
+
+#endif
--- /dev/null
+++ b/src/entry_control_order.c
@@ -0,0 +1,256 @@
+#include "entry_control.h"
+
+#include <string.h>
+
+#include "goldcresthatch/ctr.h"
+#include "goldcresthatch/log.h"
+
+enum
+{
+  ORDER_SILENCE_US = 2 * G_USEC_PER_SEC, /* until an unanswered order is sent
+                                            again */
+  /* An accepted order is sent again too, as its last answer may be lost.  */
+  ORDER_REPEAT_US = 10 * G_USEC_PER_SEC,
+  ORDER_BACKOFF_MIN_US = 500 * 1000,
+  ORDER_BACKOFF_MAX_US = 8 * G_USEC_PER_SEC,
+  /* An engine that is down for so long during a change holds up no other.  */
+  ORDER_DOWN_US = 60 * G_USEC_PER_SEC
+};
+
+/* Compares what takes an engine out of service.  */
+static int
+same_engine (const struct eng_target *a, const struct eng_target *b)
+{
+  return a->role == b->role && strcmp (a->model, b->model) == 0
+         && strcmp (a->version, b->version) == 0;
+}
+
+int
+control_changing (const struct control_runner *runner, gint64 now_us)
+{
+  if (!runner->endpoint_up
+      && (!runner->ordered || now_us - runner->first_us > ORDER_DOWN_US))
+    return 0;
+  if (runner->ordered && !same_engine (&runner->target, &runner->actual))
+    return 1;
+  /* An order of this holder or one before it is under way.  */
+  return runner->state == MSG_AGENT_DRAINING && !runner->actual.drain
+         && !runner->actual.withdraw;
+}
+
+/* Returns nonzero when an engine of SHARD other than RUNNER is in change.  */
+static int
+other_changing (struct entry_control *control,
+                const struct control_shard *shard,
+                const struct control_runner *runner, gint64 now_us)
+{
+  struct control_runner *other;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, control->runners);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      other = value;
+      if (other != runner && control_fresh (other, shard, now_us)
+          && control_changing (other, now_us))
+        return 1;
+    }
+  return 0;
+}
+
+static void
+find_target (const struct cfg_snapshot *snap,
+             const struct control_runner *runner, struct eng_target *target)
+{
+  const struct cfg_runner *rules = cfg_runner_find (snap, runner->name);
+  const struct cfg_model *model = cfg_model_find (snap, runner->service);
+
+  *target = runner->actual;
+  target->drain = rules != NULL && rules->drain;
+  target->withdraw = rules != NULL && rules->withdraw;
+  if (model == NULL)
+    return;
+  g_strlcpy (target->model, model->name, sizeof target->model);
+  g_strlcpy (target->version, model->version, sizeof target->version);
+  if (runner->has_role)
+    target->role = runner->role;
+}
+
+static void
+send_order (struct entry_control *control, const struct control_shard *shard,
+            struct control_runner *runner, gint64 now_us)
+{
+  struct msg msg = { .type = MSG_ORDER };
+
+  msg.u.order.shard = msg_text (shard->zone);
+  msg.u.order.fence = runner->token;
+  msg.u.order.order = runner->order;
+  msg.u.order.role = runner->target.role;
+  msg.u.order.drain = (uint64_t)runner->target.drain;
+  msg.u.order.withdraw = (uint64_t)runner->target.withdraw;
+  msg.u.order.model = msg_text (runner->target.model);
+  msg.u.order.version = msg_text (runner->target.version);
+  runner->sent_us = now_us;
+  net_send (control->entry->net, runner->peer, &msg, NULL);
+}
+
+static void
+new_order (struct control_runner *runner, const struct eng_target *target,
+           uint64_t token, gint64 now_us)
+{
+  runner->ordered = 1;
+  runner->accepted = 0;
+  runner->order = msg_id_new ();
+  runner->target = *target;
+  runner->token = token;
+  runner->from = runner->actual.role;
+  runner->first_us = now_us;
+}
+
+static void
+on_accepted (struct control_runner *runner)
+{
+  if (!runner->accepted)
+    ctr_add (CTR_ORDERS_ACCEPTED, 1);
+  runner->accepted = 1;
+}
+
+static void
+on_reached (struct control_runner *runner)
+{
+  on_accepted (runner);
+  if (runner->from != runner->target.role)
+    ctr_add (CTR_ROLE_CHANGES, 1);
+  runner->actual = runner->target;
+  runner->ordered = 0;
+  runner->backoff_us = 0;
+  runner->next_us = 0;
+}
+
+static void
+direct_runner (struct entry_control *control, struct control_shard *shard,
+               struct control_runner *runner, const struct cfg_snapshot *snap,
+               uint64_t token, gint64 now_us)
+{
+  struct eng_target target;
+
+  find_target (snap, runner, &target);
+  if (eng_target_equal (&target, &runner->actual))
+    {
+      if (runner->ordered && eng_target_equal (&target, &runner->target))
+        on_reached (runner);
+      runner->ordered = 0;
+      return;
+    }
+  if (runner->ordered && runner->token == token
+      && eng_target_equal (&target, &runner->target))
+    {
+      if (now_us - runner->sent_us
+          >= (runner->accepted ? ORDER_REPEAT_US : ORDER_SILENCE_US))
+        send_order (control, shard, runner, now_us);
+      return;
+    }
+  if (now_us < runner->next_us || !runner->endpoint_up)
+    return;
+  if (!same_engine (&target, &runner->actual)
+      && other_changing (control, shard, runner, now_us))
+    return;
+  new_order (runner, &target, token, now_us);
+  send_order (control, shard, runner, now_us);
+}
+
+void
+control_direct (struct entry_control *control, struct control_shard *shard,
+                uint64_t token)
+{
+  struct cfg_snapshot *snap = entry_config_get (control->entry);
+  gint64 now_us = g_get_monotonic_time ();
+  GHashTableIter iter;
+  gpointer value;
+
+  if (strcmp (control->entry->settings.role_planning, "on") == 0)
+    control_plan_roles (control, shard, snap->site.role_change_cost_s);
+  g_hash_table_iter_init (&iter, control->runners);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (control_fresh (value, shard, now_us))
+      direct_runner (control, shard, value, snap, token, now_us);
+  cfg_snapshot_unref (snap);
+}
+
+static struct control_runner *
+find_order (struct entry_control *control, struct msg_id order)
+{
+  struct control_runner *runner;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, control->runners);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      runner = value;
+      if (runner->ordered && msg_id_equal (runner->order, order))
+        return runner;
+    }
+  return NULL;
+}
+
+/* Waits longer after each order in a row that was refused or failed.  */
+static void
+on_declined (struct control_runner *runner, const struct msg_ordered *ordered)
+{
+  char text[ERR_TEXT_MAX];
+
+  if (ordered->state == MSG_ORDER_REFUSED)
+    ctr_add (CTR_ORDERS_REFUSED, 1);
+  msg_str_copy (text, sizeof text, ordered->text);
+  log_write (LOG_LEVEL_WARN, NULL, "order", runner->name, "order %s: %s",
+             ordered->state == MSG_ORDER_REFUSED ? "refused" : "failed", text);
+  runner->ordered = 0;
+  runner->backoff_us = CLAMP (runner->backoff_us * 2, ORDER_BACKOFF_MIN_US,
+                              ORDER_BACKOFF_MAX_US);
+  runner->next_us = g_get_monotonic_time () + runner->backoff_us;
+}
+
+void
+control_ordered (struct entry_control *control,
+                 const struct msg_ordered *ordered)
+{
+  struct control_runner *runner = find_order (control, ordered->order);
+
+  if (runner == NULL)
+    return;
+  switch ((enum msg_order_state)ordered->state)
+    {
+    case MSG_ORDER_ACCEPTED:
+      on_accepted (runner);
+      return;
+    case MSG_ORDER_REACHED:
+      on_reached (runner);
+      return;
+    default:
+      on_declined (runner, ordered);
+      return;
+    }
+}
+
+void
+control_forget (struct entry_control *control, struct control_shard *shard)
+{
+  struct control_runner *runner;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, control->runners);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      runner = value;
+      if (strcmp (runner->zone, shard->zone) != 0)
+        continue;
+      runner->ordered = 0;
+      runner->has_role = 0;
+      runner->backoff_us = 0;
+      runner->next_us = 0;
+    }
+  g_hash_table_remove_all (shard->plans);
+}
--- /dev/null
+++ b/src/entry_control_plan.c
@@ -0,0 +1,248 @@
+#include "entry_control.h"
+
+#include <string.h>
+
+#include "goldcresthatch/log.h"
+
+enum
+{
+  PLAN_PERIOD_US = 1 * G_USEC_PER_SEC,
+  /* Tokens count when a request ends, so a shorter sample of a runner's rates
+     mostly shows which requests happened to end in it.  */
+  SAMPLE_US = 10 * G_USEC_PER_SEC,
+  SAMPLES_MIN = 6
+};
+
+/* The rates of a runner follow from samples in which it was busy throughout:
+   prefill/P + decode/D = 1 in each, solved for 1/P and 1/D by least squares.
+   Samples of one mix don't determine both, and no role is planned then.  */
+static const double determinant_min = 0.01; /* relative */
+
+static const double us_per_s = 1e6;
+
+struct control_plan
+{
+  struct role_stats stats;
+  struct role_planner planner;
+  gint64 sample_us; /* start of the current sample, 0 before the first */
+  int busy;         /* in the whole of the sample */
+  double prompt;    /* tokens in the sample, all runners */
+  double output;
+  unsigned samples;
+  double pp; /* sums of squares and products of the rates */
+  double pd;
+  double dd;
+  double p;
+  double d;
+};
+
+void
+control_plan_free (gpointer plan)
+{
+  g_free (plan);
+}
+
+static struct control_plan *
+find_plan (struct control_shard *shard, const char *model,
+           double change_cost_s)
+{
+  struct control_plan *plan = g_hash_table_lookup (shard->plans, model);
+  struct role_settings settings = role_settings_default ();
+
+  if (plan == NULL)
+    {
+      plan = g_new0 (struct control_plan, 1);
+      settings.role_change_cost_s = change_cost_s;
+      role_stats_init (&plan->stats);
+      role_planner_init (&plan->planner, &settings);
+      g_hash_table_insert (shard->plans, g_strdup (model), plan);
+    }
+  plan->planner.settings.role_change_cost_s = change_cost_s;
+  return plan;
+}
+
+/* Lists the engines of SHARD that serve MODEL.  */
+static GPtrArray *
+list_runners (struct entry_control *control, struct control_shard *shard,
+              const char *model, gint64 now_us)
+{
+  GPtrArray *list = g_ptr_array_new ();
+  struct control_runner *runner;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, control->runners);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      runner = value;
+      if (control_fresh (runner, shard, now_us)
+          && strcmp (runner->service, model) == 0)
+        g_ptr_array_add (list, runner);
+    }
+  return list;
+}
+
+/* Takes the tokens that RUNNERS served since the last call.  */
+static void
+take_demand (struct control_plan *plan, GPtrArray *runners, gint64 now_us)
+{
+  struct control_runner *runner;
+  double prompt = 0;
+  double output = 0;
+  guint i;
+
+  for (i = 0; i < runners->len; i++)
+    {
+      runner = g_ptr_array_index (runners, i);
+      prompt += (double)(runner->prompt_done - runner->prompt_counted);
+      output += (double)(runner->output_done - runner->output_counted);
+      runner->prompt_counted = runner->prompt_done;
+      runner->output_counted = runner->output_done;
+      plan->busy = plan->busy && runner->endpoint_up
+                   && runner->state == MSG_AGENT_SERVING
+                   && runner->running >= runner->capacity;
+    }
+  role_stats_add (&plan->stats, now_us, prompt, output);
+  plan->prompt += prompt;
+  plan->output += output;
+}
+
+/* Ends a sample of the mean rates of RUNNERS runners.  */
+static void
+end_sample (struct control_plan *plan, guint runners, gint64 now_us)
+{
+  double span_s = (double)(now_us - plan->sample_us) / us_per_s;
+  double p;
+  double d;
+
+  if (now_us - plan->sample_us < SAMPLE_US)
+    return;
+  if (plan->sample_us != 0 && plan->busy && runners > 0)
+    {
+      p = plan->prompt / span_s / runners;
+      d = plan->output / span_s / runners;
+      plan->pp += p * p;
+      plan->pd += p * d;
+      plan->dd += d * d;
+      plan->p += p;
+      plan->d += d;
+      plan->samples++;
+    }
+  plan->sample_us = now_us;
+  plan->busy = 1;
+  plan->prompt = 0;
+  plan->output = 0;
+}
+
+/* Solves for the rates of one runner.  Returns 0 when the samples don't
+   determine them.  */
+static int
+find_rates (const struct control_plan *plan, double *prefill, double *decode)
+{
+  double det = plan->pp * plan->dd - plan->pd * plan->pd;
+  double a;
+  double b;
+
+  if (plan->samples < SAMPLES_MIN
+      || !(det > determinant_min * plan->pp * plan->dd))
+    return 0;
+  a = (plan->p * plan->dd - plan->d * plan->pd) / det;
+  b = (plan->d * plan->pp - plan->p * plan->pd) / det;
+  if (!(a > 0) || !(b > 0))
+    return 0;
+  *prefill = 1 / a;
+  *decode = 1 / b;
+  return 1;
+}
+
+static void
+plan_model (struct control_plan *plan, const char *model, GPtrArray *runners,
+            gint64 now_us)
+{
+  struct role_runner *list = g_new0 (struct role_runner, runners->len + 1);
+  struct control_runner *runner;
+  struct role_change change;
+  double prefill;
+  double decode;
+  guint i;
+
+  if (!find_rates (plan, &prefill, &decode))
+    goto out;
+  for (i = 0; i < runners->len; i++)
+    {
+      runner = g_ptr_array_index (runners, i);
+      list[i].handle = i;
+      list[i].role = runner->has_role ? runner->role : runner->actual.role;
+      list[i].usable
+          = runner->endpoint_up && runner->state == MSG_AGENT_SERVING;
+      list[i].changing = control_changing (runner, now_us)
+                         || list[i].role != runner->actual.role;
+      list[i].prefill_rate = prefill;
+      list[i].decode_rate = decode;
+      if (runner->capacity > 0)
+        list[i].load
+            = MIN (1, (double)runner->running / (double)runner->capacity);
+    }
+  if (role_plan (&plan->planner, now_us, &plan->stats, list, runners->len,
+                 &change))
+    {
+      runner = g_ptr_array_index (runners, change.handle);
+      runner->has_role = 1;
+      runner->role = change.to;
+      log_write (LOG_LEVEL_INFO, NULL, "plan", runner->name,
+                 "role %s for %s: gain %.1f s, cost %.1f s",
+                 eng_role_name (change.to), model, change.gain_s,
+                 change.cost_s);
+    }
+out:
+  g_free (list);
+}
+
+/* Returns the models that engines of SHARD serve, as a set.  */
+static GHashTable *
+list_models (struct entry_control *control, struct control_shard *shard,
+             gint64 now_us)
+{
+  GHashTable *models = g_hash_table_new (g_str_hash, g_str_equal);
+  struct control_runner *runner;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, control->runners);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      runner = value;
+      if (control_fresh (runner, shard, now_us)
+          && runner->actual.model[0] != '\0')
+        g_hash_table_add (models, runner->service);
+    }
+  return models;
+}
+
+void
+control_plan_roles (struct entry_control *control, struct control_shard *shard,
+                    double change_cost_s)
+{
+  gint64 now_us = g_get_monotonic_time ();
+  struct control_plan *plan;
+  GHashTable *models;
+  GPtrArray *runners;
+  GHashTableIter iter;
+  gpointer model;
+
+  if (now_us - shard->planned_us < PLAN_PERIOD_US)
+    return;
+  shard->planned_us = now_us;
+  models = list_models (control, shard, now_us);
+  g_hash_table_iter_init (&iter, models);
+  while (g_hash_table_iter_next (&iter, &model, NULL))
+    {
+      plan = find_plan (shard, model, change_cost_s);
+      runners = list_runners (control, shard, model, now_us);
+      take_demand (plan, runners, now_us);
+      end_sample (plan, runners->len, now_us);
+      plan_model (plan, model, runners, now_us);
+      g_ptr_array_free (runners, TRUE);
+    }
+  g_hash_table_destroy (models);
+}
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -346,6 +346,14 @@
           connection, ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
           text_response ("text/plain", ready ? "ready\n" : "draining\n"));
     }
+  if (strcmp (url, "/admin/authority") == 0)
+    {
+      char *json = entry_control_page (entry);
+
+      response = text_response ("application/json", json);
+      g_free (json);
+      return send_response (connection, MHD_HTTP_OK, response);
+    }
   text = g_string_new (NULL);
   ctr_render (text);
   response = text_response ("text/plain; version=0.0.4", text->str);
@@ -357,7 +365,8 @@
 is_page (const char *url)
 {
   return strcmp (url, "/healthz") == 0 || strcmp (url, "/readyz") == 0
-         || strcmp (url, "/metrics") == 0;
+         || strcmp (url, "/metrics") == 0
+         || strcmp (url, "/admin/authority") == 0;
 }
 
 static struct entry_call *
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -29,6 +29,7 @@
   MEMBER (kv, SET_ADDRESS, .required = 1),
   MEMBER (log_level, SET_TEXT, .text = "info",
           .words = "error|warn|info|debug"),
+  MEMBER (role_planning, SET_TEXT, .text = "on", .words = "on|off"),
   MEMBER (drain_limit_s, SET_NUMBER, .number = 60, .min = 1, .max = 3600),
   MEMBER (deadline_ms, SET_NUMBER, .number = 60000, .min = 1, .max = 3600000),
   MEMBER (workers, SET_NUMBER, .number = 16, .min = 1, .max = 256),
@@ -73,6 +74,7 @@
   entry->runners = g_ptr_array_new_with_free_func (g_free);
   entry->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                         (GDestroyNotify)entry_call_unref);
+  entry_control_open (entry);
   if (entry_config_open (entry, err) != 0)
     return -1;
   entry->kv = kv_http_open (entry->settings.kv, KV_TIMEOUT_S, err);
@@ -86,6 +88,8 @@
   if (pthread_create (&entry->lister, NULL, entry_fleet_main, entry) != 0
       || pthread_create (&entry->ticker, NULL, tick_main, entry) != 0)
     return err_set (err, ERR_LIMIT, "thread", NULL, "cannot start a thread");
+  if (entry_control_start (entry, err) != 0)
+    return -1;
   return entry_http_open (entry, err);
 }
 
@@ -126,7 +130,9 @@
   g_atomic_int_set (&entry->stopping, 1);
   pthread_join (entry->ticker, NULL);
   pthread_join (entry->lister, NULL);
+  entry_control_stop (entry);
   net_close (entry->net);
+  entry_control_close (entry);
   kv_http_close (entry->kv);
   entry_config_close (entry);
   g_hash_table_destroy (entry->calls);
--- a/src/entry_net.c
+++ b/src/entry_net.c
@@ -38,6 +38,7 @@
 on_report (struct entry *entry, uint64_t peer, const struct msg *msg)
 {
   entry_fleet_report (entry, peer, &msg->u.report);
+  entry_control_report (entry, peer, &msg->u.report);
 }
 
 static void
@@ -99,13 +100,19 @@
   put_call (call);
 }
 
+static void
+on_ordered (struct entry *entry, uint64_t peer, const struct msg *msg)
+{
+  (void)peer;
+  entry_control_ordered (entry, &msg->u.ordered);
+}
+
 static void (*const handlers[MSG_TYPE_MAX]) (struct entry *, uint64_t,
                                              const struct msg *)
     = {
-        [MSG_REPORT] = on_report,
-        [MSG_HEAD] = on_head,
-        [MSG_DATA] = on_data,
-        [MSG_END] = on_end,
+        [MSG_REPORT] = on_report,   [MSG_HEAD] = on_head,
+        [MSG_DATA] = on_data,       [MSG_END] = on_end,
+        [MSG_ORDERED] = on_ordered,
       };
 
 static void
