--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -133,8 +133,8 @@
   entry_control_stop (entry);
   net_close (entry->net);
   entry_control_close (entry);
-  kv_http_close (entry->kv);
   entry_config_close (entry);
+  kv_http_close (entry->kv);
   g_hash_table_destroy (entry->calls);
   g_ptr_array_free (entry->runners, TRUE);
 }
