--- a/src/entry_control_order.c
+++ b/src/entry_control_order.c
@@ -157,6 +157,8 @@
       && other_changing (control, shard, runner, now_us))
     return;
   new_order (runner, &target, token, now_us);
+  log_write (LOG_LEVEL_INFO, NULL, "order", runner->name,
+             "sends an order with token %llu", (unsigned long long)token);
   send_order (control, shard, runner, now_us);
 }
 
--- a/tests/standin_runner.c
+++ b/tests/standin_runner.c
@@ -6,6 +6,7 @@
    progress, and GET /test/log lists every order that was applied.  With
    --ignore-token an order with an old fencing token is applied all the same.
 
+   POST /test/hold?on=1 keeps orders in progress until on=0 or a crash.
    POST /test/crash ends every request without a whole answer and keeps the
    engine down for --restart-ms; so does a prompt that contains --crash-text.
    */
@@ -40,6 +41,7 @@
 static char *model;
 static char *version;
 static int orders_in_progress;
+static int orders_held;
 static int orders_conflicting;
 static struct json_object *order_log;
 
@@ -276,6 +278,28 @@
   json_object_array_add (order_log, json_object_get (order));
 }
 
+static int
+is_held (guint64 epoch)
+{
+  int held;
+
+  g_mutex_lock (&lock);
+  held = orders_held && epoch == crash_epoch;
+  g_mutex_unlock (&lock);
+  return held;
+}
+
+static enum MHD_Result
+hold_orders (struct standin_request *request)
+{
+  const char *on = standin_argument (request, "on");
+
+  g_mutex_lock (&lock);
+  orders_held = on != NULL && atoi (on) != 0;
+  g_mutex_unlock (&lock);
+  return standin_send (request->connection, MHD_HTTP_OK, "{}\n");
+}
+
 static enum MHD_Result
 carry_out_order (struct standin_request *request)
 {
@@ -303,7 +327,9 @@
       return standin_send (request->connection, MHD_HTTP_CONFLICT,
                            "{\"error\":\"old fencing token\"}\n");
     }
-  g_usleep ((gulong)order_ms * 1000);
+  do
+    g_usleep ((gulong)order_ms * 1000);
+  while (is_held (epoch));
   g_mutex_lock (&lock);
   lost = epoch != crash_epoch;
   if (!lost)
@@ -373,6 +399,7 @@
   { "/orders", carry_out_order, 0 },
   { "/test/log", send_log, 1 },
   { "/test/crash", crash_now, 1 },
+  { "/test/hold", hold_orders, 1 },
 };
 
 static enum MHD_Result
