--- a/src/agent_order.c
+++ b/src/agent_order.c
@@ -157,6 +157,21 @@
          || target->version[0] != '\0';
 }
 
+/* Returns nonzero when ORDER was sent again while its read is awaited.  The
+   aggregate would refuse the repetition as another order.  */
+static int
+is_repeated (struct agent_orders *orders, const struct eng_order *order)
+{
+  int repeated;
+
+  pthread_mutex_lock (&orders->lock);
+  repeated = (orders->eng.state == ENG_CHECKING
+              || orders->eng.state == ENG_REPLACING)
+             && msg_id_equal (orders->eng.arrived.id, order->id);
+  pthread_mutex_unlock (&orders->lock);
+  return repeated;
+}
+
 static void
 take_event (struct agent_orders *orders, struct agent_order_event *event)
 {
@@ -176,6 +191,8 @@
                     &err);
       return;
     }
+  if (is_repeated (orders, &event->order))
+    return;
   event->event.order = &event->order;
   g_hash_table_insert (orders->senders,
                        g_memdup2 (&event->order.id, sizeof event->order.id),
