--- a/src/entry_control.h
+++ b/src/entry_control.h
@@ -97,7 +97,8 @@
 /* entry_control_plan.c: plans at most one role for the runners of SHARD; the
    lock is held.  */
 void control_plan_roles (struct entry_control *control,
-                         struct control_shard *shard, double change_cost_s);
+                         struct control_shard *shard, double change_cost_s,
+                         gint64 now_us);
 void control_plan_free (gpointer plan);
 
 #endif
--- a/src/entry_control_order.c
+++ b/src/entry_control_order.c
@@ -172,7 +172,7 @@
   gpointer value;
 
   if (strcmp (control->entry->settings.role_planning, "on") == 0)
-    control_plan_roles (control, shard, snap->site.role_change_cost_s);
+    control_plan_roles (control, shard, snap->site.role_change_cost_s, now_us);
   g_hash_table_iter_init (&iter, control->runners);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (control_fresh (value, shard, now_us))
--- a/src/entry_control_plan.c
+++ b/src/entry_control_plan.c
@@ -221,9 +221,8 @@
 
 void
 control_plan_roles (struct entry_control *control, struct control_shard *shard,
-                    double change_cost_s)
+                    double change_cost_s, gint64 now_us)
 {
-  gint64 now_us = g_get_monotonic_time ();
   struct control_plan *plan;
   GHashTable *models;
   GPtrArray *runners;
