Let a graceful stop of the agent wait for the order in progress

The shutdown counted an order only while its request was at the engine, so one that was drained a moment later went out after the count and held up the exit. Every accepted order counts now, and a leaving agent refuses new ones.

--- a/src/agent.h
+++ b/src/agent.h
@@ -126,7 +126,8 @@
 /* The health check found the runner down.  */
 void agent_order_crashed (struct agent *agent);
 
-/* Returns the number of orders that the engine is carrying out.  */
+/* Returns the number of accepted orders in progress, which a graceful shutdown
+   waits for.  One whose engine is down does not count.  */
 unsigned agent_order_busy (struct agent *agent);
 
 /* Adds the tokens of the usage record in a piece of an engine's answer, if it
--- a/src/agent_main.c
+++ b/src/agent_main.c
@@ -181,8 +181,8 @@
   cut = agent_drain (&agent);
   if (cut > 0)
     {
-      log_write (LOG_LEVEL_ERROR, NULL, "stop", NULL, "%u calls were cut",
-                 cut);
+      log_write (LOG_LEVEL_ERROR, NULL, "stop", NULL,
+                 "%u calls or orders were cut", cut);
       _exit (EXIT_FAILURE);
     }
   agent_close (&agent);
--- a/src/agent_order.c
+++ b/src/agent_order.c
@@ -172,9 +172,27 @@
   return repeated;
 }
 
+/* Returns why ORDER must not reach the aggregate, or null.  */
+static const char *
+refuse_order (struct agent_orders *orders, const struct eng_order *order)
+{
+  struct agent *agent = orders->agent;
+  enum msg_agent_state state;
+
+  pthread_mutex_lock (&agent->lock);
+  state = agent->state;
+  pthread_mutex_unlock (&agent->lock);
+  if (state == MSG_AGENT_LEAVING)
+    return "the agent is leaving";
+  if (!agent_order_is_engine (orders) && needs_engine (&order->target))
+    return "a plain service takes drain and withdraw only";
+  return NULL;
+}
+
 static void
 take_event (struct agent_orders *orders, struct agent_order_event *event)
 {
+  const char *fault;
   struct err err = { 0 };
 
   if (event->event.kind != ENG_EV_ORDER)
@@ -182,10 +200,11 @@
       handle (orders, &event->event);
       return;
     }
-  if (!agent_order_is_engine (orders) && needs_engine (&event->order.target))
+  fault = refuse_order (orders, &event->order);
+  if (fault != NULL)
     {
-      err_set (&err, ERR_INVALID, "engine-order", event->order.shard,
-               "a plain service takes drain and withdraw only");
+      err_set (&err, ERR_REFUSED, "engine-order", event->order.shard, "%s",
+               fault);
       count_answer (orders, MSG_ORDER_REFUSED, &event->order, &err);
       send_ordered (orders, event->peer, event->order.id, MSG_ORDER_REFUSED,
                     &err);
@@ -367,7 +386,7 @@
   unsigned busy;
 
   pthread_mutex_lock (&orders->lock);
-  busy = orders->eng.state == ENG_APPLYING;
+  busy = orders->eng.has_order && orders->eng.state != ENG_QUERYING;
   pthread_mutex_unlock (&orders->lock);
   return busy;
 }
--- a/tests/scripts/agent_restart_in_change.sh
+++ b/tests/scripts/agent_restart_in_change.sh
@@ -1,6 +1,6 @@
 # Guards against an agent that restarts in the middle of an order and admits
-# the next one while the engine still carries out the first.  Runner 1 checks
-# the token, runner 2 doesn't.
+# the next one while the engine still carries out the first, and against a
+# graceful stop that cuts an order.  Runner 1 checks the token, runner 2 doesn't.
 NET=32
 . tests/lib.sh
 . tests/lib_order.sh
@@ -35,3 +35,17 @@
 for i in 1 2; do
   print_orders $i
 done
+
+for i in 1 2; do
+  hold_orders $i 1
+done
+set_config v4
+for i in 1 2; do
+  wait_for "order in progress" state_is $i in_progress 1
+  kill -TERM "${PIDS[agent$i]}"
+  hold_orders $i 0
+  wait "${PIDS[agent$i]}"
+  echo "agent $i exits with $? when stopped"
+  unset "PIDS[agent$i]"
+  state_is $i version v4 && echo "after its order was carried out"
+done
