Hold and spread the configuration in entries and agents

The daemons started with the built-in document and never read another one.

Routes, deadlines and withheld runners follow the document; without services in it the first path segment stays the service.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 comma := ,
 BUILD := build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
-PKGS = libmicrohttpd neon libzmq libsodium json-c liburcu glib-2.0 log4c \
+PKGS = libmicrohttpd neon libzmq libsodium json-c liburcu liburcu-bp glib-2.0 log4c \
 	libxxhash msgpack
 PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
 PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lm
--- a/src/agent.h
+++ b/src/agent.h
@@ -73,6 +73,7 @@
   GHashTable *peers; /* entries by handle: time of the last HELLO */
   unsigned running;
 
+  struct cfg_sync *config;
   pthread_t probe;
   gint stopping;
 };
@@ -95,6 +96,11 @@
 
 void agent_job_unref (struct agent_job *job);
 
+/* agent_config.c: the configuration that the agent holds.  */
+void agent_config_open (struct agent *agent);
+int agent_config_start (struct agent *agent, struct err *err);
+void agent_config_close (struct agent *agent);
+
 /* Thread that checks the endpoint's health.  */
 void *agent_probe_main (void *arg);
 
--- a/src/agent_main.c
+++ b/src/agent_main.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "agent.h"
+#include "cfg_sync.h"
 #include "daemon.h"
 #include "goldcresthatch/log.h"
 #include "http.h"
@@ -90,10 +91,13 @@
   agent->kv = kv_http_open (agent->settings.kv, KV_TIMEOUT_S, err);
   if (agent->kv == NULL)
     return -1;
+  agent_config_open (agent);
   agent->net
       = net_open_agent (agent->settings.listen, &agent_net_ops, agent, err);
   if (agent->net == NULL)
     return -1;
+  if (agent_config_start (agent, err) != 0)
+    return -1;
   if (pthread_create (&agent->probe, NULL, agent_probe_main, agent) != 0)
     return err_set (err, ERR_LIMIT, "thread", NULL, "cannot start a thread");
   return 0;
@@ -134,7 +138,9 @@
   g_atomic_int_set (&agent->stopping, 1);
   pthread_join (agent->probe, NULL);
   g_thread_pool_free (agent->workers, FALSE, TRUE);
+  cfg_sync_stop (agent->config);
   net_close (agent->net);
+  agent_config_close (agent);
   kv_http_close (agent->kv);
   g_hash_table_destroy (agent->jobs);
   g_hash_table_destroy (agent->peers);
--- a/src/agent_net.c
+++ b/src/agent_net.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cfg_sync.h"
 #include "goldcresthatch/ctr.h"
 #include "goldcresthatch/log.h"
 
@@ -31,6 +32,7 @@
   report->incarnation = agent->incarnation;
   report->window = agent_window (agent);
   report->capacity = (uint64_t)agent->settings.capacity;
+  report->cfg_generation = cfg_sync_generation (agent->config);
   pthread_mutex_lock (&agent->lock);
   report->state = agent->state;
   report->endpoint_up = (uint64_t)agent->endpoint_up;
@@ -84,7 +86,7 @@
 {
   gint64 now = g_get_monotonic_time ();
 
-  (void)msg;
+  cfg_sync_heard (agent->config, peer, msg->u.hello.cfg_generation);
   pthread_mutex_lock (&agent->lock);
   g_hash_table_insert (agent->peers, g_memdup2 (&peer, sizeof peer),
                        g_memdup2 (&now, sizeof now));
@@ -139,6 +141,7 @@
   msg.u.end.outcome = outcome;
   msg.u.end.step = msg_text (step);
   msg.u.end.text = msg_text (text);
+  msg.u.end.cfg_generation = cfg_sync_generation (agent->config);
   pthread_mutex_lock (&agent->lock);
   msg.u.end.running = agent->running;
   msg.u.end.queued = g_hash_table_size (agent->jobs) - agent->running;
@@ -202,12 +205,24 @@
   pthread_mutex_unlock (&agent->lock);
 }
 
+static void
+on_cfg_get (struct agent *agent, uint64_t peer, const struct msg *msg)
+{
+  cfg_sync_on_get (agent->config, peer, msg);
+}
+
+static void
+on_cfg_data (struct agent *agent, uint64_t peer, const struct msg *msg)
+{
+  cfg_sync_on_data (agent->config, peer, msg);
+}
+
 static void (*const handlers[MSG_TYPE_MAX]) (struct agent *, uint64_t,
                                              const struct msg *)
     = {
-        [MSG_HELLO] = on_hello,
-        [MSG_CALL] = on_call,
-        [MSG_CANCEL] = on_cancel,
+        [MSG_HELLO] = on_hello,       [MSG_CALL] = on_call,
+        [MSG_CANCEL] = on_cancel,     [MSG_CFG_GET] = on_cfg_get,
+        [MSG_CFG_DATA] = on_cfg_data,
       };
 
 static void
--- /dev/null
+++ b/src/cfg_sync.c
@@ -0,0 +1,427 @@
+#include "cfg_sync.h"
+
+#include <pthread.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu-bp.h>
+
+#include "goldcresthatch/ctr.h"
+#include "goldcresthatch/log.h"
+#include "peer.h"
+
+enum
+{
+  POLL_MIN_US = 2 * G_USEC_PER_SEC,
+  POLL_MAX_US = 10 * G_USEC_PER_SEC, /* keeps the 15 s limit by polls alone */
+  POLL_READS_PER_S = 40,       /* of the whole fleet, below the maximum */
+  START_RETRY_US = 200 * 1000, /* until the first document is settled */
+  ASK_PERIOD_US = 500 * 1000,  /* between two questions to agents */
+  JOBS_MAX = 1024,             /* waiting; the peers ask again */
+  STATUS_OK = 200,
+  STATUS_NO_CONTENT = 204
+};
+
+enum job_kind
+{
+  JOB_GET,
+  JOB_DATA,
+  JOB_STOP
+};
+
+struct job
+{
+  enum job_kind kind;
+  uint64_t peer;
+  uint64_t have;
+  char *text;
+  size_t size;
+};
+
+struct cfg_sync
+{
+  const struct cfg_sync_ops *ops;
+  void *ctx;
+  const struct set_list *peers;
+  struct kv *kv;
+  struct net *net;
+  GAsyncQueue *jobs;
+  pthread_t thread;
+  bool started;
+  gint ready;
+  uint64_t polled_revision;      /* of the value last parsed */
+  struct cfg_snapshot *snapshot; /* published by RCU */
+
+  pthread_mutex_t lock; /* guards what follows */
+  struct cfg_doc *doc;
+  uint64_t generation; /* of the snapshot whose adoption is complete */
+  gint64 asked_us;
+};
+
+static void
+job_free (gpointer data)
+{
+  struct job *job = data;
+
+  g_free (job->text);
+  g_free (job);
+}
+
+struct cfg_sync *
+cfg_sync_open (const struct cfg_sync_ops *ops, void *ctx,
+               const struct set_list *peers)
+{
+  struct cfg_sync *sync = g_new0 (struct cfg_sync, 1);
+
+  sync->ops = ops;
+  sync->ctx = ctx;
+  sync->peers = peers;
+  sync->jobs = g_async_queue_new_full (job_free);
+  pthread_mutex_init (&sync->lock, NULL);
+  sync->doc = cfg_default ();
+  sync->snapshot = cfg_snapshot_new (sync->doc);
+  return sync;
+}
+
+uint64_t
+cfg_sync_generation (struct cfg_sync *sync)
+{
+  uint64_t generation;
+
+  pthread_mutex_lock (&sync->lock);
+  generation = sync->generation;
+  pthread_mutex_unlock (&sync->lock);
+  return generation;
+}
+
+bool
+cfg_sync_ready (struct cfg_sync *sync)
+{
+  return g_atomic_int_get (&sync->ready) != 0;
+}
+
+struct cfg_snapshot *
+cfg_sync_snapshot (struct cfg_sync *sync)
+{
+  struct cfg_snapshot *snap;
+
+  rcu_read_lock ();
+  snap = cfg_snapshot_ref (rcu_dereference (sync->snapshot));
+  rcu_read_unlock ();
+  return snap;
+}
+
+char *
+cfg_sync_delta (struct cfg_sync *sync, uint64_t have, uint64_t *generation)
+{
+  char *text = NULL;
+
+  pthread_mutex_lock (&sync->lock);
+  *generation = sync->generation;
+  if (have < sync->generation)
+    text = cfg_delta (sync->doc, have);
+  pthread_mutex_unlock (&sync->lock);
+  return text;
+}
+
+/* Publishes the snapshot of the document just adopted.  Runs on the thread of
+   SYNC, the only one that replaces the document.  */
+static void
+publish (struct cfg_sync *sync, const char *source)
+{
+  struct cfg_snapshot *snap;
+  struct cfg_snapshot *old;
+
+  pthread_mutex_lock (&sync->lock);
+  snap = cfg_snapshot_new (sync->doc);
+  pthread_mutex_unlock (&sync->lock);
+  old = rcu_xchg_pointer (&sync->snapshot, snap);
+  synchronize_rcu ();
+  cfg_snapshot_unref (old);
+  sync->ops->adopted (sync->ctx, snap);
+  pthread_mutex_lock (&sync->lock);
+  sync->generation = snap->generation;
+  pthread_mutex_unlock (&sync->lock);
+  ctr_set (CTR_CFG_GENERATION, (int64_t)snap->generation);
+  log_write (LOG_LEVEL_INFO, NULL, "config", source, "generation %llu adopted",
+             (unsigned long long)snap->generation);
+}
+
+/* Adopts CANDIDATE, which is consumed, when its generation is higher.  */
+static void
+offer (struct cfg_sync *sync, struct cfg_doc *candidate, const char *source)
+{
+  bool adopted;
+
+  pthread_mutex_lock (&sync->lock);
+  adopted = cfg_adopt (&sync->doc, candidate);
+  pthread_mutex_unlock (&sync->lock);
+  if (adopted)
+    publish (sync, source);
+}
+
+/* Adopts the delta TEXT.  Returns 0, or -1 with ERR.  */
+static int
+offer_delta (struct cfg_sync *sync, const char *text, size_t size,
+             const char *source, struct err *err)
+{
+  struct cfg_doc *doc;
+  bool adopted;
+
+  /* Reading a document changes reference counts in it.  */
+  pthread_mutex_lock (&sync->lock);
+  doc = cfg_apply_delta (sync->doc, text, size, err);
+  adopted = doc != NULL && cfg_adopt (&sync->doc, doc);
+  pthread_mutex_unlock (&sync->lock);
+  if (adopted)
+    publish (sync, source);
+  return doc != NULL ? 0 : -1;
+}
+
+/* Reads the service.  Returns 0 when its document, or the absence of one, is
+   known; -1 when the service did not answer or holds an invalid document.  */
+static int
+poll_service (struct cfg_sync *sync)
+{
+  struct kv_value value = { NULL, 0, 0 };
+  struct cfg_doc *doc;
+  struct err err;
+  int rc = kv_get (sync->kv, CFG_KEY, &value, &err);
+
+  if (rc <= 0)
+    return rc;
+  if (value.revision == sync->polled_revision)
+    {
+      kv_value_free (&value);
+      return 0;
+    }
+  doc = cfg_parse (value.data, value.size, CFG_KEY, NULL, &err);
+  if (doc == NULL)
+    {
+      kv_value_free (&value);
+      log_err (LOG_LEVEL_ERROR, NULL, &err);
+      return -1;
+    }
+  sync->polled_revision = value.revision;
+  kv_value_free (&value);
+  offer (sync, doc, "key-value service");
+  return 0;
+}
+
+/* Asks every peer and adopts the highest document once more than half of them
+   are ready and have answered.  Returns 0, or -1 before that.  */
+static int
+ask_peers (struct cfg_sync *sync)
+{
+  uint64_t generations[SET_LIST_MAX];
+  const char *addresses[SET_LIST_MAX];
+  struct cfg_answer answer;
+  size_t answers = 0;
+  GString *body;
+  struct err err;
+  int rc = -1;
+  int best;
+
+  if (sync->peers == NULL)
+    return -1;
+  for (size_t i = 0; i < sync->peers->count; i++)
+    if (peer_config (sync->peers->items[i], UINT64_MAX, NULL, &answer, &err)
+            == STATUS_NO_CONTENT
+        && answer.ready)
+      {
+        generations[answers] = answer.generation;
+        addresses[answers++] = sync->peers->items[i];
+      }
+  best = cfg_majority (generations, answers, sync->peers->count);
+  if (best < 0)
+    return -1;
+  if (generations[best] <= cfg_sync_generation (sync))
+    return 0;
+  body = g_string_new (NULL);
+  if (peer_config (addresses[best], 0, body, &answer, &err) == STATUS_OK
+      && answer.generation >= generations[best]
+      && offer_delta (sync, body->str, body->len, addresses[best], &err) == 0)
+    rc = 0;
+  g_string_free (body, TRUE);
+  return rc;
+}
+
+static void
+send_get (struct cfg_sync *sync, uint64_t peer, uint64_t generation)
+{
+  struct msg msg = { .type = MSG_CFG_GET };
+
+  msg.u.cfg_get.generation = generation;
+  net_send (sync->net, peer, &msg, NULL);
+}
+
+static void
+answer_get (struct cfg_sync *sync, const struct job *job)
+{
+  struct msg msg = { .type = MSG_CFG_DATA };
+  uint64_t generation;
+  char *text = cfg_sync_delta (sync, job->have, &generation);
+
+  if (text == NULL)
+    return;
+  msg.u.cfg_data.generation = generation;
+  msg.u.cfg_data.sections.p = text;
+  msg.u.cfg_data.sections.n = strlen (text);
+  net_send (sync->net, job->peer, &msg, NULL);
+  g_free (text);
+}
+
+static void
+take_data (struct cfg_sync *sync, const struct job *job)
+{
+  struct err err;
+
+  if (job->have <= cfg_sync_generation (sync)
+      || offer_delta (sync, job->text, job->size, "another process", &err)
+             == 0)
+    return;
+  if (err.code == ERR_CONFLICT)
+    send_get (sync, job->peer, 0);
+  else if (err.code != ERR_REFUSED)
+    log_err (LOG_LEVEL_WARN, NULL, &err);
+}
+
+/* Returns the time until the next poll.  */
+static gint64
+poll_interval (struct cfg_sync *sync)
+{
+  gint64 base = (gint64)(sync->ops->fleet_size (sync->ctx) * G_USEC_PER_SEC
+                         / POLL_READS_PER_S);
+
+  base = CLAMP (base, POLL_MIN_US, POLL_MAX_US);
+  base += base / 10 - (gint64)randombytes_uniform ((uint32_t)(base / 5));
+  return CLAMP (base, POLL_MIN_US, POLL_MAX_US);
+}
+
+/* Polls once.  Returns the time until the next poll.  */
+static gint64
+poll_once (struct cfg_sync *sync)
+{
+  int rc = poll_service (sync);
+
+  if (rc != 0 && !cfg_sync_ready (sync))
+    rc = ask_peers (sync);
+  if (rc == 0)
+    g_atomic_int_set (&sync->ready, 1);
+  return cfg_sync_ready (sync) ? poll_interval (sync) : START_RETRY_US;
+}
+
+static void *
+sync_main (void *arg)
+{
+  struct cfg_sync *sync = arg;
+  gint64 next = 0;
+  gint64 now;
+  struct job *job;
+  enum job_kind kind = JOB_GET;
+
+  while (kind != JOB_STOP)
+    {
+      now = g_get_monotonic_time ();
+      if (now >= next)
+        next = g_get_monotonic_time () + poll_once (sync);
+      now = g_get_monotonic_time ();
+      job = g_async_queue_timeout_pop (sync->jobs,
+                                       (guint64)MAX (next - now, 1));
+      if (job == NULL)
+        continue;
+      kind = job->kind;
+      if (kind == JOB_GET)
+        answer_get (sync, job);
+      else if (kind == JOB_DATA)
+        take_data (sync, job);
+      job_free (job);
+    }
+  return NULL;
+}
+
+int
+cfg_sync_start (struct cfg_sync *sync, struct kv *kv, struct net *net,
+                struct err *err)
+{
+  sync->kv = kv;
+  pthread_mutex_lock (&sync->lock);
+  sync->net = net;
+  pthread_mutex_unlock (&sync->lock);
+  if (pthread_create (&sync->thread, NULL, sync_main, sync) != 0)
+    return err_set (err, ERR_LIMIT, "thread", NULL, "cannot start a thread");
+  sync->started = true;
+  return 0;
+}
+
+static void
+push (struct cfg_sync *sync, enum job_kind kind, uint64_t peer, uint64_t have,
+      struct msg_str text)
+{
+  struct job *job;
+
+  if (kind != JOB_STOP && g_async_queue_length (sync->jobs) >= JOBS_MAX)
+    return;
+  job = g_new0 (struct job, 1);
+  job->kind = kind;
+  job->peer = peer;
+  job->have = have;
+  job->text = g_strndup (text.p, text.n);
+  job->size = text.n;
+  g_async_queue_push (sync->jobs, job);
+}
+
+void
+cfg_sync_stop (struct cfg_sync *sync)
+{
+  struct msg_str none = { "", 0 };
+
+  if (!sync->started)
+    return;
+  push (sync, JOB_STOP, 0, 0, none);
+  pthread_join (sync->thread, NULL);
+  sync->started = false;
+}
+
+void
+cfg_sync_close (struct cfg_sync *sync)
+{
+  g_async_queue_unref (sync->jobs);
+  cfg_snapshot_unref (sync->snapshot);
+  cfg_free (sync->doc);
+  pthread_mutex_destroy (&sync->lock);
+  g_free (sync);
+}
+
+void
+cfg_sync_heard (struct cfg_sync *sync, uint64_t peer, uint64_t generation)
+{
+  gint64 now = g_get_monotonic_time ();
+  uint64_t held;
+  bool ask;
+
+  pthread_mutex_lock (&sync->lock);
+  held = sync->generation;
+  ask = generation > held && sync->net != NULL
+        && (sync->asked_us == 0 || now - sync->asked_us >= ASK_PERIOD_US);
+  if (ask)
+    sync->asked_us = now;
+  pthread_mutex_unlock (&sync->lock);
+  if (ask)
+    send_get (sync, peer, held);
+}
+
+void
+cfg_sync_on_get (struct cfg_sync *sync, uint64_t peer, const struct msg *msg)
+{
+  struct msg_str none = { "", 0 };
+
+  push (sync, JOB_GET, peer, msg->u.cfg_get.generation, none);
+}
+
+void
+cfg_sync_on_data (struct cfg_sync *sync, uint64_t peer, const struct msg *msg)
+{
+  push (sync, JOB_DATA, peer, msg->u.cfg_data.generation,
+        msg->u.cfg_data.sections);
+}
--- /dev/null
+++ b/src/cfg_sync.h
@@ -0,0 +1,69 @@
+#ifndef CFG_SYNC_H
+#define CFG_SYNC_H
+
+/*
+ * The configuration held by a daemon: polls the key-value service, exchanges
+ * deltas with other processes and publishes a snapshot.  One thread parses and
+ * adopts, so the network thread never waits for it.
+ *
+ * Lock order: the lock of the document is taken under no other lock, except
+ * for the short reads of entries' admin pages; readers of the snapshot take no
+ * lock.
+ */
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "goldcresthatch/cfg.h"
+#include "goldcresthatch/net.h"
+#include "goldcresthatch/set.h"
+
+struct cfg_sync;
+
+struct cfg_sync_ops
+{
+  /* Returns the number of entries and agents of the fleet.  */
+  size_t (*fleet_size) (void *ctx);
+
+  /* SNAP has been published; it counts as held when this returns.  */
+  void (*adopted) (void *ctx, struct cfg_snapshot *snap);
+};
+
+/* PEERS, which may be null, are the admin addresses asked at a start without
+   the service.  */
+struct cfg_sync *cfg_sync_open (const struct cfg_sync_ops *ops, void *ctx,
+                                const struct set_list *peers);
+
+/* Starts the thread.  Returns 0 or -1.  */
+int cfg_sync_start (struct cfg_sync *sync, struct kv *kv, struct net *net,
+                    struct err *err);
+
+/* Ends the thread; NET and KV are no longer used afterwards.  */
+void cfg_sync_stop (struct cfg_sync *sync);
+void cfg_sync_close (struct cfg_sync *sync);
+
+/* The following are safe from any thread.  */
+uint64_t cfg_sync_generation (struct cfg_sync *sync);
+
+/* Returns true once the service or more than half of the peers were read.  */
+bool cfg_sync_ready (struct cfg_sync *sync);
+
+/* Returns the snapshot with a reference.  Safe under any lock.  */
+struct cfg_snapshot *cfg_sync_snapshot (struct cfg_sync *sync);
+
+/* Returns the delta from HAVE, or null when HAVE is not behind; free by
+   g_free.  GENERATION is set in both cases.  */
+char *cfg_sync_delta (struct cfg_sync *sync, uint64_t have,
+                      uint64_t *generation);
+
+/* PEER said that it holds GENERATION: asks it when it is ahead.  */
+void cfg_sync_heard (struct cfg_sync *sync, uint64_t peer,
+                     uint64_t generation);
+
+/* Handle CFG_GET and CFG_DATA without blocking.  */
+void cfg_sync_on_get (struct cfg_sync *sync, uint64_t peer,
+                      const struct msg *msg);
+void cfg_sync_on_data (struct cfg_sync *sync, uint64_t peer,
+                       const struct msg *msg);
+
+#endif
--- a/src/entry.h
+++ b/src/entry.h
@@ -10,8 +10,10 @@
  */
 
 #include <glib.h>
+#include <json-c/json.h>
 #include <microhttpd.h>
 #include <pthread.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "goldcresthatch/cfg.h"
@@ -57,6 +59,8 @@
   uint64_t queued;
   uint64_t capacity;
   unsigned own; /* attempts of this entry in progress */
+  int withheld; /* by the configuration: drain or withdraw */
+  uint64_t cfg_generation;
   gint64 reported_us;
 };
 
@@ -132,7 +136,7 @@
   pthread_t lister;
   gint stopping;
   gint draining;
-  struct entry_config *config;
+  struct cfg_sync *config;
 
   pthread_mutex_t lock; /* guards what follows */
   GPtrArray *runners;   /* struct entry_runner */
@@ -202,6 +206,13 @@
 void entry_fleet_hello (struct entry *entry);
 void *entry_fleet_main (void *arg);
 
+/* Gives no new work to the runners that SNAP drains or withdraws.  */
+void entry_fleet_withhold (struct entry *entry,
+                           const struct cfg_snapshot *snap);
+
+/* Appends the runners as seen here to the JSON array LIST.  */
+void entry_fleet_status (struct entry *entry, struct json_object *list);
+
 /* entry_config.c */
 int entry_config_open (struct entry *entry, struct err *err);
 void entry_config_close (struct entry *entry);
@@ -210,6 +221,24 @@
    by cfg_snapshot_unref.  Safe from any thread, under any lock.  */
 struct cfg_snapshot *entry_config_get (struct entry *entry);
 
+/* Starts and stops the exchange with the service, the peers and the agents.
+   The network and the service's adapter are open during this time.  */
+int entry_config_start (struct entry *entry, struct err *err);
+void entry_config_stop (struct entry *entry);
+
+uint64_t entry_config_generation (struct entry *entry);
+
+/* Returns true once the configuration is known well enough to serve.  */
+bool entry_config_ready (struct entry *entry);
+
+/* entry_admin.c */
+bool entry_admin_serves (const char *url);
+
+/* Answers a request for one of the admin pages.  */
+enum MHD_Result entry_admin_page (struct entry *entry,
+                                  struct MHD_Connection *connection,
+                                  const char *url);
+
 /* entry_net.c */
 extern const struct net_ops entry_net_ops;
 
--- /dev/null
+++ b/src/entry_admin.c
@@ -0,0 +1,115 @@
+#include "entry.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cfg_sync.h"
+#include "peer.h"
+
+enum
+{
+  NUMBER_BYTES = 24
+};
+
+static void
+number_header (struct MHD_Response *response, const char *name,
+               uint64_t number)
+{
+  char text[NUMBER_BYTES];
+
+  snprintf (text, sizeof text, "%llu", (unsigned long long)number);
+  MHD_add_response_header (response, name, text);
+}
+
+/* The headers describe at most the generation of the body.  */
+static enum MHD_Result
+config_page (struct entry *entry, struct MHD_Connection *connection)
+{
+  const char *have = MHD_lookup_connection_value (
+      connection, MHD_GET_ARGUMENT_KIND, "have");
+  bool ready = entry_config_ready (entry);
+  struct MHD_Response *response;
+  enum MHD_Result rc;
+  uint64_t generation;
+  char *text = cfg_sync_delta (entry->config,
+                               have != NULL ? strtoull (have, NULL, 10) : 0,
+                               &generation);
+
+  response = MHD_create_response_from_buffer (text != NULL ? strlen (text) : 0,
+                                              text != NULL ? text : (void *)"",
+                                              MHD_RESPMEM_MUST_COPY);
+  if (text != NULL)
+    MHD_add_response_header (response, "Content-Type", "application/json");
+  number_header (response, PEER_GENERATION, generation);
+  number_header (response, PEER_INCARNATION, entry->incarnation);
+  number_header (response, PEER_READY, ready);
+  rc = MHD_queue_response (
+      connection, text != NULL ? MHD_HTTP_OK : MHD_HTTP_NO_CONTENT, response);
+  MHD_destroy_response (response);
+  g_free (text);
+  return rc;
+}
+
+static enum MHD_Result
+status_page (struct entry *entry, struct MHD_Connection *connection)
+{
+  struct json_object *root = json_object_new_object ();
+  struct json_object *runners = json_object_new_array ();
+  struct MHD_Response *response;
+  enum MHD_Result rc;
+  const char *text;
+  unsigned calls;
+
+  pthread_mutex_lock (&entry->lock);
+  calls = g_hash_table_size (entry->calls);
+  pthread_mutex_unlock (&entry->lock);
+  entry_fleet_status (entry, runners);
+  json_object_object_add (root, "entry",
+                          json_object_new_string (entry->settings.name));
+  json_object_object_add (
+      root, "generation",
+      json_object_new_uint64 (entry_config_generation (entry)));
+  json_object_object_add (
+      root, "ready",
+      json_object_new_boolean (entry_config_ready (entry)
+                               && !g_atomic_int_get (&entry->draining)));
+  json_object_object_add (root, "calls", json_object_new_uint64 (calls));
+  json_object_object_add (root, "runners", runners);
+  text = json_object_to_json_string_ext (root, JSON_C_TO_STRING_PLAIN);
+  response = MHD_create_response_from_buffer (strlen (text), (void *)text,
+                                              MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header (response, "Content-Type", "application/json");
+  rc = MHD_queue_response (connection, MHD_HTTP_OK, response);
+  MHD_destroy_response (response);
+  json_object_put (root);
+  return rc;
+}
+
+static const struct
+{
+  const char *url;
+  enum MHD_Result (*answer) (struct entry *, struct MHD_Connection *);
+} pages[] = {
+  { "/admin/config", config_page },
+  { "/admin/status", status_page },
+};
+
+bool
+entry_admin_serves (const char *url)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (pages); i++)
+    if (strcmp (pages[i].url, url) == 0)
+      return true;
+  return false;
+}
+
+enum MHD_Result
+entry_admin_page (struct entry *entry, struct MHD_Connection *connection,
+                  const char *url)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (pages); i++)
+    if (strcmp (pages[i].url, url) == 0)
+      return pages[i].answer (entry, connection);
+  return MHD_NO;
+}
--- a/src/entry_config.c
+++ b/src/entry_config.c
@@ -1,36 +1,68 @@
 #include "entry.h"
 
-#include <stdlib.h>
+#include "cfg_sync.h"
 
-struct entry_config
+static size_t
+fleet_size (void *ctx)
 {
-  struct cfg_doc *doc;
-  struct cfg_snapshot *snapshot;
-};
+  struct entry *entry = ctx;
+  size_t runners;
+
+  pthread_mutex_lock (&entry->lock);
+  runners = entry->runners->len;
+  pthread_mutex_unlock (&entry->lock);
+  return runners + entry->settings.config_peers.count;
+}
+
+static void
+adopted (void *ctx, struct cfg_snapshot *snap)
+{
+  entry_fleet_withhold (ctx, snap);
+}
+
+static const struct cfg_sync_ops sync_ops = { fleet_size, adopted };
 
 int
 entry_config_open (struct entry *entry, struct err *err)
 {
-  struct entry_config *config = calloc (1, sizeof *config);
-
-  if (config == NULL)
-    return err_set (err, ERR_LIMIT, "config", NULL, "out of memory");
-  config->doc = cfg_default ();
-  config->snapshot = cfg_snapshot_new (config->doc);
-  entry->config = config;
+  (void)err;
+  entry->config
+      = cfg_sync_open (&sync_ops, entry, &entry->settings.config_peers);
   return 0;
 }
 
+int
+entry_config_start (struct entry *entry, struct err *err)
+{
+  return cfg_sync_start (entry->config, entry->kv, entry->net, err);
+}
+
+void
+entry_config_stop (struct entry *entry)
+{
+  cfg_sync_stop (entry->config);
+}
+
 void
 entry_config_close (struct entry *entry)
 {
-  cfg_snapshot_unref (entry->config->snapshot);
-  cfg_free (entry->config->doc);
-  free (entry->config);
+  cfg_sync_close (entry->config);
 }
 
 struct cfg_snapshot *
 entry_config_get (struct entry *entry)
 {
-  return cfg_snapshot_ref (entry->config->snapshot);
+  return cfg_sync_snapshot (entry->config);
+}
+
+uint64_t
+entry_config_generation (struct entry *entry)
+{
+  return cfg_sync_generation (entry->config);
+}
+
+bool
+entry_config_ready (struct entry *entry)
+{
+  return cfg_sync_ready (entry->config);
 }
--- a/src/entry_fleet.c
+++ b/src/entry_fleet.c
@@ -60,6 +60,7 @@
       runner->running = report->running;
       runner->queued = report->queued;
       runner->capacity = report->capacity;
+      runner->cfg_generation = report->cfg_generation;
       runner->reported_us = g_get_monotonic_time ();
     }
   pthread_mutex_unlock (&entry->lock);
@@ -70,7 +71,8 @@
 {
   return strcmp (runner->service, service) == 0 && runner->endpoint_up
          && runner->state == MSG_AGENT_SERVING && !runner->leaving
-         && runner->reported_us != 0 && now - runner->reported_us < SILENCE_US;
+         && !runner->withheld && runner->reported_us != 0
+         && now - runner->reported_us < SILENCE_US;
 }
 
 /* A total order in which a lower value is chosen first.  */
@@ -169,6 +171,7 @@
 
   msg.u.hello.entry = msg_text (entry->settings.name);
   msg.u.hello.incarnation = entry->incarnation;
+  msg.u.hello.cfg_generation = entry_config_generation (entry);
   pthread_mutex_lock (&entry->lock);
   for (i = 0; i < entry->runners->len; i++)
     {
@@ -218,10 +221,86 @@
   runner->leaving = strcmp (text_member (vm, "state"), "leaving") == 0;
 }
 
+/* Marks the runners that SNAP drains or withdraws; the lock is held.  */
+static void
+withhold (struct entry *entry, const struct cfg_snapshot *snap)
+{
+  const struct cfg_runner *listed;
+  guint i;
+
+  for (i = 0; i < entry->runners->len; i++)
+    {
+      struct entry_runner *runner = g_ptr_array_index (entry->runners, i);
+
+      listed = cfg_runner_find (snap, runner->name);
+      runner->withheld = listed != NULL && (listed->drain || listed->withdraw);
+    }
+}
+
+void
+entry_fleet_withhold (struct entry *entry, const struct cfg_snapshot *snap)
+{
+  pthread_mutex_lock (&entry->lock);
+  withhold (entry, snap);
+  pthread_mutex_unlock (&entry->lock);
+}
+
+static const char *
+state_name (const struct entry_runner *runner)
+{
+  static const char *const names[MSG_AGENT_STATE_MAX] = {
+    [MSG_AGENT_SERVING] = "serving",
+    [MSG_AGENT_DRAINING] = "draining",
+    [MSG_AGENT_LEAVING] = "leaving",
+  };
+
+  if (runner->reported_us == 0
+      || g_get_monotonic_time () - runner->reported_us >= SILENCE_US)
+    return "silent";
+  if (runner->leaving)
+    return "leaving";
+  if (!runner->endpoint_up)
+    return "down";
+  return runner->withheld ? "withheld" : names[runner->state];
+}
+
+void
+entry_fleet_status (struct entry *entry, struct json_object *list)
+{
+  guint i;
+
+  pthread_mutex_lock (&entry->lock);
+  for (i = 0; i < entry->runners->len; i++)
+    {
+      struct entry_runner *runner = g_ptr_array_index (entry->runners, i);
+      struct json_object *item = json_object_new_object ();
+
+      json_object_object_add (item, "name",
+                              json_object_new_string (runner->name));
+      json_object_object_add (item, "service",
+                              json_object_new_string (runner->service));
+      json_object_object_add (item, "state",
+                              json_object_new_string (state_name (runner)));
+      json_object_object_add (item, "running",
+                              json_object_new_uint64 (runner->running));
+      json_object_object_add (item, "queued",
+                              json_object_new_uint64 (runner->queued));
+      json_object_object_add (item, "capacity",
+                              json_object_new_uint64 (runner->capacity));
+      json_object_object_add (item, "own",
+                              json_object_new_uint64 (runner->own));
+      json_object_object_add (item, "generation",
+                              json_object_new_uint64 (runner->cfg_generation));
+      json_object_array_add (list, item);
+    }
+  pthread_mutex_unlock (&entry->lock);
+}
+
 static void
 read_list (struct entry *entry)
 {
   struct kv_value value = { 0 };
+  struct cfg_snapshot *snap;
   struct json_object *list;
   struct err err;
   size_t i;
@@ -233,6 +312,9 @@
   if (json_object_is_type (list, json_type_array))
     for (i = 0; i < json_object_array_length (list); i++)
       take_vm (entry, json_object_array_get_idx (list, i));
+  snap = entry_config_get (entry);
+  withhold (entry, snap);
+  cfg_snapshot_unref (snap);
   pthread_mutex_unlock (&entry->lock);
   json_object_put (list);
   kv_value_free (&value);
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -222,13 +222,18 @@
 }
 
 static int
-read_headers (struct entry_call *call)
+read_headers (struct entry_call *call, const struct cfg_snapshot *snap)
 {
-  uint64_t deadline_ms = (uint64_t)call->entry->settings.deadline_ms;
+  bool configured = snap->generation > 0;
+  uint64_t deadline_max
+      = configured ? snap->limits.deadline_max_ms : DEADLINE_MAX_MS;
+  uint64_t deadline_ms = configured
+                             ? snap->limits.deadline_default_ms
+                             : (uint64_t)call->entry->settings.deadline_ms;
   unsigned char random[24];
   char hex[sizeof random * 2 + 1];
 
-  if (number_header (call, "X-Deadline-Ms", DEADLINE_MAX_MS, &deadline_ms) != 0
+  if (number_header (call, "X-Deadline-Ms", deadline_max, &deadline_ms) != 0
       || number_header (call, "X-Priority", PRIORITY_MAX, &call->priority) != 0
       || text_header (call, "X-Customer", call->customer,
                       sizeof call->customer)
@@ -290,7 +295,29 @@
          || strcmp (path, "/v1/completions") == 0;
 }
 
-/* Finds the plain service of CALL: the first segment of its path.  */
+/* Finds the plain service of CALL by the routes of SNAP.  */
+static int
+read_route (struct entry_call *call, const struct cfg_snapshot *snap)
+{
+  const struct cfg_service *service;
+  const struct cfg_route *route
+      = cfg_route_find (snap, call->method, call->path, &service);
+  gint64 limit_us;
+
+  if (route == NULL)
+    {
+      reject (call, MHD_HTTP_NOT_FOUND, "route", "no such model or service");
+      return -1;
+    }
+  limit_us = g_get_monotonic_time () + (gint64)service->timeout_ms * 1000;
+  call->deadline_us = MIN (call->deadline_us, limit_us);
+  call->service = g_strdup (service->name);
+  call->at_most_once = !route->idempotent;
+  return 0;
+}
+
+/* Finds the plain service of CALL when no services are configured: the first
+   segment of its path.  */
 static int
 read_service_request (struct entry_call *call)
 {
@@ -302,9 +329,20 @@
   return 0;
 }
 
+/* Without a configuration a call could be taken for an idempotent one.  */
+static void
+refuse_unready (struct entry_call *call)
+{
+  pthread_mutex_lock (&call->lock);
+  entry_call_fail (call, MHD_HTTP_SERVICE_UNAVAILABLE, ENTRY_OUTCOME_NOT_RUN,
+                   ERR_LIMIT, "config", NULL, "no configuration yet");
+  pthread_mutex_unlock (&call->lock);
+}
+
 static void
 begin (struct entry_call *call)
 {
+  struct cfg_snapshot *snap;
   int rc;
 
   if (call->discarding)
@@ -313,12 +351,20 @@
               "the body exceeds the limit");
       return;
     }
-  if (read_headers (call) != 0)
-    return;
-  if (is_model_path (call->path))
+  if (!entry_config_ready (call->entry))
+    {
+      refuse_unready (call);
+      return;
+    }
+  snap = entry_config_get (call->entry);
+  rc = read_headers (call, snap);
+  if (rc == 0 && is_model_path (call->path))
     rc = read_model_request (call);
-  else
+  else if (rc == 0 && snap->service_count > 0)
+    rc = read_route (call, snap);
+  else if (rc == 0)
     rc = read_service_request (call);
+  cfg_snapshot_unref (snap);
   if (rc != 0)
     return;
   if (!entry_fleet_knows (call->entry, call->service))
@@ -340,11 +386,18 @@
                           text_response ("text/plain", "ok\n"));
   if (strcmp (url, "/readyz") == 0)
     {
-      int ready = !g_atomic_int_get (&entry->draining);
+      const char *state = "ready\n";
+      int ready = 0;
 
-      return send_response (
-          connection, ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
-          text_response ("text/plain", ready ? "ready\n" : "draining\n"));
+      if (g_atomic_int_get (&entry->draining))
+        state = "draining\n";
+      else if (!entry_config_ready (entry))
+        state = "no configuration yet\n";
+      else
+        ready = 1;
+      return send_response (connection,
+                            ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
+                            text_response ("text/plain", state));
     }
   text = g_string_new (NULL);
   ctr_render (text);
@@ -404,6 +457,18 @@
   return answer_or_wait (call);
 }
 
+/* Admin listener: its own pages, and those of the callers' listener.  */
+static enum MHD_Result
+handle_admin (void *cls, struct MHD_Connection *connection, const char *url,
+              const char *method, const char *version, const char *upload,
+              size_t *upload_size, void **con_cls)
+{
+  if (*con_cls == NULL && entry_admin_serves (url))
+    return entry_admin_page (cls, connection, url);
+  return handle (cls, connection, url, method, version, upload, upload_size,
+                 con_cls);
+}
+
 static void
 completed (void *cls, struct MHD_Connection *connection, void **con_cls,
            enum MHD_RequestTerminationCode code)
@@ -421,7 +486,7 @@
 
 static struct MHD_Daemon *
 start_daemon (struct entry *entry, const char *address, unsigned threads,
-              struct err *err)
+              MHD_AccessHandlerCallback handler, struct err *err)
 {
   struct sockaddr_in sin = { .sin_family = AF_INET };
   struct MHD_Daemon *daemon;
@@ -435,7 +500,7 @@
   sin.sin_port = htons ((uint16_t)atoi (colon + 1));
   daemon = MHD_start_daemon (
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
-      handle, entry, MHD_OPTION_SOCK_ADDR, &sin, MHD_OPTION_THREAD_POOL_SIZE,
+      handler, entry, MHD_OPTION_SOCK_ADDR, &sin, MHD_OPTION_THREAD_POOL_SIZE,
       threads, MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
   if (daemon == NULL)
@@ -446,11 +511,12 @@
 int
 entry_http_open (struct entry *entry, struct err *err)
 {
-  entry->callers
-      = start_daemon (entry, entry->settings.listen, CALLER_THREADS, err);
+  entry->callers = start_daemon (entry, entry->settings.listen, CALLER_THREADS,
+                                 handle, err);
   if (entry->callers == NULL)
     return -1;
-  entry->admins = start_daemon (entry, entry->settings.admin, 2, err);
+  entry->admins
+      = start_daemon (entry, entry->settings.admin, 2, handle_admin, err);
   return entry->admins != NULL ? 0 : -1;
 }
 
--- a/src/entry_net.c
+++ b/src/entry_net.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "cfg_sync.h"
 #include "goldcresthatch/ctr.h"
 
 /* Finds the call ID and takes a reference and its lock.  Returns null when the
@@ -38,6 +39,7 @@
 on_report (struct entry *entry, uint64_t peer, const struct msg *msg)
 {
   entry_fleet_report (entry, peer, &msg->u.report);
+  cfg_sync_heard (entry->config, peer, msg->u.report.cfg_generation);
 }
 
 static void
@@ -79,6 +81,7 @@
   char text[ERR_TEXT_MAX];
   int done;
 
+  cfg_sync_heard (entry->config, peer, end->cfg_generation);
   if (call == NULL)
     return;
   done = end->outcome == MSG_OUTCOME_DONE;
@@ -99,13 +102,24 @@
   put_call (call);
 }
 
+static void
+on_cfg_get (struct entry *entry, uint64_t peer, const struct msg *msg)
+{
+  cfg_sync_on_get (entry->config, peer, msg);
+}
+
+static void
+on_cfg_data (struct entry *entry, uint64_t peer, const struct msg *msg)
+{
+  cfg_sync_on_data (entry->config, peer, msg);
+}
+
 static void (*const handlers[MSG_TYPE_MAX]) (struct entry *, uint64_t,
                                              const struct msg *)
     = {
-        [MSG_REPORT] = on_report,
-        [MSG_HEAD] = on_head,
-        [MSG_DATA] = on_data,
-        [MSG_END] = on_end,
+        [MSG_REPORT] = on_report,   [MSG_HEAD] = on_head,
+        [MSG_DATA] = on_data,       [MSG_END] = on_end,
+        [MSG_CFG_GET] = on_cfg_get, [MSG_CFG_DATA] = on_cfg_data,
       };
 
 static void
--- /dev/null
+++ b/src/peer.c
@@ -0,0 +1,89 @@
+#include "peer.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http.h"
+
+enum
+{
+  READ_TIMEOUT_S = 2,
+  BODY_MAX = 4 << 20, /* bytes */
+  PATH_BYTES = 64
+};
+
+struct reply
+{
+  GString *body;
+  struct cfg_answer *state;
+};
+
+static uint64_t
+number (ne_request *req, const char *name)
+{
+  const char *text = ne_get_response_header (req, name);
+
+  return text != NULL ? strtoull (text, NULL, 10) : 0;
+}
+
+static int
+take_head (void *ctx, int status, ne_request *req)
+{
+  struct reply *reply = ctx;
+
+  (void)status;
+  if (reply->state == NULL)
+    return 0;
+  reply->state->generation = number (req, PEER_GENERATION);
+  reply->state->incarnation = number (req, PEER_INCARNATION);
+  reply->state->ready = number (req, PEER_READY) == 1;
+  return 0;
+}
+
+static int
+take_data (void *ctx, const char *data, size_t size)
+{
+  struct reply *reply = ctx;
+
+  if (reply->body == NULL)
+    return 0;
+  if (reply->body->len + size > BODY_MAX)
+    return -1;
+  g_string_append_len (reply->body, data, (gssize)size);
+  return 0;
+}
+
+int
+peer_get (const char *address, const char *path, GString *body,
+          struct cfg_answer *state, struct err *err)
+{
+  struct reply reply = { body, state };
+  struct http_call call = { .address = address,
+                            .method = "GET",
+                            .path = path,
+                            .timeout_s = READ_TIMEOUT_S,
+                            .ctx = &reply,
+                            .on_head = take_head,
+                            .on_data = take_data };
+  int status;
+
+  if (state != NULL)
+    memset (state, 0, sizeof *state);
+  if (http_run (&call, &status, err) != HTTP_OK)
+    return -1;
+  if (state != NULL)
+    state->answered = true;
+  return status;
+}
+
+int
+peer_config (const char *address, uint64_t have, GString *body,
+             struct cfg_answer *state, struct err *err)
+{
+  char path[PATH_BYTES];
+
+  snprintf (path, sizeof path, "/admin/config?have=%llu",
+            (unsigned long long)have);
+  return peer_get (address, path, body, state, err);
+}
