Add the operators' command

Operators had no means to read or edit the configuration or to ask the entries for their state. goldcresthatchctl checks, reads and edits sections and waits until an edit is in force, drains runners, and prints status, warnings and traces of the peers.

--- /dev/null
+++ b/src/ctl.h
@@ -0,0 +1,88 @@
+#ifndef CTL_H
+#define CTL_H
+
+/*
+ * The operators' command: one function per command.  Each returns the exit
+ * status.
+ */
+
+#include <glib.h>
+#include <json-c/json.h>
+
+#include "goldcresthatch/cfg.h"
+#include "goldcresthatch/kv.h"
+#include "goldcresthatch/set.h"
+
+enum
+{
+  CTL_OK = 0,
+  CTL_FAILED = 1,
+  CTL_USAGE = 2
+};
+
+struct ctl_settings
+{
+  char kv[SET_TEXT_MAX];
+  struct set_list config_peers;
+};
+
+struct ctl
+{
+  struct ctl_settings settings;
+  struct kv *kv; /* null when no address is given */
+  gboolean json;
+  char **args; /* after the command's words */
+  int arg_count;
+  gint64 base; /* -1 when absent */
+  char *operator_name;
+  char *credential_file;
+  char *new_credential_file;
+};
+
+/* Prints "goldcresthatchctl: ERR" and returns CTL_FAILED.  */
+int ctl_fail (const struct err *err);
+int ctl_usage (const char *fmt, ...) __attribute__ ((format (printf, 1, 2)));
+
+/* Prints ROOT on one line and releases it.  */
+void ctl_print_json (struct json_object *root);
+
+/* ctl_config.c */
+int ctl_config_check (struct ctl *ctl);
+int ctl_config_get (struct ctl *ctl);
+int ctl_config_set (struct ctl *ctl);
+int ctl_config_history (struct ctl *ctl);
+
+/* Returns the document of the key-value service, or null with ERR.  */
+struct cfg_doc *ctl_read_document (struct ctl *ctl, struct err *err);
+
+/* Makes the edit of SECTION and reports it; CONFLICT is set when the base
+   revision was not the current one, and nothing is printed then.  */
+struct ctl_edit
+{
+  enum cfg_section section;
+  uint64_t base;
+  const char *body;
+  size_t size;
+  const char *source;
+};
+int ctl_edit (struct ctl *ctl, const struct ctl_edit *edit,
+              struct err *conflict);
+
+/* ctl_fleet.c */
+int ctl_status (struct ctl *ctl);
+int ctl_drain (struct ctl *ctl);
+int ctl_undrain (struct ctl *ctl);
+
+/* ctl_pages.c */
+int ctl_warnings (struct ctl *ctl);
+int ctl_trace (struct ctl *ctl);
+
+/* Reads PATH from each peer and calls TAKE with the JSON of its answer, which
+   TAKE does not keep.  Prints an error for each peer without one.  Returns the
+   number of peers that answered.  */
+size_t ctl_ask_peers (struct ctl *ctl, const char *path,
+                      void (*take) (void *ctx, const char *peer,
+                                    struct json_object *answer),
+                      void *ctx);
+
+#endif
--- /dev/null
+++ b/src/ctl_fleet.c
@@ -0,0 +1,216 @@
+#include "ctl.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum
+{
+  EDIT_TRIES = 16 /* edits of the fleet section that may win meanwhile */
+};
+
+static const char *
+text_of (struct json_object *object, const char *name)
+{
+  const char *text
+      = json_object_get_string (json_object_object_get (object, name));
+
+  return text != NULL ? text : "";
+}
+
+static long long
+number_of (struct json_object *object, const char *name)
+{
+  return json_object_get_int64 (json_object_object_get (object, name));
+}
+
+static void
+print_status (const char *peer, struct json_object *answer)
+{
+  struct json_object *runners = json_object_object_get (answer, "runners");
+
+  printf ("%s %s: generation %lld, %s, %lld calls in progress\n", peer,
+          text_of (answer, "entry"), number_of (answer, "generation"),
+          json_object_get_boolean (json_object_object_get (answer, "ready"))
+              ? "ready"
+              : "not ready",
+          number_of (answer, "calls"));
+  if (!json_object_is_type (runners, json_type_array))
+    return;
+  for (size_t i = 0; i < json_object_array_length (runners); i++)
+    {
+      struct json_object *runner = json_object_array_get_idx (runners, i);
+
+      printf ("  %-16s %-16s %-9s %lld running, %lld queued of %lld, "
+              "generation %lld\n",
+              text_of (runner, "name"), text_of (runner, "service"),
+              text_of (runner, "state"), number_of (runner, "running"),
+              number_of (runner, "queued"), number_of (runner, "capacity"),
+              number_of (runner, "generation"));
+    }
+}
+
+static void
+take_status (void *ctx, const char *peer, struct json_object *answer)
+{
+  struct json_object *list = ctx;
+
+  if (list == NULL)
+    {
+      print_status (peer, answer);
+      return;
+    }
+  json_object_object_add (answer, "peer", json_object_new_string (peer));
+  json_object_array_add (list, json_object_get (answer));
+}
+
+int
+ctl_status (struct ctl *ctl)
+{
+  struct json_object *list = ctl->json ? json_object_new_array () : NULL;
+  size_t answers = ctl_ask_peers (ctl, "/admin/status", take_status, list);
+
+  if (list != NULL)
+    ctl_print_json (list);
+  return answers == ctl->settings.config_peers.count ? CTL_OK : CTL_FAILED;
+}
+
+struct search
+{
+  const char *name;
+  bool found;
+};
+
+static void
+search_status (void *ctx, const char *peer, struct json_object *answer)
+{
+  struct json_object *runners = json_object_object_get (answer, "runners");
+  struct search *search = ctx;
+
+  (void)peer;
+  if (!json_object_is_type (runners, json_type_array))
+    return;
+  for (size_t i = 0; i < json_object_array_length (runners); i++)
+    if (strcmp (text_of (json_object_array_get_idx (runners, i), "name"),
+                search->name)
+        == 0)
+      search->found = true;
+}
+
+/* Returns the runner's object in BODY, added when only the entries know the
+   runner, or null when nobody does.  */
+static struct json_object *
+find_runner (struct ctl *ctl, struct json_object *body, const char *name)
+{
+  struct search search = { name, false };
+  struct json_object *runners;
+  struct json_object *runner;
+
+  if (!json_object_object_get_ex (body, "runners", &runners))
+    {
+      runners = json_object_new_object ();
+      json_object_object_add (body, "runners", runners);
+    }
+  if (json_object_object_get_ex (runners, name, &runner))
+    return runner;
+  ctl_ask_peers (ctl, "/admin/status", search_status, &search);
+  if (!search.found)
+    return NULL;
+  runner = json_object_new_object ();
+  json_object_object_add (runners, name, runner);
+  return runner;
+}
+
+/* Edits BODY so that the runner is drained or not.  Returns false when no
+   edit is needed; *STATUS is then the exit status.  */
+static bool
+change_runner (struct ctl *ctl, struct json_object *body, bool drain,
+               int *status)
+{
+  const char *name = ctl->args[0];
+  struct json_object *runner = find_runner (ctl, body, name);
+
+  if (runner == NULL)
+    {
+      fprintf (stderr, "goldcresthatchctl: no runner is called \"%s\"\n",
+               name);
+      *status = CTL_FAILED;
+      return false;
+    }
+  if (json_object_get_boolean (json_object_object_get (runner, "drain"))
+      == drain)
+    {
+      if (ctl->json)
+        puts ("{\"changed\":false}");
+      else
+        printf ("%s is %s already\n", name, drain ? "drained" : "not drained");
+      *status = CTL_OK;
+      return false;
+    }
+  if (drain)
+    json_object_object_add (runner, "drain", json_object_new_boolean (1));
+  else
+    json_object_object_del (runner, "drain");
+  return true;
+}
+
+/* Reads the fleet section and makes one edit.  CONFLICT is set when another
+   edit won.  */
+static int
+edit_once (struct ctl *ctl, bool drain, struct err *conflict)
+{
+  struct ctl_edit edit = { .section = CFG_FLEET, .source = "fleet" };
+  struct json_object *body;
+  struct cfg_doc *doc;
+  struct err err;
+  char *text;
+  int rc;
+
+  doc = ctl_read_document (ctl, &err);
+  if (doc == NULL)
+    return ctl_fail (&err);
+  text = cfg_body (doc, CFG_FLEET);
+  edit.base = cfg_revision (doc, CFG_FLEET);
+  cfg_free (doc);
+  body = json_tokener_parse (text);
+  g_free (text);
+  if (change_runner (ctl, body, drain, &rc))
+    {
+      edit.body
+          = json_object_to_json_string_ext (body, JSON_C_TO_STRING_PLAIN);
+      edit.size = strlen (edit.body);
+      rc = ctl_edit (ctl, &edit, conflict);
+    }
+  json_object_put (body);
+  return rc;
+}
+
+static int
+set_drain (struct ctl *ctl, bool drain)
+{
+  struct err conflict;
+  int rc;
+
+  if (ctl->operator_name == NULL || ctl->credential_file == NULL)
+    return ctl_usage ("drain and undrain need --operator and "
+                      "--credential-file");
+  for (int i = 0; i < EDIT_TRIES; i++)
+    {
+      conflict.code = ERR_NONE;
+      rc = edit_once (ctl, drain, &conflict);
+      if (conflict.code == ERR_NONE)
+        return rc;
+    }
+  return ctl_fail (&conflict);
+}
+
+int
+ctl_drain (struct ctl *ctl)
+{
+  return set_drain (ctl, true);
+}
+
+int
+ctl_undrain (struct ctl *ctl)
+{
+  return set_drain (ctl, false);
+}
