Show no generation before an entry is ready

A restarted entry that has not settled its configuration showed generation 0 on its admin page, which is lower than what it had before the restart.

--- a/src/entry_admin.c
+++ b/src/entry_admin.c
@@ -22,20 +22,38 @@
   MHD_add_response_header (response, name, text);
 }
 
-/* The headers describe at most the generation of the body.  */
+/* Answers without a body and a generation: what this entry holds may be older
+   than what it held before a restart.  */
+static enum MHD_Result
+unready_page (struct entry *entry, struct MHD_Connection *connection)
+{
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      0, (void *)"", MHD_RESPMEM_PERSISTENT);
+  enum MHD_Result rc;
+
+  number_header (response, PEER_INCARNATION, entry->incarnation);
+  number_header (response, PEER_READY, 0);
+  rc = MHD_queue_response (connection, MHD_HTTP_SERVICE_UNAVAILABLE, response);
+  MHD_destroy_response (response);
+  return rc;
+}
+
+/* The generation in the headers is at most that of the body.  */
 static enum MHD_Result
 config_page (struct entry *entry, struct MHD_Connection *connection)
 {
   const char *have = MHD_lookup_connection_value (
       connection, MHD_GET_ARGUMENT_KIND, "have");
-  bool ready = entry_config_ready (entry);
   struct MHD_Response *response;
   enum MHD_Result rc;
   uint64_t generation;
-  char *text = cfg_sync_delta (entry->config,
-                               have != NULL ? strtoull (have, NULL, 10) : 0,
-                               &generation);
+  char *text;
 
+  if (!entry_config_ready (entry))
+    return unready_page (entry, connection);
+  text = cfg_sync_delta (entry->config,
+                         have != NULL ? strtoull (have, NULL, 10) : 0,
+                         &generation);
   response = MHD_create_response_from_buffer (text != NULL ? strlen (text) : 0,
                                               text != NULL ? text : (void *)"",
                                               MHD_RESPMEM_MUST_COPY);
@@ -43,7 +61,7 @@
     MHD_add_response_header (response, "Content-Type", "application/json");
   number_header (response, PEER_GENERATION, generation);
   number_header (response, PEER_INCARNATION, entry->incarnation);
-  number_header (response, PEER_READY, ready);
+  number_header (response, PEER_READY, 1);
   rc = MHD_queue_response (
       connection, text != NULL ? MHD_HTTP_OK : MHD_HTTP_NO_CONTENT, response);
   MHD_destroy_response (response);
@@ -67,9 +85,10 @@
   entry_fleet_status (entry, runners);
   json_object_object_add (root, "entry",
                           json_object_new_string (entry->settings.name));
-  json_object_object_add (
-      root, "generation",
-      json_object_new_uint64 (entry_config_generation (entry)));
+  json_object_object_add (root, "generation",
+                          entry_config_ready (entry) ? json_object_new_uint64 (
+                              entry_config_generation (entry))
+                                                     : NULL);
   json_object_object_add (
       root, "ready",
       json_object_new_boolean (entry_config_ready (entry)
