--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -109,19 +109,29 @@
   start "agent$1" goldcresthatch-agent --settings "$WORK/agent$1.json"
 }
 
+# Starts entry VM I; PEERS is the number of entries in config_peers.
 start_entry ()			# I
 {
+  launch_entry "$1"
+  wait_for "entry $1" http_ok "127.$NET.2.$1:8000/readyz"
+}
+
+launch_entry ()			# I
+{
+  local i peers=
+  for i in $(seq "${PEERS:-2}"); do
+    peers="$peers${peers:+, }\"127.$NET.2.$i:8001\""
+  done
   cat > "$WORK/entry$1.json" <<EOS
 {
   // Settings of the entry on entry VM $1.
   "name": "entry$1", "zone": "zone-$((($1 - 1) % 3 + 1))",
   "listen": "127.$NET.2.$1:8000", "admin": "127.$NET.2.$1:8001",
   "kv": "$KV",
-  "config_peers": ["127.$NET.2.1:8001", "127.$NET.2.2:8001"]
+  "config_peers": [$peers]
 }
 EOS
   start "entry$1" goldcresthatch-entry --settings "$WORK/entry$1.json"
-  wait_for "entry $1" http_ok "127.$NET.2.$1:8000/readyz"
 }
 
 # Gives the platform's list the endpoint VMs named, such as 1 2 3:leaving.
@@ -148,6 +158,36 @@
   chat "$1" "$2" ready false | grep -q '"finish_reason":"stop"'
 }
 
+# Runs the operators' command with the addresses of this site.
+ctl ()				# ARGUMENTS...
+{
+  local i peers=
+  for i in $(seq "${PEERS:-2}"); do
+    peers="$peers --peer 127.$NET.2.$i:8001"
+  done
+  "$BUILD/goldcresthatchctl" --kv "$KV" $peers "$@"
+}
+
+# Edits SECTION as OPERATOR with the body on standard input.
+edit ()				# SECTION BASE OPERATOR
+{
+  local file
+  file=$(mktemp "$WORK/edit-XXXXXX")
+  cat > "$file"
+  ctl config set "$1" "$file" --base "$2" --operator "$3" \
+    --credential-file <(echo "secret of $1") 2>&1 \
+    | sed "s|$WORK/edit-......|FILE|g"
+  return "${PIPESTATUS[0]}"
+}
+
+# Prints the generation that ENTRY shows, "-" for none, and whether it is ready.
+shown ()			# ENTRY
+{
+  curl -s -m 5 -D - -o /dev/null "http://127.$NET.2.$1:8001/admin/config?have=0" \
+    | tr -d '\r' | awk '/^X-Config-Generation/ { g = $2 }
+	/^X-Ready/ { r = $2 } END { if (r != "") print (g == "" ? "-" : g), r }'
+}
+
 metric ()			# ENTRY NAME
 {
   curl -s "http://127.$NET.2.$1:8000/metrics" \
