--- a/src/ctl_main.c
+++ b/src/ctl_main.c
@@ -233,6 +233,11 @@
         rc = run_command (&ctl, argc, argv);
     }
   g_strfreev (peers);
+  g_free (file);
+  g_free (kv);
+  g_free (ctl.operator_name);
+  g_free (ctl.credential_file);
+  g_free (ctl.new_credential_file);
   g_free (description);
   g_option_context_free (context);
   return rc;
