--- a/src/cfg_sync.h
+++ b/src/cfg_sync.h
@@ -6,9 +6,8 @@
  * deltas with other processes and publishes a snapshot.  One thread parses and
  * adopts, so the network thread never waits for it.
  *
- * Lock order: the lock of the document is taken under no other lock, except
- * for the short reads of entries' admin pages; readers of the snapshot take no
- * lock.
+ * Lock order: the lock of the document is a leaf that may be held while a
+ * delta is parsed; readers of the snapshot take no lock.
  */
 
 #include <glib.h>
