--- a/src/agent_main.c
+++ b/src/agent_main.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "agent.h"
+#include "cfg_sync.h"
 #include "daemon.h"
 #include "goldcresthatch/log.h"
 #include "http.h"
@@ -92,10 +93,13 @@
   agent->kv = kv_http_open (agent->settings.kv, KV_TIMEOUT_S, err);
   if (agent->kv == NULL)
     return -1;
+  agent_config_open (agent);
   agent->net = net_open_agent (agent->settings.listen, keys, &agent_net_ops,
                                agent, err);
   if (agent->net == NULL)
     return -1;
+  if (agent_config_start (agent, err) != 0)
+    return -1;
   if (pthread_create (&agent->probe, NULL, agent_probe_main, agent) != 0)
     return err_set (err, ERR_LIMIT, "thread", NULL, "cannot start a thread");
   return agent_order_start (agent, err);
@@ -137,8 +141,10 @@
   pthread_join (agent->probe, NULL);
   agent_order_stop (agent);
   g_thread_pool_free (agent->workers, FALSE, TRUE);
+  cfg_sync_stop (agent->config);
   net_close (agent->net);
   agent_order_close (agent);
+  agent_config_close (agent);
   kv_http_close (agent->kv);
   g_hash_table_destroy (agent->jobs);
   g_hash_table_destroy (agent->peers);
--- a/src/agent_net.c
+++ b/src/agent_net.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cfg_sync.h"
 #include "goldcresthatch/ctr.h"
 #include "goldcresthatch/log.h"
 
@@ -41,6 +42,7 @@
   report->withdraw = status->actual.withdraw != 0;
   report->model = msg_text (status->actual.model);
   report->version = msg_text (status->actual.version);
+  report->cfg_generation = cfg_sync_generation (agent->config);
   pthread_mutex_lock (&agent->lock);
   report->state = agent->state;
   report->endpoint_up = (uint64_t)agent->endpoint_up;
@@ -97,7 +99,7 @@
 {
   gint64 now = g_get_monotonic_time ();
 
-  (void)msg;
+  cfg_sync_heard (agent->config, peer, msg->u.hello.cfg_generation);
   pthread_mutex_lock (&agent->lock);
   g_hash_table_insert (agent->peers, g_memdup2 (&peer, sizeof peer),
                        g_memdup2 (&now, sizeof now));
@@ -152,6 +154,7 @@
   msg.u.end.outcome = outcome;
   msg.u.end.step = msg_text (step);
   msg.u.end.text = msg_text (text);
+  msg.u.end.cfg_generation = cfg_sync_generation (agent->config);
   pthread_mutex_lock (&agent->lock);
   msg.u.end.running = agent->running;
   msg.u.end.queued = g_hash_table_size (agent->jobs) - agent->running;
@@ -221,13 +224,24 @@
   agent_order_arrived (agent, peer, &msg->u.order);
 }
 
+static void
+on_cfg_get (struct agent *agent, uint64_t peer, const struct msg *msg)
+{
+  cfg_sync_on_get (agent->config, peer, msg);
+}
+
+static void
+on_cfg_data (struct agent *agent, uint64_t peer, const struct msg *msg)
+{
+  cfg_sync_on_data (agent->config, peer, msg);
+}
+
 static void (*const handlers[MSG_TYPE_MAX]) (struct agent *, uint64_t,
                                              const struct msg *)
     = {
-        [MSG_HELLO] = on_hello,
-        [MSG_CALL] = on_call,
-        [MSG_CANCEL] = on_cancel,
-        [MSG_ORDER] = on_order,
+        [MSG_ORDER] = on_order,     [MSG_HELLO] = on_hello,
+        [MSG_CALL] = on_call,       [MSG_CANCEL] = on_cancel,
+        [MSG_CFG_GET] = on_cfg_get, [MSG_CFG_DATA] = on_cfg_data,
       };
 
 static void
--- a/src/entry_config.c
+++ b/src/entry_config.c
@@ -1,96 +1,68 @@
 #include "entry.h"
 
-#include <stdlib.h>
+#include "cfg_sync.h"
 
-#include "goldcresthatch/log.h"
-
-enum
+static size_t
+fleet_size (void *ctx)
 {
-  CONFIG_POLL_US = 500 * 1000
-};
+  struct entry *entry = ctx;
+  size_t runners;
 
-struct entry_config
-{
-  struct entry *entry;
-  pthread_t thread;
-  struct cfg_doc *doc;
-  pthread_mutex_t lock;
-  struct cfg_snapshot *snapshot;
-};
+  pthread_mutex_lock (&entry->lock);
+  runners = entry->runners->len;
+  pthread_mutex_unlock (&entry->lock);
+  return runners + entry->settings.config_peers.count;
+}
 
 static void
-poll_document (struct entry_config *config)
+adopted (void *ctx, struct cfg_snapshot *snap)
 {
-  struct kv_value value = { 0 };
-  struct cfg_snapshot *old;
-  struct cfg_doc *doc;
-  struct err err;
-
-  if (kv_get (config->entry->kv, CFG_KEY, &value, &err) != 1)
-    return;
-  doc = cfg_parse (value.data, value.size, CFG_KEY, NULL, &err);
-  kv_value_free (&value);
-  if (doc == NULL)
-    {
-      log_err (LOG_LEVEL_WARN, NULL, &err);
-      return;
-    }
-  if (!cfg_adopt (&config->doc, doc))
-    return;
-  pthread_mutex_lock (&config->lock);
-  old = config->snapshot;
-  config->snapshot = cfg_snapshot_new (config->doc);
-  pthread_mutex_unlock (&config->lock);
-  cfg_snapshot_unref (old);
+  entry_fleet_withhold (ctx, snap);
 }
 
-static void *
-config_main (void *arg)
-{
-  struct entry_config *config = arg;
+static const struct cfg_sync_ops sync_ops = { fleet_size, adopted };
 
-  while (!g_atomic_int_get (&config->entry->stopping))
-    {
-      if (config->entry->kv != NULL)
-        poll_document (config);
-      g_usleep (CONFIG_POLL_US);
-    }
-  return NULL;
+int
+entry_config_open (struct entry *entry, struct err *err)
+{
+  (void)err;
+  entry->config
+      = cfg_sync_open (&sync_ops, entry, &entry->settings.config_peers);
+  return 0;
 }
 
 int
-entry_config_open (struct entry *entry, struct err *err)
+entry_config_start (struct entry *entry, struct err *err)
 {
-  struct entry_config *config = calloc (1, sizeof *config);
+  return cfg_sync_start (entry->config, entry->kv, entry->net, err);
+}
 
-  if (config == NULL)
-    return err_set (err, ERR_LIMIT, "config", NULL, "out of memory");
-  config->entry = entry;
-  config->doc = cfg_default ();
-  config->snapshot = cfg_snapshot_new (config->doc);
-  pthread_mutex_init (&config->lock, NULL);
-  entry->config = config;
-  if (pthread_create (&config->thread, NULL, config_main, config) != 0)
-    return err_set (err, ERR_LIMIT, "thread", NULL, "cannot start a thread");
-  return 0;
+void
+entry_config_stop (struct entry *entry)
+{
+  cfg_sync_stop (entry->config);
 }
 
 void
 entry_config_close (struct entry *entry)
 {
-  pthread_join (entry->config->thread, NULL);
-  cfg_snapshot_unref (entry->config->snapshot);
-  cfg_free (entry->config->doc);
-  free (entry->config);
+  cfg_sync_close (entry->config);
 }
 
 struct cfg_snapshot *
 entry_config_get (struct entry *entry)
 {
-  struct cfg_snapshot *snapshot;
+  return cfg_sync_snapshot (entry->config);
+}
 
-  pthread_mutex_lock (&entry->config->lock);
-  snapshot = cfg_snapshot_ref (entry->config->snapshot);
-  pthread_mutex_unlock (&entry->config->lock);
-  return snapshot;
+uint64_t
+entry_config_generation (struct entry *entry)
+{
+  return cfg_sync_generation (entry->config);
+}
+
+bool
+entry_config_ready (struct entry *entry)
+{
+  return cfg_sync_ready (entry->config);
 }
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -86,6 +86,8 @@
   entry->net = net_open_entry (identity, keys, &entry_net_ops, entry, err);
   if (entry->net == NULL)
     return -1;
+  if (entry_config_start (entry, err) != 0)
+    return -1;
   if (pthread_create (&entry->lister, NULL, entry_fleet_main, entry) != 0
       || pthread_create (&entry->ticker, NULL, tick_main, entry) != 0)
     return err_set (err, ERR_LIMIT, "thread", NULL, "cannot start a thread");
@@ -132,6 +134,7 @@
   pthread_join (entry->ticker, NULL);
   pthread_join (entry->lister, NULL);
   entry_control_stop (entry);
+  entry_config_stop (entry);
   net_close (entry->net);
   entry_control_close (entry);
   entry_config_close (entry);
