Record spans and raise warnings in the entry

An operator could see neither where the time of a request went nor which condition threatens an outcome. The entry records the spans of a request, its admission and each attempt; END carries the times of the agent's queue and run, and the runner gets the run span as its parent. GET /admin/trace?id= shows a trace and GET /admin/warnings the warnings; both and /metrics answer on the admin address only.

--- a/include/goldcresthatch/msg.h
+++ b/include/goldcresthatch/msg.h
@@ -164,6 +164,10 @@
   uint64_t running;
   uint64_t queued;
   uint64_t cfg_generation;
+  uint64_t queue_start_us; /* since the Unix epoch; 0 when there was none */
+  uint64_t run_start_us;   /* 0 when the endpoint was not asked */
+  uint64_t end_us;
+  uint64_t run_span; /* bytes of the span id that the endpoint was given */
 };
 
 struct msg_cancel
--- a/src/agent.h
+++ b/src/agent.h
@@ -16,6 +16,7 @@
 #include "goldcresthatch/msg.h"
 #include "goldcresthatch/net.h"
 #include "goldcresthatch/set.h"
+#include "goldcresthatch/span.h"
 
 struct agent_settings
 {
@@ -33,6 +34,15 @@
   int64_t drain_limit_s; /* of a graceful shutdown */
 };
 
+/* What the agent adds to the trace of a call.  */
+struct agent_trace
+{
+  int64_t queue_start_us;
+  int64_t run_start_us;
+  uint64_t run_span;
+  char parent[SPAN_PARENT_LEN + 1]; /* traceparent for the endpoint */
+};
+
 /* A call that runs or waits for a worker.  Reference-counted: the table of
    jobs and the worker hold one each.  */
 struct agent_job
@@ -55,6 +65,7 @@
   uint64_t frames; /* DATA messages sent */
   int answered;    /* a head arrived */
   gint cancelled;
+  struct agent_trace trace;
 };
 
 struct agent
@@ -95,6 +106,14 @@
 
 void agent_job_unref (struct agent_job *job);
 
+/* Notes the arrival of JOB, and the start of its run on the endpoint, whose
+   span becomes the parent of the endpoint's.  */
+void agent_trace_queued (struct agent_job *job);
+void agent_trace_run (struct agent_job *job);
+
+/* Fills in the span times of END.  */
+void agent_trace_end (const struct agent_job *job, struct msg_end *end);
+
 /* Thread that checks the endpoint's health.  */
 void *agent_probe_main (void *arg);
 
--- a/src/agent_net.c
+++ b/src/agent_net.c
@@ -113,6 +113,7 @@
   job->priority = call->priority;
   job->resume_index = call->resume_index;
   job->deadline_us = g_get_monotonic_time () + (gint64)call->budget_ms * 1000;
+  agent_trace_queued (job);
   return job;
 }
 
@@ -139,6 +140,7 @@
   msg.u.end.outcome = outcome;
   msg.u.end.step = msg_text (step);
   msg.u.end.text = msg_text (text);
+  agent_trace_end (job, &msg.u.end);
   pthread_mutex_lock (&agent->lock);
   msg.u.end.running = agent->running;
   msg.u.end.queued = g_hash_table_size (agent->jobs) - agent->running;
--- a/src/agent_work.c
+++ b/src/agent_work.c
@@ -110,7 +110,7 @@
     .headers = { { "X-Request-Id", request_id },
                  { "X-Resume-From", resume },
                  { "X-Priority", priority },
-                 { "traceparent", job->traceparent } },
+                 { "traceparent", job->trace.parent } },
     .timeout_s = READ_TIMEOUT_S,
     .ctx = job,
     .on_head = on_head,
@@ -127,6 +127,7 @@
             (unsigned long long)job->resume_index);
   snprintf (priority, sizeof priority, "%llu",
             (unsigned long long)job->priority);
+  agent_trace_run (job);
   result = http_run (&call, &status, &err);
   if (result == HTTP_STOPPED)
     cancel_on_engine (job, request_id);
--- a/src/entry.h
+++ b/src/entry.h
@@ -6,7 +6,8 @@
  * assembly of answers.
  *
  * Lock order: a call's lock, then entry->lock, then the network's queue.  No
- * lock is held over a call of the key-value service.
+ * lock is held over a call of the key-value service.  The locks of spans and
+ * warnings are leaves.
  */
 
 #include <glib.h>
@@ -117,6 +118,8 @@
   struct strm *strm;
   GString *answer; /* bytes not yet given to the caller */
   struct entry_failure failure;
+  struct entry_trace *trace;         /* null until the headers are read */
+  char attempt_parent[MSG_NAME_MAX]; /* traceparent of the attempt */
 };
 
 struct entry
@@ -133,6 +136,8 @@
   gint stopping;
   gint draining;
   struct entry_config *config;
+  struct entry_trace_rings *rings;
+  struct entry_warn *warn;
 
   pthread_mutex_t lock; /* guards what follows */
   GPtrArray *runners;   /* struct entry_runner */
@@ -194,6 +199,9 @@
    none; else fills in OUT.  */
 int entry_fleet_choose (struct entry *entry, const char *service,
                         uint64_t avoid, struct entry_runner *out);
+
+/* Whether RUNNER takes work; the entry's lock is held.  */
+int entry_fleet_usable (const struct entry_runner *runner, gint64 now_us);
 void entry_fleet_release (struct entry *entry, uint64_t peer);
 int entry_fleet_alive (struct entry *entry, uint64_t peer, gint64 now_us);
 void entry_fleet_name (struct entry *entry, uint64_t peer, char *name,
@@ -210,6 +218,46 @@
    by cfg_snapshot_unref.  Safe from any thread, under any lock.  */
 struct cfg_snapshot *entry_config_get (struct entry *entry);
 
+/* entry_trace.c: spans of a call.  The functions on calls need the call's
+   lock, except the first.  */
+void entry_trace_open (struct entry *entry);
+void entry_trace_close (struct entry *entry);
+
+/* Starts the spans of CALL under its caller's traceparent, or in a new trace,
+   and names the span in call->traceparent.  */
+void entry_trace_request (struct entry_call *call);
+
+/* An attempt at AGENT begins; fills in call->attempt_parent.  */
+void entry_trace_attempt (struct entry_call *call, const char *agent);
+
+/* The attempt failed.  */
+void entry_trace_attempt_ended (struct entry_call *call, const char *step,
+                                const char *peer, const char *text);
+
+/* Records the spans that AGENT reported in END.  */
+void entry_trace_agent (struct entry_call *call, const struct msg_end *end,
+                        const char *agent);
+
+/* The call ended, with ERR unless that is null.  */
+void entry_trace_done (struct entry_call *call, const struct err *err);
+
+/* Appends the spans of the trace ID in OTLP's JSON form to OUT.  Returns -1
+   when ID is not a trace id.  */
+int entry_trace_page (struct entry *entry, const char *id, GString *out);
+
+/* entry_warn.c: conditions that this entry can see.  The functions on calls
+   need the call's lock.  */
+void entry_warn_open (struct entry *entry);
+void entry_warn_close (struct entry *entry);
+void entry_warn_answered (struct entry_call *call);
+void entry_warn_failed (struct entry_call *call);
+
+/* Reports the conditions and updates the warnings once a second.  */
+void entry_warn_tick (struct entry *entry, gint64 now_us);
+
+/* Appends the raised warnings to OUT as a JSON array.  */
+void entry_warn_page (struct entry *entry, GString *out);
+
 /* entry_net.c */
 extern const struct net_ops entry_net_ops;
 
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -52,6 +52,7 @@
   g_free (call->path);
   g_free (call->content_type);
   g_free (call->service);
+  g_free (call->trace);
   g_byte_array_free (call->body, TRUE);
   g_string_free (call->answer, TRUE);
   if (call->strm != NULL)
@@ -107,6 +108,8 @@
   call->ended = 1;
   call->head = 1;
   call->runner_peer = 0;
+  entry_trace_done (call, &failure->err);
+  entry_warn_failed (call);
   ctr_add (outcome_counter (outcome), 1);
   log_err (LOG_LEVEL_INFO, call->traceparent, &failure->err);
   entry_call_wake (call);
@@ -135,7 +138,7 @@
   out->priority = call->priority;
   out->stream = (uint64_t)call->stream;
   out->resume_index = strm_tokens (call->strm);
-  out->traceparent = msg_text (call->traceparent);
+  out->traceparent = msg_text (call->attempt_parent);
 }
 
 /* No runner takes work: the call waits for the next tick, a stream that began
@@ -172,6 +175,7 @@
   call->runner_peer = runner.peer;
   call->last_peer = runner.peer;
   strm_begin (call->strm, call->attempt);
+  entry_trace_attempt (call, runner.name);
   fill_call (call, &runner, &msg);
   net_send (entry->net, runner.peer, &msg, NULL);
 }
@@ -213,6 +217,8 @@
   call->runner_peer = 0;
   call->head = 1;
   call->ended = 1;
+  entry_trace_done (call, NULL);
+  entry_warn_answered (call);
   ctr_add (CTR_ANSWERED, 1);
   entry_call_wake (call);
 }
@@ -263,6 +269,7 @@
     }
   if (may_repeat (call, outcome))
     {
+      entry_trace_attempt_ended (call, step, peer, text);
       ctr_add (call->head ? CTR_RESUMES : CTR_RETRIES, 1);
       if (!call->stream)
         g_string_truncate (call->answer, 0);
@@ -281,6 +288,7 @@
 entry_call_abandon (struct entry_call *call)
 {
   struct entry *entry = call->entry;
+  struct err err;
 
   pthread_mutex_lock (&call->lock);
   if (!call->ended)
@@ -288,6 +296,8 @@
       if (!call->at_most_once)
         cancel_attempt (call);
       call->ended = 1;
+      err_set (&err, ERR_IO, "caller", NULL, "the caller has gone");
+      entry_trace_done (call, &err);
     }
   pthread_mutex_unlock (&call->lock);
   pthread_mutex_lock (&entry->lock);
--- a/src/entry_fleet.c
+++ b/src/entry_fleet.c
@@ -65,12 +65,12 @@
   pthread_mutex_unlock (&entry->lock);
 }
 
-static int
-usable (const struct entry_runner *runner, const char *service, gint64 now)
+int
+entry_fleet_usable (const struct entry_runner *runner, gint64 now)
 {
-  return strcmp (runner->service, service) == 0 && runner->endpoint_up
-         && runner->state == MSG_AGENT_SERVING && !runner->leaving
-         && runner->reported_us != 0 && now - runner->reported_us < SILENCE_US;
+  return runner->endpoint_up && runner->state == MSG_AGENT_SERVING
+         && !runner->leaving && runner->reported_us != 0
+         && now - runner->reported_us < SILENCE_US;
 }
 
 /* A total order in which a lower value is chosen first.  */
@@ -95,7 +95,8 @@
     {
       struct entry_runner *runner = g_ptr_array_index (entry->runners, i);
 
-      if (usable (runner, service, now)
+      if (strcmp (runner->service, service) == 0
+          && entry_fleet_usable (runner, now)
           && (best == NULL || load (runner, avoid) < load (best, avoid)))
         best = runner;
     }
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <json-c/json.h>
-#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -225,8 +224,6 @@
 read_headers (struct entry_call *call)
 {
   uint64_t deadline_ms = (uint64_t)call->entry->settings.deadline_ms;
-  unsigned char random[24];
-  char hex[sizeof random * 2 + 1];
 
   if (number_header (call, "X-Deadline-Ms", DEADLINE_MAX_MS, &deadline_ms) != 0
       || number_header (call, "X-Priority", PRIORITY_MAX, &call->priority) != 0
@@ -241,12 +238,7 @@
     return -1;
   call->deadline_us = g_get_monotonic_time () + (gint64)deadline_ms * 1000;
   call->content_type = g_strdup (request_header (call, "Content-Type"));
-  if (call->traceparent[0] != '\0')
-    return 0;
-  randombytes_buf (random, sizeof random);
-  sodium_bin2hex (hex, sizeof hex, random, sizeof random);
-  snprintf (call->traceparent, sizeof call->traceparent, "00-%.32s-%.16s-01",
-            hex, hex + 32);
+  entry_trace_request (call);
   return 0;
 }
 
@@ -332,9 +324,6 @@
 static enum MHD_Result
 page (struct entry *entry, struct MHD_Connection *connection, const char *url)
 {
-  GString *text;
-  struct MHD_Response *response;
-
   if (strcmp (url, "/healthz") == 0)
     return send_response (connection, MHD_HTTP_OK,
                           text_response ("text/plain", "ok\n"));
@@ -346,18 +335,87 @@
           connection, ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
           text_response ("text/plain", ready ? "ready\n" : "draining\n"));
     }
-  text = g_string_new (NULL);
+  return send_response (connection, MHD_HTTP_NOT_FOUND,
+                        text_response ("text/plain", "no such page\n"));
+}
+
+/* Operators' pages stay off the callers' address.  */
+static int
+is_page (const char *url)
+{
+  return strcmp (url, "/healthz") == 0 || strcmp (url, "/readyz") == 0
+         || strcmp (url, "/metrics") == 0 || strcmp (url, "/admin") == 0
+         || g_str_has_prefix (url, "/admin/");
+}
+
+static enum MHD_Result
+metrics_page (struct entry *entry, struct MHD_Connection *connection)
+{
+  GString *text = g_string_new (NULL);
+  struct MHD_Response *response;
+
+  (void)entry;
   ctr_render (text);
   response = text_response ("text/plain; version=0.0.4", text->str);
   g_string_free (text, TRUE);
   return send_response (connection, MHD_HTTP_OK, response);
 }
 
-static int
-is_page (const char *url)
+static enum MHD_Result
+trace_page (struct entry *entry, struct MHD_Connection *connection)
 {
-  return strcmp (url, "/healthz") == 0 || strcmp (url, "/readyz") == 0
-         || strcmp (url, "/metrics") == 0;
+  const char *id
+      = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, "id");
+  GString *text = g_string_new (NULL);
+  int found = entry_trace_page (entry, id, text) == 0;
+  struct MHD_Response *response
+      = found ? text_response ("application/json", text->str)
+              : text_response ("text/plain",
+                               "id: expected 32 hexadecimal digits\n");
+
+  g_string_free (text, TRUE);
+  return send_response (connection, found ? MHD_HTTP_OK : MHD_HTTP_BAD_REQUEST,
+                        response);
+}
+
+static enum MHD_Result
+warnings_page (struct entry *entry, struct MHD_Connection *connection)
+{
+  GString *text = g_string_new (NULL);
+  struct MHD_Response *response;
+
+  entry_warn_page (entry, text);
+  response = text_response ("application/json", text->str);
+  g_string_free (text, TRUE);
+  return send_response (connection, MHD_HTTP_OK, response);
+}
+
+static const struct
+{
+  const char *url;
+  enum MHD_Result (*send) (struct entry *, struct MHD_Connection *);
+} admin_pages[] = {
+  { "/metrics", metrics_page },
+  { "/admin/trace", trace_page },
+  { "/admin/warnings", warnings_page },
+};
+
+static enum MHD_Result
+handle_admin (void *cls, struct MHD_Connection *connection, const char *url,
+              const char *method, const char *version, const char *upload,
+              size_t *upload_size, void **con_cls)
+{
+  size_t i;
+
+  (void)version;
+  (void)upload;
+  (void)con_cls;
+  *upload_size = 0;
+  if (strcmp (method, "GET") == 0)
+    for (i = 0; i < G_N_ELEMENTS (admin_pages); i++)
+      if (strcmp (url, admin_pages[i].url) == 0)
+        return admin_pages[i].send (cls, connection);
+  return page (cls, connection, url);
 }
 
 static struct entry_call *
@@ -421,7 +479,7 @@
 
 static struct MHD_Daemon *
 start_daemon (struct entry *entry, const char *address, unsigned threads,
-              struct err *err)
+              MHD_AccessHandlerCallback handler, struct err *err)
 {
   struct sockaddr_in sin = { .sin_family = AF_INET };
   struct MHD_Daemon *daemon;
@@ -435,7 +493,7 @@
   sin.sin_port = htons ((uint16_t)atoi (colon + 1));
   daemon = MHD_start_daemon (
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
-      handle, entry, MHD_OPTION_SOCK_ADDR, &sin, MHD_OPTION_THREAD_POOL_SIZE,
+      handler, entry, MHD_OPTION_SOCK_ADDR, &sin, MHD_OPTION_THREAD_POOL_SIZE,
       threads, MHD_OPTION_NOTIFY_COMPLETED, completed, NULL,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
   if (daemon == NULL)
@@ -446,11 +504,12 @@
 int
 entry_http_open (struct entry *entry, struct err *err)
 {
-  entry->callers
-      = start_daemon (entry, entry->settings.listen, CALLER_THREADS, err);
+  entry->callers = start_daemon (entry, entry->settings.listen, CALLER_THREADS,
+                                 handle, err);
   if (entry->callers == NULL)
     return -1;
-  entry->admins = start_daemon (entry, entry->settings.admin, 2, err);
+  entry->admins
+      = start_daemon (entry, entry->settings.admin, 2, handle_admin, err);
   return entry->admins != NULL ? 0 : -1;
 }
 
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -58,6 +58,7 @@
           hello_us = now;
         }
       entry_call_tick (entry, now);
+      entry_warn_tick (entry, now);
       g_usleep ((gulong)ENTRY_TICK_MS * 1000);
     }
   return NULL;
@@ -73,6 +74,8 @@
   entry->runners = g_ptr_array_new_with_free_func (g_free);
   entry->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                         (GDestroyNotify)entry_call_unref);
+  entry_trace_open (entry);
+  entry_warn_open (entry);
   if (entry_config_open (entry, err) != 0)
     return -1;
   entry->kv = kv_http_open (entry->settings.kv, KV_TIMEOUT_S, err);
@@ -129,6 +132,8 @@
   net_close (entry->net);
   kv_http_close (entry->kv);
   entry_config_close (entry);
+  entry_trace_close (entry);
+  entry_warn_close (entry);
   g_hash_table_destroy (entry->calls);
   g_ptr_array_free (entry->runners, TRUE);
 }
--- a/src/entry_net.c
+++ b/src/entry_net.c
@@ -82,6 +82,8 @@
   if (call == NULL)
     return;
   done = end->outcome == MSG_OUTCOME_DONE;
+  entry_fleet_name (entry, peer, name, sizeof name);
+  entry_trace_agent (call, end, name);
   strm_end (call->strm, end->attempt, end->frames, done, call->answer);
   if (done && strm_complete (call->strm))
     {
@@ -90,7 +92,6 @@
       return;
     }
   entry_fleet_release (entry, peer);
-  entry_fleet_name (entry, peer, name, sizeof name);
   msg_str_copy (step, sizeof step, end->step);
   msg_str_copy (text, sizeof text, end->text);
   entry_call_attempt_ended (
--- a/src/msg.c
+++ b/src/msg.c
@@ -98,11 +98,13 @@
     = { I (data.call), I (data.attempt), U (data.sequence), T (data.bytes) };
 
 static const struct field end_fields[]
-    = { I (end.call),          I (end.attempt),
-        U (end.frames),        B (end.outcome, MSG_OUTCOME_MAX),
-        N (end.step),          T (end.text),
-        U (end.running),       U (end.queued),
-        U (end.cfg_generation) };
+    = { I (end.call),           I (end.attempt),
+        U (end.frames),         B (end.outcome, MSG_OUTCOME_MAX),
+        N (end.step),           T (end.text),
+        U (end.running),        U (end.queued),
+        U (end.cfg_generation), U (end.queue_start_us),
+        U (end.run_start_us),   U (end.end_us),
+        U (end.run_span) };
 
 static const struct field cancel_fields[]
     = { I (cancel.call), I (cancel.attempt) };
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -150,7 +150,7 @@
 
 metric ()			# ENTRY NAME
 {
-  curl -s "http://127.$NET.2.$1:8000/metrics" \
+  curl -s "http://127.$NET.2.$1:8001/metrics" \
     | awk -v name="goldcresthatch_$2" '$1 == name { print $2 }'
 }
 
--- a/tests/standin_service.c
+++ b/tests/standin_service.c
@@ -1,6 +1,7 @@
 /* Stand-in for a plain service that counts each run of each call.  Any POST
    runs once for each time it arrives and is counted by its body; GET
-   /test/runs returns the counts.  POST /test/fault?kind=KIND&count=N sets a
+   /test/runs returns the counts and GET /test/traceparent the header of the
+   last run.  POST /test/fault?kind=KIND&count=N sets a
    fault for the next N calls: close (runs, then closes the connection without
    an answer) or slow (answers after ms).  */
 
@@ -11,6 +12,7 @@
 static int close_count;
 static int slow_count;
 static int slow_ms;
+static char last_parent[64]; /* traceparent of the last run */
 
 static enum MHD_Result
 set_fault (struct standin_request *request)
@@ -48,6 +50,17 @@
   return standin_send_json (request->connection, MHD_HTTP_OK, root);
 }
 
+static enum MHD_Result
+send_parent (struct standin_request *request)
+{
+  char text[sizeof last_parent];
+
+  g_mutex_lock (&lock);
+  g_strlcpy (text, last_parent, sizeof text);
+  g_mutex_unlock (&lock);
+  return standin_send (request->connection, MHD_HTTP_OK, text);
+}
+
 static int
 take (int *count)
 {
@@ -60,6 +73,7 @@
 static enum MHD_Result
 run (struct standin_request *request)
 {
+  const char *parent = standin_header (request, "traceparent");
   struct json_object *root = json_object_new_object ();
   int count;
   int closing;
@@ -71,6 +85,7 @@
                        GINT_TO_POINTER (count));
   closing = take (&close_count);
   slow = take (&slow_count);
+  g_strlcpy (last_parent, parent != NULL ? parent : "", sizeof last_parent);
   g_mutex_unlock (&lock);
   if (slow)
     g_usleep ((gulong)slow_ms * 1000);
@@ -92,6 +107,8 @@
     return standin_send (request->connection, MHD_HTTP_OK, "{}\n");
   if (strcmp (request->url, "/test/runs") == 0)
     return send_runs (request);
+  if (strcmp (request->url, "/test/traceparent") == 0)
+    return send_parent (request);
   if (strcmp (request->url, "/test/fault") == 0)
     return set_fault (request);
   if (strcmp (request->method, "POST") == 0)
