Name the line in errors of settings and refuse repeated members

Errors of settings named no line, a repeated member was taken silently, text after the object was ignored, and a name longer than a message's field was accepted, which made every HELLO or REPORT of the process malformed.

--- a/include/goldcresthatch/set.h
+++ b/include/goldcresthatch/set.h
@@ -46,7 +46,7 @@
   const char *text;  /* default of a text */
   int64_t number;    /* default of a number */
   int64_t min;       /* of a number */
-  int64_t max;       /* of a number */
+  int64_t max;       /* of a number; bytes of a text, 0 for the most */
   const char *words; /* allowed words of a text, split by '|', or null */
 };
 
--- a/src/agent_main.c
+++ b/src/agent_main.c
@@ -25,13 +25,13 @@
   }
 
 static const struct set_member members[] = {
-  MEMBER (name, SET_TEXT, .required = 1),
-  MEMBER (zone, SET_TEXT, .required = 1),
+  MEMBER (name, SET_TEXT, .required = 1, .max = MSG_NAME_MAX - 1),
+  MEMBER (zone, SET_TEXT, .required = 1, .max = MSG_NAME_MAX - 1),
   MEMBER (listen, SET_ADDRESS, .required = 1),
   MEMBER (lock, SET_ADDRESS, .required = 1),
   MEMBER (endpoint, SET_ADDRESS, .required = 1),
   MEMBER (kind, SET_TEXT, .required = 1, .words = "engine|plain"),
-  MEMBER (service, SET_TEXT, .required = 1),
+  MEMBER (service, SET_TEXT, .required = 1, .max = MSG_NAME_MAX - 1),
   MEMBER (health_path, SET_TEXT, .text = "/health"),
   MEMBER (kv, SET_ADDRESS, .required = 1),
   MEMBER (log_level, SET_TEXT, .text = "info",
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -22,8 +22,8 @@
   }
 
 static const struct set_member members[] = {
-  MEMBER (name, SET_TEXT, .required = 1),
-  MEMBER (zone, SET_TEXT, .required = 1),
+  MEMBER (name, SET_TEXT, .required = 1, .max = MSG_NAME_MAX - 1),
+  MEMBER (zone, SET_TEXT, .required = 1, .max = MSG_NAME_MAX - 1),
   MEMBER (listen, SET_ADDRESS, .required = 1),
   MEMBER (admin, SET_ADDRESS, .required = 1),
   MEMBER (kv, SET_ADDRESS, .required = 1),
--- a/src/set.c
+++ b/src/set.c
@@ -6,23 +6,57 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  FOUND_MAX = 80 /* bytes of a wrong value in an error */
+};
+
+/* Where a member of the outer object stands.  */
+struct place
+{
+  char *name;
+  int line;
+};
+
 struct reader
 {
   const char *name;
   GString *errors;
+  GArray *places;    /* struct place, in the order of the text */
+  int trailing_line; /* of text after the outer object, or 0 */
   int failed;
 };
 
 static void fail (struct reader *reader, const char *member, const char *fmt,
                   ...) __attribute__ ((format (printf, 3, 4)));
 
+/* Returns the line of MEMBER, the last one if it is repeated, or 0.  */
+static int
+line_of (const struct reader *reader, const char *member)
+{
+  int line = 0;
+  guint i;
+
+  for (i = 0; i < reader->places->len; i++)
+    if (strcmp (g_array_index (reader->places, struct place, i).name, member)
+        == 0)
+      line = g_array_index (reader->places, struct place, i).line;
+  return line;
+}
+
 static void
 fail (struct reader *reader, const char *member, const char *fmt, ...)
 {
+  int line = line_of (reader, member);
+  char *escaped = g_strescape (member, NULL);
   va_list ap;
 
   reader->failed = 1;
-  g_string_append_printf (reader->errors, "%s: %s: ", reader->name, member);
+  g_string_append (reader->errors, reader->name);
+  if (line > 0)
+    g_string_append_printf (reader->errors, ":%d", line);
+  g_string_append_printf (reader->errors, ": %.80s: ", escaped);
+  g_free (escaped);
   va_start (ap, fmt);
   g_string_append_vprintf (reader->errors, fmt, ap);
   va_end (ap);
@@ -57,6 +91,20 @@
   return found;
 }
 
+static const char *
+found (struct json_object *value)
+{
+  return json_object_to_json_string_ext (
+      value, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
+}
+
+static size_t
+text_limit (const struct set_member *member)
+{
+  return member->kind == SET_TEXT && member->max > 0 ? (size_t)member->max
+                                                     : SET_TEXT_MAX - 1;
+}
+
 static void
 read_text (struct reader *reader, const struct set_member *member,
            struct json_object *value, char *dst)
@@ -65,14 +113,17 @@
 
   if (!json_object_is_type (value, json_type_string)
       || json_object_get_string_len (value) == 0
-      || json_object_get_string_len (value) >= SET_TEXT_MAX)
-    fail (reader, member->name, "expected a text of 1 to %d bytes",
-          SET_TEXT_MAX - 1);
+      || (size_t)json_object_get_string_len (value) > text_limit (member)
+      || strlen (text) != (size_t)json_object_get_string_len (value))
+    fail (reader, member->name,
+          "expected a text of 1 to %zu bytes, found %.*s", text_limit (member),
+          FOUND_MAX, found (value));
   else if (member->kind == SET_ADDRESS && !set_is_address (text))
-    fail (reader, member->name, "expected \"IP:PORT\", found \"%s\"", text);
+    fail (reader, member->name, "expected \"IP:PORT\", found %.*s", FOUND_MAX,
+          found (value));
   else if (member->words != NULL && !word_allowed (member->words, text))
-    fail (reader, member->name, "expected one of %s, found \"%s\"",
-          member->words, text);
+    fail (reader, member->name, "expected one of %s, found %.*s",
+          member->words, FOUND_MAX, found (value));
   else
     snprintf (dst, SET_TEXT_MAX, "%s", text);
 }
@@ -86,9 +137,9 @@
   if (!json_object_is_type (value, json_type_int) || number < member->min
       || number > member->max)
     fail (reader, member->name,
-          "expected a whole number from %lld to %lld, found %s",
-          (long long)member->min, (long long)member->max,
-          json_object_to_json_string (value));
+          "expected a whole number from %lld to %lld, found %.*s",
+          (long long)member->min, (long long)member->max, FOUND_MAX,
+          found (value));
   else
     *dst = number;
 }
@@ -103,8 +154,9 @@
   if (!json_object_is_type (value, json_type_array)
       || json_object_array_length (value) > SET_LIST_MAX)
     {
-      fail (reader, member->name, "expected a list of at most %d addresses",
-            SET_LIST_MAX);
+      fail (reader, member->name,
+            "expected a list of at most %d addresses, found %.*s",
+            SET_LIST_MAX, FOUND_MAX, found (value));
       return;
     }
   count = json_object_array_length (value);
@@ -114,7 +166,9 @@
 
       if (!json_object_is_type (item, json_type_string)
           || !set_is_address (json_object_get_string (item)))
-        fail (reader, member->name, "item %zu: expected \"IP:PORT\"", i);
+        fail (reader, member->name,
+              "item %zu: expected \"IP:PORT\", found %.*s", i + 1, FOUND_MAX,
+              found (item));
       else
         snprintf (dst->items[i], SET_TEXT_MAX, "%s",
                   json_object_get_string (item));
@@ -132,7 +186,10 @@
   if (!json_object_object_get_ex (root, member->name, &value))
     {
       if (member->required)
-        fail (reader, member->name, "missing");
+        fail (reader, member->name, "missing, expected %s",
+              member->kind == SET_ADDRESS ? "\"IP:PORT\""
+              : member->words != NULL     ? member->words
+                                          : "a text");
       else if (member->kind == SET_NUMBER)
         *(int64_t *)at = member->number;
       else if (member->text != NULL)
@@ -167,7 +224,8 @@
       if (strcmp (table[i].name, name) == 0)
         break;
     if (i == count)
-      fail (reader, name, "unknown member");
+      fail (reader, name,
+            "unknown member, expected a member of the manual page");
   }
 }
 
@@ -183,31 +241,149 @@
   return line;
 }
 
+/* Returns the offset after the white space or comment at TEXT + AT, or AT.  */
+static size_t
+skip_blank (const char *text, size_t size, size_t at)
+{
+  const char *end;
+
+  if (strchr (" \t\r\n", text[at]) != NULL && text[at] != '\0')
+    return at + 1;
+  if (text[at] != '/' || at + 1 >= size)
+    return at;
+  if (text[at + 1] == '/')
+    end = memchr (text + at, '\n', size - at);
+  else if (text[at + 1] == '*')
+    {
+      end = g_strstr_len (text + at + 2, (gssize)(size - at - 2), "*/");
+      end = end != NULL ? end + 2 : NULL;
+    }
+  else
+    return at;
+  return end != NULL ? (size_t)(end - text) : size;
+}
+
+/* Returns the offset of the quote that ends the string at TEXT + AT.  */
+static size_t
+string_end (const char *text, size_t size, size_t at)
+{
+  size_t i;
+
+  for (i = at + 1; i < size && text[i] != text[at]; i++)
+    if (text[i] == '\\')
+      i++;
+  return MIN (i, size);
+}
+
+/* Finds the members of the outer object and what follows it.  json-c keeps no
+   lines, takes the last of repeated members and ignores trailing text.  */
+static void
+find_places (struct reader *reader, const char *text, size_t size)
+{
+  char before = '\0'; /* last character that is not blank */
+  int depth = 0;
+  size_t i = 0;
+  size_t next;
+
+  for (; i < size; i = next)
+    {
+      next = skip_blank (text, size, i);
+      if (next != i)
+        continue;
+      next = i + 1;
+      if (depth == 0 && before != '\0')
+        {
+          reader->trailing_line = line_at (text, i);
+          return;
+        }
+      if (text[i] == '"' || text[i] == '\'')
+        {
+          next = string_end (text, size, i) + 1;
+          if (depth == 1 && (before == '{' || before == ','))
+            {
+              struct place place = { g_strndup (text + i + 1, next - i - 2),
+                                     line_at (text, i) };
+
+              g_array_append_val (reader->places, place);
+            }
+        }
+      else if (text[i] == '{' || text[i] == '[')
+        depth++;
+      else if (text[i] == '}' || text[i] == ']')
+        depth--;
+      before = text[i];
+    }
+}
+
+static void
+find_repeated (struct reader *reader)
+{
+  guint i;
+  guint k;
+
+  for (i = 0; i < reader->places->len; i++)
+    for (k = 0; k < i; k++)
+      {
+        const struct place *first
+            = &g_array_index (reader->places, struct place, k);
+        const struct place *second
+            = &g_array_index (reader->places, struct place, i);
+
+        if (strcmp (first->name, second->name) != 0)
+          continue;
+        fail (reader, second->name, "expected once, first on line %d",
+              first->line);
+        break;
+      }
+}
+
+static void
+place_clear (gpointer data)
+{
+  g_free (((struct place *)data)->name);
+}
+
 int
 set_parse (const char *name, const char *text, size_t size,
            const struct set_member *table, size_t count, void *out,
            GString *errors)
 {
-  struct reader reader = { name, errors, 0 };
+  struct reader reader = { .name = name, .errors = errors };
   struct json_tokener *tokener = json_tokener_new ();
+  enum json_tokener_error problem;
   struct json_object *root;
   size_t i;
 
+  reader.places = g_array_new (FALSE, FALSE, sizeof (struct place));
+  g_array_set_clear_func (reader.places, place_clear);
   /* The terminating zero byte lets the tokener see the end of the text.  */
   root = json_tokener_parse_ex (tokener, text, (int)size + 1);
   if (root == NULL || !json_object_is_type (root, json_type_object))
     {
+      problem = json_tokener_get_error (tokener);
       g_string_append_printf (
-          errors, "%s:%d: expected a JSON object: %s\n", name,
+          errors, "%s:%d: expected a JSON object%s%s\n", name,
           line_at (text, json_tokener_get_parse_end (tokener)),
-          json_tokener_error_desc (json_tokener_get_error (tokener)));
+          problem != json_tokener_success ? ": " : "",
+          problem != json_tokener_success ? json_tokener_error_desc (problem)
+                                          : "");
       reader.failed = 1;
       goto out;
     }
+  find_places (&reader, text, size);
+  if (reader.trailing_line > 0)
+    {
+      g_string_append_printf (
+          errors, "%s:%d: expected nothing after the JSON object\n", name,
+          reader.trailing_line);
+      reader.failed = 1;
+    }
+  find_repeated (&reader);
   find_unknown (&reader, root, table, count);
   for (i = 0; i < count; i++)
     read_member (&reader, &table[i], root, out);
 out:
+  g_array_free (reader.places, TRUE);
   json_object_put (root);
   json_tokener_free (tokener);
   return reader.failed ? -1 : 0;
