--- a/src/net.c
+++ b/src/net.c
@@ -47,6 +47,7 @@
   char name[IDENTITY_MAX];
   size_t name_size;
   gint64 malformed_logged_us;
+  gint64 heard_us;
 };
 
 struct net
@@ -300,6 +301,32 @@
     net->ops->lost (net->ctx, peer->handle);
 }
 
+/* Forgets the identity that has been silent the longest.  Each start of an
+   entry brings a new identity, so an agent that only added them would in time
+   hear no entry any more.  */
+static void
+evict_peer (struct net *net)
+{
+  struct peer *oldest = NULL;
+  GBytes *name = NULL;
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, net->by_name);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      struct peer *peer = value;
+
+      if (oldest != NULL && peer->heard_us >= oldest->heard_us)
+        continue;
+      oldest = peer;
+      name = key;
+    }
+  g_hash_table_remove (net->by_name, name);
+  g_hash_table_remove (net->by_handle, &oldest->handle);
+}
+
 /* Finds or adds the peer with the routing id in FRAME.  */
 static struct peer *
 router_peer (struct net *net, zmq_msg_t *frame)
@@ -307,13 +334,17 @@
   GBytes *name = g_bytes_new (zmq_msg_data (frame), zmq_msg_size (frame));
   struct peer *peer = g_hash_table_lookup (net->by_name, name);
 
-  if (peer != NULL || zmq_msg_size (frame) >= IDENTITY_MAX
-      || g_hash_table_size (net->by_name) >= PEERS_MAX)
+  if (peer != NULL)
+    peer->heard_us = g_get_monotonic_time ();
+  if (peer != NULL || zmq_msg_size (frame) >= IDENTITY_MAX)
     {
       g_bytes_unref (name);
       return peer;
     }
+  if (g_hash_table_size (net->by_name) >= PEERS_MAX)
+    evict_peer (net);
   peer = calloc (1, sizeof *peer);
+  peer->heard_us = g_get_monotonic_time ();
   peer->name_size = zmq_msg_size (frame);
   memcpy (peer->name, zmq_msg_data (frame), peer->name_size);
   pthread_mutex_lock (&net->lock);
