Test the entry's warnings on virtual time

The scripted run covers no-runner and outcome-unknown; late-answers, key-value-down and crashing-request had no test. A wrong threshold or a condition that never clears now fails one of four unit tests.

--- /dev/null
+++ b/tests/unit_entry_warn.cc
@@ -0,0 +1,145 @@
+#include <glib.h>
+#include <gtest/gtest.h>
+#include <microhttpd.h>
+#include <pthread.h>
+
+#include <string>
+
+extern "C"
+{
+#include "entry.h"
+#include "goldcresthatch/ctr.h"
+}
+
+namespace
+{
+
+class EntryWarn : public testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    pthread_mutex_init (&entry.lock, nullptr);
+    entry.runners = g_ptr_array_new ();
+    g_strlcpy (entry.settings.kv, "127.0.0.1:7000", sizeof entry.settings.kv);
+    entry_warn_open (&entry);
+    call.entry = &entry;
+    call.service = service;
+    call.path = path;
+    call.body = g_byte_array_new ();
+    call.started = 1;
+    now = g_get_monotonic_time ();
+    call.deadline_us = now + G_GINT64_CONSTANT (3600) * G_USEC_PER_SEC;
+  }
+
+  void
+  TearDown () override
+  {
+    g_byte_array_free (call.body, TRUE);
+    g_ptr_array_free (entry.runners, TRUE);
+    entry_warn_close (&entry);
+  }
+
+  void
+  fail (unsigned status, enum entry_outcome outcome, const char *step)
+  {
+    call.failure.status = status;
+    call.failure.outcome = outcome;
+    err_set (&call.failure.err, ERR_IO, step, "vm1", "failed");
+    entry_warn_failed (&call);
+  }
+
+  void
+  tick ()
+  {
+    now += G_USEC_PER_SEC;
+    entry_warn_tick (&entry, now);
+  }
+
+  bool
+  raised (const std::string &kind)
+  {
+    GString *text = g_string_new (nullptr);
+    entry_warn_page (&entry, text);
+    std::string page (text->str);
+    g_string_free (text, TRUE);
+    return page.find ('"' + kind + '"') != std::string::npos;
+  }
+
+  struct entry entry = {};
+  struct entry_call call = {};
+  char service[9] = "bookings";
+  char path[6] = "/x";
+  gint64 now = 0;
+};
+
+// Guards against answers that miss their deadlines for half a minute
+// unnoticed, and against a warning that outlives them.
+TEST_F (EntryWarn, LateAnswers)
+{
+  for (int second = 0; second < 40; second++)
+    {
+      for (int i = 0; i < 4; i++)
+        entry_warn_answered (&call);
+      fail (504, ENTRY_OUTCOME_NOT_RUN, "run");
+      tick ();
+    }
+  EXPECT_TRUE (raised ("late-answers"));
+  for (int second = 0; second < 80; second++)
+    {
+      entry_warn_answered (&call);
+      tick ();
+    }
+  EXPECT_FALSE (raised ("late-answers"));
+}
+
+// Guards against a false warning for the few late answers that the site's goal
+// allows.
+TEST_F (EntryWarn, FewLateAnswers)
+{
+  for (int second = 0; second < 60; second++)
+    {
+      for (int i = 0; i < 30; i++)
+        entry_warn_answered (&call);
+      fail (504, ENTRY_OUTCOME_NOT_RUN, "run");
+      tick ();
+    }
+  EXPECT_FALSE (raised ("late-answers"));
+}
+
+// Guards against a warning for an outage that refuses no call, and against
+// none for one that does.
+TEST_F (EntryWarn, KeyValueDown)
+{
+  for (int second = 0; second < 9; second++)
+    {
+      ctr_add (CTR_KV_ERRORS, 1);
+      tick ();
+    }
+  EXPECT_FALSE (raised ("key-value-down"));
+  /* A refusal is timed by the real clock, so the virtual one starts anew.  */
+  entry_warn_close (&entry);
+  entry_warn_open (&entry);
+  now = g_get_monotonic_time ();
+  fail (503, ENTRY_OUTCOME_NOT_RUN, "claim");
+  for (int second = 0; second < 8; second++)
+    {
+      ctr_add (CTR_KV_ERRORS, 1);
+      tick ();
+    }
+  EXPECT_TRUE (raised ("key-value-down"));
+  for (int second = 0; second < 20; second++)
+    tick ();
+  EXPECT_FALSE (raised ("key-value-down"));
+}
+
+// Guards against a request that ends runners and is reported to nobody.
+TEST_F (EntryWarn, CrashingRequest)
+{
+  fail (422, ENTRY_OUTCOME_NOT_RUN, "suspect");
+  tick ();
+  EXPECT_TRUE (raised ("crashing-request"));
+}
+
+}
