--- a/src/entry_admin.c
+++ b/src/entry_admin.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "cfg_sync.h"
+#include "goldcresthatch/ctr.h"
 #include "peer.h"
 
 enum
@@ -22,6 +23,20 @@
   MHD_add_response_header (response, name, text);
 }
 
+static enum MHD_Result
+send_text (struct MHD_Connection *connection, unsigned status,
+           const char *type, const char *text)
+{
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
+  enum MHD_Result rc;
+
+  MHD_add_response_header (response, "Content-Type", type);
+  rc = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  return rc;
+}
+
 /* Answers without a body and a generation: what this entry holds may be older
    than what it held before a restart.  */
 static enum MHD_Result
@@ -74,9 +89,7 @@
 {
   struct json_object *root = json_object_new_object ();
   struct json_object *runners = json_object_new_array ();
-  struct MHD_Response *response;
   enum MHD_Result rc;
-  const char *text;
   unsigned calls;
 
   pthread_mutex_lock (&entry->lock);
@@ -95,23 +108,75 @@
                                && !g_atomic_int_get (&entry->draining)));
   json_object_object_add (root, "calls", json_object_new_uint64 (calls));
   json_object_object_add (root, "runners", runners);
-  text = json_object_to_json_string_ext (root, JSON_C_TO_STRING_PLAIN);
-  response = MHD_create_response_from_buffer (strlen (text), (void *)text,
-                                              MHD_RESPMEM_MUST_COPY);
-  MHD_add_response_header (response, "Content-Type", "application/json");
-  rc = MHD_queue_response (connection, MHD_HTTP_OK, response);
-  MHD_destroy_response (response);
+  rc = send_text (
+      connection, MHD_HTTP_OK, "application/json",
+      json_object_to_json_string_ext (root, JSON_C_TO_STRING_PLAIN));
   json_object_put (root);
   return rc;
 }
 
+static enum MHD_Result
+authority_page (struct entry *entry, struct MHD_Connection *connection)
+{
+  char *text = entry_control_page (entry);
+  enum MHD_Result rc
+      = send_text (connection, MHD_HTTP_OK, "application/json", text);
+
+  g_free (text);
+  return rc;
+}
+
+static enum MHD_Result
+metrics_page (struct entry *entry, struct MHD_Connection *connection)
+{
+  GString *text = g_string_new (NULL);
+  enum MHD_Result rc;
+
+  (void)entry;
+  ctr_render (text);
+  rc = send_text (connection, MHD_HTTP_OK, "text/plain; version=0.0.4",
+                  text->str);
+  g_string_free (text, TRUE);
+  return rc;
+}
+
+static enum MHD_Result
+trace_page (struct entry *entry, struct MHD_Connection *connection)
+{
+  const char *id
+      = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, "id");
+  GString *text = g_string_new (NULL);
+  enum MHD_Result rc;
+
+  if (entry_trace_page (entry, id, text) == 0)
+    rc = send_text (connection, MHD_HTTP_OK, "application/json", text->str);
+  else
+    rc = send_text (connection, MHD_HTTP_BAD_REQUEST, "text/plain",
+                    "id: expected 32 hexadecimal digits\n");
+  g_string_free (text, TRUE);
+  return rc;
+}
+
+static enum MHD_Result
+warnings_page (struct entry *entry, struct MHD_Connection *connection)
+{
+  GString *text = g_string_new (NULL);
+  enum MHD_Result rc;
+
+  entry_warn_page (entry, text);
+  rc = send_text (connection, MHD_HTTP_OK, "application/json", text->str);
+  g_string_free (text, TRUE);
+  return rc;
+}
+
 static const struct
 {
   const char *url;
   enum MHD_Result (*answer) (struct entry *, struct MHD_Connection *);
 } pages[] = {
-  { "/admin/config", config_page },
-  { "/admin/status", status_page },
+  { "/metrics", metrics_page },     { "/admin/authority", authority_page },
+  { "/admin/config", config_page }, { "/admin/status", status_page },
+  { "/admin/trace", trace_page },   { "/admin/warnings", warnings_page },
 };
 
 bool
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -2,7 +2,6 @@
 
 #include <arpa/inet.h>
 #include <json-c/json.h>
-#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -230,8 +229,6 @@
   uint64_t deadline_ms = configured
                              ? snap->limits.deadline_default_ms
                              : (uint64_t)call->entry->settings.deadline_ms;
-  unsigned char random[24];
-  char hex[sizeof random * 2 + 1];
 
   if (number_header (call, "X-Deadline-Ms", deadline_max, &deadline_ms) != 0
       || number_header (call, "X-Priority", PRIORITY_MAX, &call->priority) != 0
@@ -246,12 +243,7 @@
     return -1;
   call->deadline_us = g_get_monotonic_time () + (gint64)deadline_ms * 1000;
   call->content_type = g_strdup (request_header (call, "Content-Type"));
-  if (call->traceparent[0] != '\0')
-    return 0;
-  randombytes_buf (random, sizeof random);
-  sodium_bin2hex (hex, sizeof hex, random, sizeof random);
-  snprintf (call->traceparent, sizeof call->traceparent, "00-%.32s-%.16s-01",
-            hex, hex + 32);
+  entry_trace_request (call);
   return 0;
 }
 
@@ -378,9 +370,6 @@
 static enum MHD_Result
 page (struct entry *entry, struct MHD_Connection *connection, const char *url)
 {
-  GString *text;
-  struct MHD_Response *response;
-
   if (strcmp (url, "/healthz") == 0)
     return send_response (connection, MHD_HTTP_OK,
                           text_response ("text/plain", "ok\n"));
@@ -399,27 +388,17 @@
                             ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
                             text_response ("text/plain", state));
     }
-  if (strcmp (url, "/admin/authority") == 0)
-    {
-      char *json = entry_control_page (entry);
-
-      response = text_response ("application/json", json);
-      g_free (json);
-      return send_response (connection, MHD_HTTP_OK, response);
-    }
-  text = g_string_new (NULL);
-  ctr_render (text);
-  response = text_response ("text/plain; version=0.0.4", text->str);
-  g_string_free (text, TRUE);
-  return send_response (connection, MHD_HTTP_OK, response);
+  return send_response (connection, MHD_HTTP_NOT_FOUND,
+                        text_response ("text/plain", "no such page\n"));
 }
 
+/* Operators' pages stay off the callers' address.  */
 static int
 is_page (const char *url)
 {
   return strcmp (url, "/healthz") == 0 || strcmp (url, "/readyz") == 0
-         || strcmp (url, "/metrics") == 0
-         || strcmp (url, "/admin/authority") == 0;
+         || strcmp (url, "/metrics") == 0 || strcmp (url, "/admin") == 0
+         || g_str_has_prefix (url, "/admin/");
 }
 
 static struct entry_call *
@@ -466,16 +445,19 @@
   return answer_or_wait (call);
 }
 
-/* Admin listener: its own pages, and those of the callers' listener.  */
+/* Admin listener: the operators' pages, and the state of the process.  */
 static enum MHD_Result
 handle_admin (void *cls, struct MHD_Connection *connection, const char *url,
               const char *method, const char *version, const char *upload,
               size_t *upload_size, void **con_cls)
 {
-  if (*con_cls == NULL && entry_admin_serves (url))
+  (void)version;
+  (void)upload;
+  (void)con_cls;
+  *upload_size = 0;
+  if (strcmp (method, "GET") == 0 && entry_admin_serves (url))
     return entry_admin_page (cls, connection, url);
-  return handle (cls, connection, url, method, version, upload, upload_size,
-                 con_cls);
+  return page (cls, connection, url);
 }
 
 static void
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -22,8 +22,8 @@
   }
 
 static const struct set_member members[] = {
-  MEMBER (name, SET_TEXT, .required = 1),
-  MEMBER (zone, SET_TEXT, .required = 1),
+  MEMBER (name, SET_TEXT, .required = 1, .max = MSG_NAME_MAX - 1),
+  MEMBER (zone, SET_TEXT, .required = 1, .max = MSG_NAME_MAX - 1),
   MEMBER (listen, SET_ADDRESS, .required = 1),
   MEMBER (admin, SET_ADDRESS, .required = 1),
   MEMBER (kv, SET_ADDRESS, .required = 1),
@@ -60,6 +60,7 @@
           hello_us = now;
         }
       entry_call_tick (entry, now);
+      entry_warn_tick (entry, now);
       g_usleep ((gulong)ENTRY_TICK_MS * 1000);
     }
   return NULL;
@@ -76,6 +77,8 @@
   entry->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                         (GDestroyNotify)entry_call_unref);
   entry_control_open (entry);
+  entry_trace_open (entry);
+  entry_warn_open (entry);
   if (entry_config_open (entry, err) != 0)
     return -1;
   entry->kv = kv_http_open (entry->settings.kv, KV_TIMEOUT_S, err);
@@ -139,6 +142,8 @@
   entry_control_close (entry);
   entry_config_close (entry);
   kv_http_close (entry->kv);
+  entry_trace_close (entry);
+  entry_warn_close (entry);
   g_hash_table_destroy (entry->calls);
   g_ptr_array_free (entry->runners, TRUE);
 }
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -191,7 +191,7 @@
 
 metric ()			# ENTRY NAME
 {
-  curl -s "http://127.$NET.2.$1:8000/metrics" \
+  curl -s "http://127.$NET.2.$1:8001/metrics" \
     | awk -v name="goldcresthatch_$2" '$1 == name { print $2 }'
 }
 
