Keep attempts from runners that just failed

Cause: after an END with outcome crashed, an unsent CALL or a lost connection, the runner stayed usable until its next report, and each call made its three tries on it within milliseconds.

Change: fleet_fault makes a runner unusable until a REPORT says that its endpoint is up; the entry does the same for an END that refused the call. The agent marks its endpoint down when a call breaks and ignores the result of a probe that overlaps the break. Further attempts follow retry_decide with its backoff and budget. A call that may have run is no longer refused as not run when a later attempt finds no runner.

--- a/include/goldcresthatch/fleet.h
+++ b/include/goldcresthatch/fleet.h
@@ -137,6 +137,10 @@
 void fleet_ended (struct fleet *fleet, struct fleet_work *work,
                   const struct msg_end *end);
 
+/* Notes that an attempt on REF met a crashed endpoint or a broken connection:
+   the runner gets no new work until a REPORT says that the endpoint is up.  */
+void fleet_fault (struct fleet *fleet, struct fleet_ref ref);
+
 /* Returns the runner of REF, or null.  The pointer is valid until the next
    fleet_list.  */
 const struct fleet_runner *fleet_get (const struct fleet *fleet,
--- a/src/agent.h
+++ b/src/agent.h
@@ -52,8 +52,9 @@
   uint64_t priority;
   uint64_t resume_index;
   gint64 deadline_us;
-  uint64_t frames; /* DATA messages sent */
-  int answered;    /* a head arrived */
+  uint64_t frames;  /* DATA messages sent */
+  int answered;     /* a head arrived */
+  uint64_t crashes; /* of the endpoint before the start */
   gint cancelled;
 };
 
@@ -72,6 +73,8 @@
   GHashTable *jobs;  /* by attempt */
   GHashTable *peers; /* entries by handle: time of the last HELLO */
   unsigned running;
+  uint64_t crashes; /* of the endpoint, seen by this incarnation */
+  uint64_t breaks;  /* times that a call found the endpoint down */
 
   pthread_t probe;
   gint stopping;
@@ -95,6 +98,10 @@
 
 void agent_job_unref (struct agent_job *job);
 
+/* Marks the endpoint down until the next probe passes.  CRASHED is nonzero
+   when the endpoint broke off JOB; the jobs of one crash count it once.  */
+void agent_endpoint_broke (struct agent_job *job, int crashed);
+
 /* Thread that checks the endpoint's health.  */
 void *agent_probe_main (void *arg);
 
--- a/src/agent_probe.c
+++ b/src/agent_probe.c
@@ -23,30 +23,66 @@
   return http_run (&call, &status, err) == HTTP_OK && status == STATUS_OK;
 }
 
+/* Sets the state of the endpoint; the agent's lock is held.  Returns nonzero
+   when it changed.  */
+static int
+set_endpoint (struct agent *agent, int up)
+{
+  if (up == agent->endpoint_up)
+    return 0;
+  agent->endpoint_up = up;
+  if (!up)
+    ctr_add (CTR_ENDPOINT_CRASHES, 1);
+  return 1;
+}
+
+static void
+report_endpoint (struct agent *agent, const char *step, int up)
+{
+  log_write (up ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, NULL, step,
+             agent->settings.endpoint, "endpoint is %s", up ? "up" : "down");
+  agent_report (agent, 0);
+}
+
+void
+agent_endpoint_broke (struct agent_job *job, int crashed)
+{
+  struct agent *agent = job->agent;
+  int changed;
+
+  pthread_mutex_lock (&agent->lock);
+  if (crashed && job->crashes == agent->crashes)
+    agent->crashes++;
+  agent->breaks++;
+  changed = set_endpoint (agent, 0);
+  pthread_mutex_unlock (&agent->lock);
+  if (changed)
+    report_endpoint (agent, "run", 0);
+}
+
 void *
 agent_probe_main (void *arg)
 {
   struct agent *agent = arg;
   struct err err = { 0 };
+  uint64_t breaks;
   int changed;
   int up;
 
   while (!g_atomic_int_get (&agent->stopping))
     {
+      pthread_mutex_lock (&agent->lock);
+      breaks = agent->breaks;
+      pthread_mutex_unlock (&agent->lock);
       up = probe (agent, &err);
       pthread_mutex_lock (&agent->lock);
-      changed = up != agent->endpoint_up;
-      agent->endpoint_up = up;
+      /* A call broke during the probe, which may have passed before that.  */
+      if (breaks != agent->breaks)
+        up = 0;
+      changed = set_endpoint (agent, up);
       pthread_mutex_unlock (&agent->lock);
       if (changed)
-        {
-          log_write (up ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, NULL, "probe",
-                     agent->settings.endpoint, "endpoint is %s",
-                     up ? "up" : "down");
-          if (!up)
-            ctr_add (CTR_ENDPOINT_CRASHES, 1);
-          agent_report (agent, 0);
-        }
+        report_endpoint (agent, "probe", up);
       g_usleep (PROBE_PERIOD_US);
     }
   return NULL;
--- a/src/agent_work.c
+++ b/src/agent_work.c
@@ -76,6 +76,7 @@
       agent_send_end (job, MSG_OUTCOME_DONE, "", "");
       return;
     case HTTP_NOT_SENT:
+      agent_endpoint_broke (job, 0);
       agent_send_end (job, MSG_OUTCOME_NOT_RUN, "connect", err->text);
       return;
     case HTTP_STOPPED:
@@ -86,6 +87,8 @@
       log_write (LOG_LEVEL_WARN, job->traceparent, "run",
                  job->agent->settings.endpoint, "status %d: %s", status,
                  err->text);
+      if (result == HTTP_BROKEN)
+        agent_endpoint_broke (job, 1);
       agent_send_end (job,
                       result == HTTP_BROKEN ? MSG_OUTCOME_CRASHED
                                             : MSG_OUTCOME_UNKNOWN,
@@ -138,12 +141,18 @@
 {
   struct agent_job *job = data;
   struct agent *agent = ctx;
+  int up;
 
   pthread_mutex_lock (&agent->lock);
   agent->running++;
+  job->crashes = agent->crashes;
+  up = agent->endpoint_up;
   pthread_mutex_unlock (&agent->lock);
   if (g_atomic_int_get (&job->cancelled))
     agent_send_end (job, MSG_OUTCOME_NOT_RUN, "queue", "cancelled");
+  else if (!up)
+    agent_send_end (job, MSG_OUTCOME_NOT_RUN, "connect",
+                    "the endpoint is down");
   else if (g_get_monotonic_time () >= job->deadline_us)
     agent_send_end (job, MSG_OUTCOME_NOT_RUN, "queue",
                     "the deadline passed in the queue");
--- a/src/entry.h
+++ b/src/entry.h
@@ -18,6 +18,7 @@
 #include "goldcresthatch/kv.h"
 #include "goldcresthatch/msg.h"
 #include "goldcresthatch/net.h"
+#include "goldcresthatch/retry.h"
 #include "goldcresthatch/set.h"
 #include "goldcresthatch/strm.h"
 
@@ -108,6 +109,8 @@
   uint64_t runner_peer; /* 0 between attempts */
   uint64_t last_peer;   /* runner of the attempt before */
   unsigned tries;
+  int may_have_run;        /* an attempt ended without a proof of "not run" */
+  gint64 retry_at_us;      /* time of the next attempt; 0 when none is due */
   gint64 waiting_since_us; /* for a runner; 0 when not waiting */
   int head;                /* status and content type may be sent */
   int ended;               /* no more bytes follow */
@@ -136,7 +139,8 @@
 
   pthread_mutex_t lock; /* guards what follows */
   GPtrArray *runners;   /* struct entry_runner */
-  GHashTable *calls;    /* by id */
+  struct retry_budget retries;
+  GHashTable *calls; /* by id */
 };
 
 /* entry_http.c */
@@ -148,6 +152,8 @@
 void entry_http_append_failure (struct entry_call *call);
 
 /* entry_call.c */
+extern const struct retry_config entry_retry_config;
+
 struct entry_call *entry_call_new (struct entry *entry);
 struct entry_call *entry_call_ref (struct entry_call *call);
 void entry_call_unref (struct entry_call *call);
@@ -195,6 +201,10 @@
 int entry_fleet_choose (struct entry *entry, const char *service,
                         uint64_t avoid, struct entry_runner *out);
 void entry_fleet_release (struct entry *entry, uint64_t peer);
+
+/* Keeps new work from PEER, whose endpoint crashed or whose connection broke,
+   until its next report that the endpoint is up.  */
+void entry_fleet_fault (struct entry *entry, uint64_t peer);
 int entry_fleet_alive (struct entry *entry, uint64_t peer, gint64 now_us);
 void entry_fleet_name (struct entry *entry, uint64_t peer, char *name,
                        size_t size);
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -1,5 +1,6 @@
 #include "entry.h"
 
+#include <sodium.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,7 +11,6 @@
 
 enum
 {
-  TRIES_MAX = 3,
   HELD_BYTES_MAX = 1 << 20, /* of an answer after a gap */
   RETRY_AFTER_S = 1,
   /* A crash or a restart leaves a service without a runner for about a second;
@@ -21,6 +21,17 @@
   STATUS_GATEWAY_TIMEOUT = 504
 };
 
+/* A failed runner ends all its attempts at once, so the bucket starts full.
+   The fourth attempt covers a runner that refused.  */
+const struct retry_config entry_retry_config = {
+  .ratio_permil = 100,
+  .reserve = 100,
+  .burst = 100,
+  .attempts_max = 4,
+  .backoff_us = 50000,
+  .backoff_max_us = 1000000,
+};
+
 struct entry_call *
 entry_call_new (struct entry *entry)
 {
@@ -147,7 +158,8 @@
 
   if (call->waiting_since_us == 0)
     call->waiting_since_us = now;
-  if (!call->head && now - call->waiting_since_us >= ROUTE_WAIT_US)
+  if (!call->head && !call->may_have_run
+      && now - call->waiting_since_us >= ROUTE_WAIT_US)
     entry_call_fail (call, STATUS_UNAVAILABLE, ENTRY_OUTCOME_NOT_RUN,
                      ERR_LIMIT, "route", call->service,
                      "no runner takes work");
@@ -167,6 +179,7 @@
       return;
     }
   call->waiting_since_us = 0;
+  call->retry_at_us = 0;
   call->tries++;
   call->attempt = msg_id_new ();
   call->runner_peer = runner.peer;
@@ -183,6 +196,7 @@
 
   pthread_mutex_lock (&entry->lock);
   g_hash_table_insert (entry->calls, &call->id, entry_call_ref (call));
+  retry_first (&entry->retries, &entry_retry_config);
   pthread_mutex_unlock (&entry->lock);
   pthread_mutex_lock (&call->lock);
   call->started = 1;
@@ -240,20 +254,40 @@
   entry_call_wake (call);
 }
 
-/* Whether another attempt may follow one that ended with OUTCOME.  */
-static int
-may_repeat (const struct entry_call *call, enum msg_outcome outcome)
+/* Decides whether another attempt follows one that ended with OUTCOME.  */
+static struct retry_decision
+decide_retry (struct entry_call *call, enum msg_outcome outcome)
 {
-  if (outcome != MSG_OUTCOME_NOT_RUN && call->at_most_once)
-    return 0;
-  return call->tries < TRIES_MAX
-         && g_get_monotonic_time () < call->deadline_us;
+  static const enum retry_failure failures[MSG_OUTCOME_MAX] = {
+    [MSG_OUTCOME_DONE] = RETRY_UNKNOWN, /* a part of the answer was lost */
+    [MSG_OUTCOME_NOT_RUN] = RETRY_NOT_RUN,
+    [MSG_OUTCOME_UNKNOWN] = RETRY_UNKNOWN,
+    [MSG_OUTCOME_CRASHED] = RETRY_CRASHED,
+  };
+  struct entry *entry = call->entry;
+  struct retry_attempt attempt = {
+    .failure = failures[outcome],
+    .idempotent = !call->at_most_once,
+    .attempts = call->tries,
+    .deadline_us = call->deadline_us,
+  };
+  struct retry_decision decision;
+  uint64_t random;
+
+  randombytes_buf (&random, sizeof random);
+  pthread_mutex_lock (&entry->lock);
+  decision = retry_decide (&entry->retries, &entry_retry_config, &attempt,
+                           g_get_monotonic_time (), random);
+  pthread_mutex_unlock (&entry->lock);
+  return decision;
 }
 
 void
 entry_call_attempt_ended (struct entry_call *call, enum msg_outcome outcome,
                           const char *step, const char *peer, const char *text)
 {
+  struct retry_decision decision;
+
   call->runner_peer = 0;
   if (strm_closed (call->strm))
     {
@@ -261,20 +295,25 @@
       entry_call_finish (call);
       return;
     }
-  if (may_repeat (call, outcome))
+  if (outcome != MSG_OUTCOME_NOT_RUN)
+    call->may_have_run = 1;
+  decision = decide_retry (call, outcome);
+  if (decision.verdict == RETRY_YES)
     {
       ctr_add (call->head ? CTR_RESUMES : CTR_RETRIES, 1);
       if (!call->stream)
         g_string_truncate (call->answer, 0);
-      start_attempt (call);
+      call->retry_at_us = g_get_monotonic_time () + decision.delay_us;
       return;
     }
-  if (outcome == MSG_OUTCOME_NOT_RUN)
+  if (!call->may_have_run)
     entry_call_fail (call, STATUS_UNAVAILABLE, ENTRY_OUTCOME_NOT_RUN,
-                     ERR_REFUSED, step, peer, "%s", text);
+                     ERR_REFUSED, step, peer, "%s (%s)", text,
+                     retry_name (decision.verdict));
   else
     entry_call_fail (call, STATUS_BAD_GATEWAY, ENTRY_OUTCOME_UNKNOWN, ERR_IO,
-                     step, peer, "%s", text);
+                     step, peer, "%s (%s)", text,
+                     retry_name (decision.verdict));
 }
 
 void
@@ -318,7 +357,8 @@
       entry_call_attempt_ended (call, MSG_OUTCOME_UNKNOWN, "run", name,
                                 "the agent is silent");
     }
-  else if (call->waiting_since_us != 0)
+  else if (call->waiting_since_us != 0
+           || (call->retry_at_us != 0 && now_us >= call->retry_at_us))
     start_attempt (call);
   pthread_mutex_unlock (&call->lock);
 }
--- a/src/entry_fleet.c
+++ b/src/entry_fleet.c
@@ -120,6 +120,18 @@
   pthread_mutex_unlock (&entry->lock);
 }
 
+void
+entry_fleet_fault (struct entry *entry, uint64_t peer)
+{
+  struct entry_runner *runner;
+
+  pthread_mutex_lock (&entry->lock);
+  runner = find_peer (entry, peer);
+  if (runner != NULL)
+    runner->endpoint_up = 0;
+  pthread_mutex_unlock (&entry->lock);
+}
+
 int
 entry_fleet_alive (struct entry *entry, uint64_t peer, gint64 now_us)
 {
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -70,6 +70,7 @@
 
   randombytes_buf (&entry->incarnation, sizeof entry->incarnation);
   pthread_mutex_init (&entry->lock, NULL);
+  retry_init (&entry->retries, &entry_retry_config);
   entry->runners = g_ptr_array_new_with_free_func (g_free);
   entry->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                         (GDestroyNotify)entry_call_unref);
--- a/src/entry_net.c
+++ b/src/entry_net.c
@@ -69,6 +69,22 @@
   put_call (call);
 }
 
+static int
+text_is (struct msg_str s, const char *text)
+{
+  return s.n == strlen (text) && memcmp (s.p, text, s.n) == 0;
+}
+
+/* Whether END shows that the runner cannot take work at present.  */
+static int
+is_fault (const struct msg_end *end)
+{
+  return end->outcome == MSG_OUTCOME_CRASHED
+         || (end->outcome == MSG_OUTCOME_NOT_RUN
+             && (text_is (end->step, "admit")
+                 || text_is (end->step, "connect")));
+}
+
 static void
 on_end (struct entry *entry, uint64_t peer, const struct msg *msg)
 {
@@ -79,6 +95,8 @@
   char text[ERR_TEXT_MAX];
   int done;
 
+  if (is_fault (end))
+    entry_fleet_fault (entry, peer);
   if (call == NULL)
     return;
   done = end->outcome == MSG_OUTCOME_DONE;
@@ -127,6 +145,7 @@
 
   if (msg->type != MSG_CALL)
     return;
+  entry_fleet_fault (entry, peer);
   call = find_call (entry, msg->u.call.call, msg->u.call.attempt);
   if (call == NULL)
     return;
@@ -140,6 +159,7 @@
 static void
 on_lost (void *ctx, uint64_t peer)
 {
+  entry_fleet_fault (ctx, peer);
   entry_call_peer_lost (ctx, peer);
 }
 
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -434,6 +434,17 @@
       = MAX (slot->pub.load.requests, slot->pub.outstanding);
 }
 
+void
+fleet_fault (struct fleet *fleet, struct fleet_ref ref)
+{
+  struct slot *slot = slot_of (fleet, ref);
+
+  if (!slot)
+    return;
+  slot->serving = 0;
+  update_usable (slot);
+}
+
 const struct fleet_runner *
 fleet_get (const struct fleet *fleet, struct fleet_ref ref)
 {
--- a/tests/unit_fleet.cc
+++ b/tests/unit_fleet.cc
@@ -78,6 +78,25 @@
   }
 };
 
+// Guards against further attempts on a runner whose endpoint just crashed,
+// also while silent runners are kept, and against shutting it out for good.
+TEST_F (Fleet, FaultLastsUntilTheNextReport)
+{
+  run (0, 2 * SECOND, 8);
+  fleet_fault (fleet, at (0)->ref);
+  EXPECT_FALSE (at (0)->usable);
+  EXPECT_TRUE (at (1)->usable);
+  for (int64_t t = 3 * SECOND; t <= 9 * SECOND; t += SECOND)
+    fleet_tick (fleet, t);
+  ASSERT_TRUE (fleet_keeping (fleet));
+  EXPECT_FALSE (at (0)->usable);
+  EXPECT_TRUE (at (1)->usable);
+  report (0, 10 * SECOND, MSG_AGENT_DRAINING);
+  EXPECT_FALSE (at (0)->usable);
+  report (0, 11 * SECOND);
+  EXPECT_TRUE (at (0)->usable);
+}
+
 // Guards against new work for an agent that stopped reporting.
 TEST_F (Fleet, SilentRunnerGetsNoWork)
 {
