Choose runners by the fleet and route parts in the entry

The entry kept its own array of runners, held a socket to each one and compared only their request counts.

Change: entry_fleet.c feeds the list, REPORT, END and ticks to the fleet part and chooses by the route part: predicted time of prompt and answer, prefix pieces, zone distance, priority. Sockets are open to the subset of each service (route_contacts) and to runners whose service is not known yet; a socket that left the subset closes when it is idle (fleet_unfollow keeps its silence out of the census). entry_fleet_withhold applies drain and withdraw. A report is asked for on each tick after a connection starts or breaks, so a runner returns before the next regular HELLO. END no longer counts the job that it ends as load.

--- a/include/goldcresthatch/fleet.h
+++ b/include/goldcresthatch/fleet.h
@@ -141,6 +141,10 @@
    the runner gets no new work until a REPORT says that the endpoint is up.  */
 void fleet_fault (struct fleet *fleet, struct fleet_ref ref);
 
+/* Notes that the connection to REF was closed on purpose: its silence is not
+   judged and it gets no new work until its next REPORT.  */
+void fleet_unfollow (struct fleet *fleet, struct fleet_ref ref);
+
 /* Returns the runner of REF, or null.  The pointer is valid until the next
    fleet_list.  */
 const struct fleet_runner *fleet_get (const struct fleet *fleet,
--- a/include/goldcresthatch/route.h
+++ b/include/goldcresthatch/route.h
@@ -106,6 +106,16 @@
 void route_refresh (struct route *route, const struct fleet *fleet,
                     const char *zone);
 
+/* Copies to REFS, of fleet_slots, the runners to hold a connection to, and
+   returns their number: those whose service is not known and, of each service,
+   a subset like that of route_refresh, made of the runners for which FIT
+   returns nonzero and then of the others.  */
+size_t route_contacts (const struct route *route, const struct fleet *fleet,
+                       const char *zone,
+                       int (*fit) (void *ctx,
+                                   const struct fleet_runner *runner),
+                       void *ctx, struct fleet_ref *refs);
+
 /* Copies the subset of SERVICE to REFS, of ROUTE_SUBSET, and returns its
    size.  */
 size_t route_subset (const struct route *route, const char *service,
--- a/src/agent.h
+++ b/src/agent.h
@@ -55,6 +55,7 @@
   uint64_t frames;  /* DATA messages sent */
   int answered;     /* a head arrived */
   uint64_t crashes; /* of the endpoint before the start */
+  int counted;      /* in agent->running */
   gint cancelled;
 };
 
--- a/src/agent_net.c
+++ b/src/agent_net.c
@@ -140,8 +140,9 @@
   msg.u.end.step = msg_text (step);
   msg.u.end.text = msg_text (text);
   pthread_mutex_lock (&agent->lock);
-  msg.u.end.running = agent->running;
   msg.u.end.queued = g_hash_table_size (agent->jobs) - agent->running;
+  /* The job that ends here is no load any more.  */
+  msg.u.end.running = agent->running - (unsigned)job->counted;
   pthread_mutex_unlock (&agent->lock);
   net_send (agent->net, job->peer, &msg, NULL);
 }
--- a/src/agent_work.c
+++ b/src/agent_work.c
@@ -145,6 +145,7 @@
 
   pthread_mutex_lock (&agent->lock);
   agent->running++;
+  job->counted = 1;
   job->crashes = agent->crashes;
   up = agent->endpoint_up;
   pthread_mutex_unlock (&agent->lock);
--- a/src/entry.h
+++ b/src/entry.h
@@ -15,10 +15,12 @@
 #include <stdint.h>
 
 #include "goldcresthatch/cfg.h"
+#include "goldcresthatch/fleet.h"
 #include "goldcresthatch/kv.h"
 #include "goldcresthatch/msg.h"
 #include "goldcresthatch/net.h"
 #include "goldcresthatch/retry.h"
+#include "goldcresthatch/route.h"
 #include "goldcresthatch/set.h"
 #include "goldcresthatch/strm.h"
 
@@ -39,28 +41,26 @@
   int64_t drain_limit_s;
   int64_t deadline_ms; /* of a request that names none */
   int64_t workers;
+  int64_t prefill_us;       /* of an engine, for a token of the prompt */
+  int64_t step_us;          /* of an engine, for a token of one answer */
+  int64_t step_request_us;  /* added to it by each further answer */
+  int64_t request_us;       /* of a plain service */
+  int64_t zone_distance_us; /* one way between two zones */
   struct set_list config_peers;
 };
 
-/* A runner as this entry sees it.  */
+/* The runner chosen for an attempt.  */
 struct entry_runner
 {
-  char name[MSG_NAME_MAX];
-  char address[ERR_PEER_MAX];
-  char service[MSG_NAME_MAX];
   uint64_t peer; /* network handle */
   uint64_t incarnation;
   uint64_t window;
-  enum msg_agent_state state;
-  int endpoint_up;
-  int leaving; /* by the platform's list */
-  uint64_t running;
-  uint64_t queued;
-  uint64_t capacity;
-  unsigned own; /* attempts of this entry in progress */
-  gint64 reported_us;
+  int64_t first_us; /* predicted time to the first token */
+  struct fleet_work work;
 };
 
+struct entry_fleet;
+
 /* What the caller is told about a call that has no answer.  */
 enum entry_outcome
 {
@@ -97,6 +97,10 @@
   char traceparent[MSG_NAME_MAX];
   GByteArray *body;
   uint64_t priority;
+  GString *prompt;        /* of a model request, else null */
+  uint64_t output_tokens; /* expected */
+  uint64_t prefix[ROUTE_PIECES_MAX];
+  size_t n_prefix;
   int stream;
   int at_most_once;
   gint64 deadline_us;
@@ -106,8 +110,9 @@
   int started;
   int suspended; /* the connection waits for entry_call_wake */
   struct msg_id attempt;
-  uint64_t runner_peer; /* 0 between attempts */
-  uint64_t last_peer;   /* runner of the attempt before */
+  struct fleet_work work; /* of the current attempt */
+  uint64_t runner_peer;   /* 0 between attempts */
+  uint64_t last_peer;     /* runner of the attempt before */
   unsigned tries;
   int may_have_run;        /* an attempt ended without a proof of "not run" */
   gint64 retry_at_us;      /* time of the next attempt; 0 when none is due */
@@ -138,7 +143,7 @@
   struct entry_config *config;
 
   pthread_mutex_t lock; /* guards what follows */
-  GPtrArray *runners;   /* struct entry_runner */
+  struct entry_fleet *fleet;
   struct retry_budget retries;
   GHashTable *calls; /* by id */
 };
@@ -195,12 +200,18 @@
 void entry_fleet_report (struct entry *entry, uint64_t peer,
                          const struct msg_report *report);
 
-/* Chooses a runner for SERVICE, other than the one with the handle AVOID when
-   there is a choice, and counts the attempt on it.  Returns 0 when there is
+/* Chooses a runner for CALL, other than that of its last attempt when there is
+   a choice, and counts the attempt on it.  Returns 0 when there is
    none; else fills in OUT.  */
-int entry_fleet_choose (struct entry *entry, const char *service,
-                        uint64_t avoid, struct entry_runner *out);
-void entry_fleet_release (struct entry *entry, uint64_t peer);
+int entry_fleet_choose (struct entry *entry, const struct entry_call *call,
+                        struct entry_runner *out);
+
+/* Notes the first token of WORK, whose prompt no longer waits.  */
+void entry_fleet_first_token (struct entry *entry, struct fleet_work *work);
+
+/* Counts the end of an attempt on PEER; END is null when none arrived.  */
+void entry_fleet_release (struct entry *entry, uint64_t peer,
+                          struct fleet_work *work, const struct msg_end *end);
 
 /* Keeps new work from PEER, whose endpoint crashed or whose connection broke,
    until its next report that the endpoint is up.  */
@@ -210,6 +221,20 @@
                        size_t size);
 int entry_fleet_knows (struct entry *entry, const char *service);
 void entry_fleet_hello (struct entry *entry);
+
+/* Judges silence and follows the subsets.  To be called on each tick, before
+   entry_call_tick.  */
+void entry_fleet_tick (struct entry *entry, gint64 now_us);
+
+/* Hashes the prompt of CALL for the estimate of cached prefixes.  */
+void entry_fleet_hash_prompt (struct entry_call *call);
+
+/* Keeps new work from the runners that the configuration drains or withdraws.
+   To be called with each new snapshot.  */
+void entry_fleet_withhold (struct entry *entry,
+                           const struct cfg_snapshot *snap);
+void entry_fleet_open (struct entry *entry);
+void entry_fleet_close (struct entry *entry);
 void *entry_fleet_main (void *arg);
 
 /* entry_config.c */
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -63,6 +63,8 @@
   g_free (call->path);
   g_free (call->content_type);
   g_free (call->service);
+  if (call->prompt != NULL)
+    g_string_free (call->prompt, TRUE);
   g_byte_array_free (call->body, TRUE);
   g_string_free (call->answer, TRUE);
   if (call->strm != NULL)
@@ -173,7 +175,7 @@
   struct entry_runner runner;
   struct msg msg;
 
-  if (!entry_fleet_choose (entry, call->service, call->last_peer, &runner))
+  if (!entry_fleet_choose (entry, call, &runner))
     {
       wait_for_runner (call);
       return;
@@ -183,6 +185,7 @@
   call->tries++;
   call->attempt = msg_id_new ();
   call->runner_peer = runner.peer;
+  call->work = runner.work;
   call->last_peer = runner.peer;
   strm_begin (call->strm, call->attempt);
   fill_call (call, &runner, &msg);
@@ -216,14 +219,15 @@
   msg.u.cancel.call = call->id;
   msg.u.cancel.attempt = call->attempt;
   net_send (call->entry->net, call->runner_peer, &msg, NULL);
-  entry_fleet_release (call->entry, call->runner_peer);
+  entry_fleet_release (call->entry, call->runner_peer, &call->work, NULL);
   call->runner_peer = 0;
 }
 
 void
 entry_call_finish (struct entry_call *call)
 {
-  entry_fleet_release (call->entry, call->runner_peer);
+  if (call->runner_peer != 0)
+    entry_fleet_release (call->entry, call->runner_peer, &call->work, NULL);
   call->runner_peer = 0;
   call->head = 1;
   call->ended = 1;
--- a/src/entry_fleet.c
+++ b/src/entry_fleet.c
@@ -1,146 +1,304 @@
 #include "entry.h"
 
 #include <json-c/json.h>
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "goldcresthatch/eng.h"
 #include "goldcresthatch/log.h"
 
 enum
 {
   LIST_PERIOD_US = 1 * G_USEC_PER_SEC,
-  SILENCE_US = 6 * G_USEC_PER_SEC /* three report intervals */
+  REFRESH_PERIOD_US = 500 * 1000, /* of the subsets */
+  /* Time from a connection's start in which a report is asked for by a HELLO
+     on each tick, since a HELLO to a peer not yet connected is dropped.  */
+  ASK_US = 5 * G_USEC_PER_SEC,
+  /* A runner whose connection was closed for lack of a report is tried again
+     after this time, unless the subset has room for it at once.  */
+  CONTACT_AGAIN_US = 30 * G_USEC_PER_SEC,
+  CACHE_PIECES = 65536,
+  CACHE_HALF_LIFE_US = 300 * G_USEC_PER_SEC,
+  /* Engines take about four bytes of text a token.  */
+  TOKEN_BYTES = 4,
+  PREFILL_CHUNK_TOKENS = 512
 };
 
-static struct entry_runner *
-find_peer (struct entry *entry, uint64_t peer)
+/* A connection to a runner, also to one that is no longer listed but still
+   has attempts in progress.  */
+struct link
 {
-  guint i;
+  uint64_t peer; /* 0 when closed */
+  struct fleet_ref ref;
+  char name[MSG_NAME_MAX + 1];
+  char address[MSG_NAME_MAX + 1];
+  unsigned attempts; /* in progress */
+  int wanted;        /* in the subset of its service */
+  gint64 opened_us;
+  gint64 closed_us;
+  gint64 reported_us;
+  gint64 ask_until_us; /* for a report; 0 when one has arrived */
+};
 
-  for (i = 0; i < entry->runners->len; i++)
-    {
-      struct entry_runner *runner = g_ptr_array_index (entry->runners, i);
+struct entry_fleet
+{
+  struct fleet *fleet;
+  struct route *route;
+  GPtrArray *links;    /* struct link, at most one for each ref */
+  GPtrArray *by_index; /* link of the newest ref with this index, or null */
+  GHashTable *by_peer;
+  gint64 refreshed_us;
+};
 
-      if (runner->peer == peer)
-        return runner;
-    }
-  return NULL;
+static int64_t
+distance_us (void *ctx, const char *from, const char *to)
+{
+  const struct entry *entry = ctx;
+
+  return strcmp (from, to) == 0 ? 0 : entry->settings.zone_distance_us;
 }
 
-static struct entry_runner *
-find_name (struct entry *entry, const char *name)
+void
+entry_fleet_open (struct entry *entry)
 {
-  guint i;
+  struct route_config config = {
+    .entry = entry->settings.name,
+    .cache_pieces = CACHE_PIECES,
+    .half_life_us = CACHE_HALF_LIFE_US,
+    .prefill_role = ENG_ROLE_PREFILL,
+    .decode_role = ENG_ROLE_DECODE,
+    .distance_us = distance_us,
+    .ctx = entry,
+  };
+
+  entry->fleet = g_new0 (struct entry_fleet, 1);
+  entry->fleet->fleet = fleet_new ();
+  entry->fleet->route = route_new (&config);
+  entry->fleet->by_index = g_ptr_array_new ();
+  entry->fleet->by_peer = g_hash_table_new (g_int64_hash, g_int64_equal);
+  entry->fleet->links = g_ptr_array_new_with_free_func (g_free);
+}
 
-  for (i = 0; i < entry->runners->len; i++)
-    {
-      struct entry_runner *runner = g_ptr_array_index (entry->runners, i);
+void
+entry_fleet_close (struct entry *entry)
+{
+  fleet_free (entry->fleet->fleet);
+  route_free (entry->fleet->route);
+  g_ptr_array_free (entry->fleet->by_index, TRUE);
+  g_hash_table_destroy (entry->fleet->by_peer);
+  g_ptr_array_free (entry->fleet->links, TRUE);
+  g_free (entry->fleet);
+}
 
-      if (strcmp (runner->name, name) == 0)
-        return runner;
-    }
-  return NULL;
+static struct link *
+find_peer (struct entry *entry, uint64_t peer)
+{
+  return g_hash_table_lookup (entry->fleet->by_peer, &peer);
+}
+
+static struct link *
+find_ref (struct entry *entry, struct fleet_ref ref)
+{
+  GPtrArray *links = entry->fleet->by_index;
+  struct link *link;
+
+  if (ref.index >= links->len)
+    return NULL;
+  link = g_ptr_array_index (links, ref.index);
+  return link != NULL && link->ref.generation == ref.generation ? link : NULL;
+}
+
+static void
+ask (struct link *link, gint64 now)
+{
+  link->ask_until_us = now + ASK_US;
+}
+
+static void
+refresh_route (struct entry *entry)
+{
+  route_refresh (entry->fleet->route, entry->fleet->fleet,
+                 entry->settings.zone);
 }
 
 void
 entry_fleet_report (struct entry *entry, uint64_t peer,
                     const struct msg_report *report)
 {
-  struct entry_runner *runner;
+  const struct fleet_runner *runner;
+  gint64 now = g_get_monotonic_time ();
+  struct link *link;
+  struct err err;
+  int was_usable;
 
   pthread_mutex_lock (&entry->lock);
-  runner = find_peer (entry, peer);
-  if (runner != NULL)
+  link = find_peer (entry, peer);
+  runner = link != NULL ? fleet_get (entry->fleet->fleet, link->ref) : NULL;
+  /* A report under another runner's name comes from a VM that was replaced
+     while the list still shows the old one.  */
+  if (link != NULL && report->agent.n == strlen (link->name)
+      && memcmp (report->agent.p, link->name, report->agent.n) == 0)
     {
-      msg_str_copy (runner->service, sizeof runner->service, report->service);
-      runner->incarnation = report->incarnation;
-      runner->window = report->window;
-      runner->state = (enum msg_agent_state)report->state;
-      runner->endpoint_up = report->endpoint_up != 0;
-      runner->running = report->running;
-      runner->queued = report->queued;
-      runner->capacity = report->capacity;
-      runner->reported_us = g_get_monotonic_time ();
+      link->reported_us = now;
+      link->ask_until_us = 0;
+      was_usable = runner != NULL && runner->usable;
+      if (runner != NULL
+          && fleet_report (entry->fleet->fleet, report, now, &err) != 0)
+        log_err (LOG_LEVEL_DEBUG, NULL, &err);
+      if (runner != NULL && !was_usable && runner->usable)
+        refresh_route (entry);
     }
   pthread_mutex_unlock (&entry->lock);
 }
 
-static int
-usable (const struct entry_runner *runner, const char *service, gint64 now)
+static void
+fill_request (struct entry *entry, const struct entry_call *call,
+              const struct fleet_ref *excluded, size_t n,
+              struct route_request *request)
+{
+  const struct entry_settings *settings = &entry->settings;
+
+  memset (request, 0, sizeof *request);
+  request->service = call->service;
+  request->zone = settings->zone;
+  request->priority = (unsigned)call->priority;
+  request->budget_us = call->deadline_us - g_get_monotonic_time ();
+  request->excluded = excluded;
+  request->n_excluded = n;
+  if (call->prompt == NULL)
+    {
+      request->speed.request_us = (uint32_t)settings->request_us;
+      return;
+    }
+  request->prompt_tokens = call->prompt->len / TOKEN_BYTES + 1;
+  request->output_tokens = call->output_tokens;
+  request->prefix = call->prefix;
+  request->n_prefix = call->n_prefix;
+  request->speed.prefill_us_per_token = (uint32_t)settings->prefill_us;
+  request->speed.chunk_tokens = PREFILL_CHUNK_TOKENS;
+  request->speed.step_us = (uint32_t)settings->step_us;
+  request->speed.step_us_per_request = (uint32_t)settings->step_request_us;
+}
+
+void
+entry_fleet_hash_prompt (struct entry_call *call)
 {
-  return strcmp (runner->service, service) == 0 && runner->endpoint_up
-         && runner->state == MSG_AGENT_SERVING && !runner->leaving
-         && runner->reported_us != 0 && now - runner->reported_us < SILENCE_US;
+  call->n_prefix
+      = route_prefix (call->service, call->prompt->str, call->prompt->len,
+                      (size_t)ROUTE_PIECE_TOKENS * TOKEN_BYTES, call->prefix,
+                      ROUTE_PIECES_MAX);
 }
 
-/* A total order in which a lower value is chosen first.  */
-static uint64_t
-load (const struct entry_runner *runner, uint64_t avoid)
+/* Chooses without the runners excluded, whose lock is held.  */
+static struct route_choice
+choose (struct entry *entry, const struct entry_call *call,
+        const struct fleet_ref *excluded, size_t n, gint64 now)
 {
-  uint64_t penalty = runner->peer == avoid ? UINT32_MAX : 0;
+  struct route_request request;
+  uint64_t random;
+
+  randombytes_buf (&random, sizeof random);
+  fill_request (entry, call, excluded, n, &request);
+  return route_choose (entry->fleet->route, entry->fleet->fleet, &request,
+                       random, now);
+}
 
-  return runner->running + runner->queued + runner->own + penalty;
+/* Counts the attempt of CALL on the runner of CHOICE and fills in OUT.  */
+static int
+take (struct entry *entry, const struct entry_call *call,
+      const struct route_choice *choice, gint64 now, struct entry_runner *out)
+{
+  struct entry_fleet *fleet = entry->fleet;
+  const struct fleet_runner *runner = fleet_get (fleet->fleet, choice->ref);
+  struct link *link = find_ref (entry, choice->ref);
+  uint64_t tokens = 0;
+
+  if (runner == NULL || link == NULL || link->peer == 0)
+    return 0;
+  if (call->prompt != NULL)
+    tokens = call->prompt->len / TOKEN_BYTES + 1 - choice->cached;
+  link->attempts++;
+  out->peer = link->peer;
+  out->incarnation = runner->incarnation;
+  out->window = runner->window;
+  out->first_us = choice->first_us;
+  out->work = fleet_sent (fleet->fleet, choice->ref, tokens);
+  route_served (fleet->route, choice->ref, call->prefix, call->n_prefix, now);
+  return 1;
 }
 
 int
-entry_fleet_choose (struct entry *entry, const char *service, uint64_t avoid,
+entry_fleet_choose (struct entry *entry, const struct entry_call *call,
                     struct entry_runner *out)
 {
   gint64 now = g_get_monotonic_time ();
-  struct entry_runner *best = NULL;
-  guint i;
+  struct route_choice choice;
+  struct link *last;
+  int found;
 
   pthread_mutex_lock (&entry->lock);
-  for (i = 0; i < entry->runners->len; i++)
-    {
-      struct entry_runner *runner = g_ptr_array_index (entry->runners, i);
+  last = find_peer (entry, call->last_peer);
+  choice = choose (entry, call, last != NULL ? &last->ref : NULL,
+                   last != NULL ? 1 : 0, now);
+  if (choice.ref.generation == 0 && last != NULL)
+    choice = choose (entry, call, NULL, 0, now);
+  found = choice.ref.generation != 0 && take (entry, call, &choice, now, out);
+  pthread_mutex_unlock (&entry->lock);
+  return found;
+}
 
-      if (usable (runner, service, now)
-          && (best == NULL || load (runner, avoid) < load (best, avoid)))
-        best = runner;
-    }
-  if (best != NULL)
-    {
-      best->own++;
-      *out = *best;
-    }
+void
+entry_fleet_first_token (struct entry *entry, struct fleet_work *work)
+{
+  pthread_mutex_lock (&entry->lock);
+  fleet_first_token (entry->fleet->fleet, work);
   pthread_mutex_unlock (&entry->lock);
-  return best != NULL;
 }
 
 void
-entry_fleet_release (struct entry *entry, uint64_t peer)
+entry_fleet_release (struct entry *entry, uint64_t peer,
+                     struct fleet_work *work, const struct msg_end *end)
 {
-  struct entry_runner *runner;
+  struct link *link;
 
   pthread_mutex_lock (&entry->lock);
-  runner = find_peer (entry, peer);
-  if (runner != NULL && runner->own > 0)
-    runner->own--;
+  link = find_peer (entry, peer);
+  if (link != NULL && link->attempts > 0)
+    link->attempts--;
+  fleet_ended (entry->fleet->fleet, work, end);
   pthread_mutex_unlock (&entry->lock);
 }
 
 void
 entry_fleet_fault (struct entry *entry, uint64_t peer)
 {
-  struct entry_runner *runner;
+  struct link *link;
 
   pthread_mutex_lock (&entry->lock);
-  runner = find_peer (entry, peer);
-  if (runner != NULL)
-    runner->endpoint_up = 0;
+  link = find_peer (entry, peer);
+  if (link != NULL)
+    {
+      fleet_fault (entry->fleet->fleet, link->ref);
+      ask (link, g_get_monotonic_time ());
+    }
   pthread_mutex_unlock (&entry->lock);
 }
 
 int
 entry_fleet_alive (struct entry *entry, uint64_t peer, gint64 now_us)
 {
-  struct entry_runner *runner;
-  int alive;
+  const struct fleet_runner *runner;
+  struct link *link;
+  int alive = 0;
 
   pthread_mutex_lock (&entry->lock);
-  runner = find_peer (entry, peer);
-  alive = runner != NULL && now_us - runner->reported_us < SILENCE_US;
+  link = find_peer (entry, peer);
+  runner = link != NULL ? fleet_get (entry->fleet->fleet, link->ref) : NULL;
+  if (runner != NULL)
+    alive = !runner->silent || runner->kept;
+  else if (link != NULL)
+    alive = now_us - link->reported_us < FLEET_SILENCE_US;
   pthread_mutex_unlock (&entry->lock);
   return alive;
 }
@@ -148,46 +306,201 @@
 void
 entry_fleet_name (struct entry *entry, uint64_t peer, char *name, size_t size)
 {
-  struct entry_runner *runner;
+  struct link *link;
 
   pthread_mutex_lock (&entry->lock);
-  runner = find_peer (entry, peer);
-  g_strlcpy (name, runner != NULL ? runner->name : "", size);
+  link = find_peer (entry, peer);
+  g_strlcpy (name, link != NULL ? link->name : "", size);
   pthread_mutex_unlock (&entry->lock);
 }
 
 int
 entry_fleet_knows (struct entry *entry, const char *service)
 {
+  struct fleet *fleet = entry->fleet->fleet;
   int known = 0;
-  guint i;
+  size_t i;
 
   pthread_mutex_lock (&entry->lock);
-  for (i = 0; i < entry->runners->len && !known; i++)
+  for (i = 0; i < fleet_slots (fleet) && !known; i++)
     {
-      struct entry_runner *runner = g_ptr_array_index (entry->runners, i);
+      const struct fleet_runner *runner = fleet_at (fleet, i);
 
-      known = strcmp (runner->service, service) == 0;
+      known = runner != NULL && strcmp (runner->service, service) == 0;
     }
   pthread_mutex_unlock (&entry->lock);
   return known;
 }
 
 void
-entry_fleet_hello (struct entry *entry)
+entry_fleet_withhold (struct entry *entry, const struct cfg_snapshot *snap)
 {
+  const char **names = g_new0 (const char *, snap->runner_count + 1);
+  size_t n = 0;
+  size_t i;
+
+  for (i = 0; i < snap->runner_count; i++)
+    if (snap->runners[i].drain || snap->runners[i].withdraw)
+      names[n++] = snap->runners[i].name;
+  pthread_mutex_lock (&entry->lock);
+  fleet_withhold (entry->fleet->fleet, names, n);
+  refresh_route (entry);
+  pthread_mutex_unlock (&entry->lock);
+  g_free (names);
+}
+
+/* Sends HELLO to every runner, or only to those whose report is awaited; the
+   entry's lock is held.  */
+static void
+hello (struct entry *entry, int all, gint64 now)
+{
+  GPtrArray *links = entry->fleet->links;
   struct msg msg = { .type = MSG_HELLO };
   guint i;
 
   msg.u.hello.entry = msg_text (entry->settings.name);
   msg.u.hello.incarnation = entry->incarnation;
+  for (i = 0; i < links->len; i++)
+    {
+      struct link *link = g_ptr_array_index (links, i);
+
+      if (link->peer != 0 && (all || now < link->ask_until_us))
+        net_send (entry->net, link->peer, &msg, NULL);
+    }
+}
+
+void
+entry_fleet_hello (struct entry *entry)
+{
   pthread_mutex_lock (&entry->lock);
-  for (i = 0; i < entry->runners->len; i++)
+  hello (entry, 1, g_get_monotonic_time ());
+  pthread_mutex_unlock (&entry->lock);
+}
+
+/* Makes a link for each runner listed; the entry's lock is held.  */
+static void
+add_links (struct entry *entry)
+{
+  struct fleet *fleet = entry->fleet->fleet;
+  size_t i;
+
+  if (entry->fleet->by_index->len < fleet_slots (fleet))
+    g_ptr_array_set_size (entry->fleet->by_index, (gint)fleet_slots (fleet));
+  for (i = 0; i < fleet_slots (fleet); i++)
     {
-      struct entry_runner *runner = g_ptr_array_index (entry->runners, i);
+      const struct fleet_runner *runner = fleet_at (fleet, i);
+      struct link *link;
+
+      if (runner == NULL || find_ref (entry, runner->ref) != NULL)
+        continue;
+      link = g_new0 (struct link, 1);
+      link->ref = runner->ref;
+      g_strlcpy (link->name, runner->name, sizeof link->name);
+      g_strlcpy (link->address, runner->address, sizeof link->address);
+      link->closed_us = -(gint64)CONTACT_AGAIN_US;
+      g_ptr_array_add (entry->fleet->links, link);
+      g_ptr_array_index (entry->fleet->by_index, i) = link;
+    }
+}
+
+/* Whether RUNNER may turn out to be usable, so that it takes a place in the
+   subset before the ones that are known not to be.  */
+static int
+is_fit (void *ctx, const struct fleet_runner *runner)
+{
+  const struct link *link = find_ref (ctx, runner->ref);
+  gint64 now = g_get_monotonic_time ();
+
+  if (runner->usable)
+    return 1;
+  if (link == NULL)
+    return 0;
+  if (link->peer == 0)
+    return now - link->closed_us >= CONTACT_AGAIN_US;
+  return now - link->opened_us < FLEET_SILENCE_US;
+}
+
+static void
+close_link (struct entry *entry, struct link *link, gint64 now)
+{
+  net_disconnect (entry->net, link->peer);
+  g_hash_table_remove (entry->fleet->by_peer, &link->peer);
+  link->peer = 0;
+  link->closed_us = now;
+  fleet_unfollow (entry->fleet->fleet, link->ref);
+}
+
+static void
+drop_link (struct entry *entry, guint at)
+{
+  struct link *link = g_ptr_array_index (entry->fleet->links, at);
+
+  if (find_ref (entry, link->ref) == link)
+    g_ptr_array_index (entry->fleet->by_index, link->ref.index) = NULL;
+  g_ptr_array_remove_index_fast (entry->fleet->links, at);
+}
 
-      net_send (entry->net, runner->peer, &msg, NULL);
+/* Opens the links that are wanted, closes the others once they are idle, and
+   drops those of runners no longer listed.  */
+static void
+apply_links (struct entry *entry, gint64 now)
+{
+  GPtrArray *links = entry->fleet->links;
+  guint i = 0;
+
+  while (i < links->len)
+    {
+      struct link *link = g_ptr_array_index (links, i);
+      int listed = fleet_get (entry->fleet->fleet, link->ref) != NULL;
+
+      if (link->wanted && link->peer == 0)
+        {
+          link->peer = net_connect (entry->net, link->address);
+          g_hash_table_insert (entry->fleet->by_peer, &link->peer, link);
+          link->opened_us = now;
+          ask (link, now);
+        }
+      else if (!link->wanted && link->peer != 0 && link->attempts == 0)
+        close_link (entry, link, now);
+      if (listed || link->peer != 0)
+        i++;
+      else
+        drop_link (entry, i);
     }
+}
+
+/* Follows the list and the subsets; the entry's lock is held.  */
+static void
+refresh (struct entry *entry, gint64 now)
+{
+  struct entry_fleet *fleet = entry->fleet;
+  struct fleet_ref *refs
+      = g_new (struct fleet_ref, fleet_slots (fleet->fleet) + 1);
+  size_t n;
+  size_t i;
+  guint l;
+
+  fleet->refreshed_us = now;
+  add_links (entry);
+  for (l = 0; l < fleet->links->len; l++)
+    ((struct link *)g_ptr_array_index (fleet->links, l))->wanted = 0;
+  n = route_contacts (fleet->route, fleet->fleet, entry->settings.zone, is_fit,
+                      entry, refs);
+  for (i = 0; i < n; i++)
+    find_ref (entry, refs[i])->wanted = 1;
+  g_free (refs);
+  apply_links (entry, now);
+  refresh_route (entry);
+}
+
+void
+entry_fleet_tick (struct entry *entry, gint64 now_us)
+{
+  pthread_mutex_lock (&entry->lock);
+  fleet_tick (entry->fleet->fleet, now_us);
+  if (now_us - entry->fleet->refreshed_us >= REFRESH_PERIOD_US)
+    refresh (entry, now_us);
+  hello (entry, 0, now_us);
   pthread_mutex_unlock (&entry->lock);
 }
 
@@ -202,32 +515,32 @@
   return json_object_get_string (value);
 }
 
-/* Takes one VM of the platform's list; the entry's lock is held.  */
 static void
-take_vm (struct entry *entry, struct json_object *vm)
+take_list (struct entry *entry, struct json_object *list)
 {
-  const char *name = text_member (vm, "name");
-  const char *address = text_member (vm, "address");
-  struct entry_runner *runner;
+  size_t n = json_object_array_length (list);
+  struct fleet_vm *vms = g_new0 (struct fleet_vm, n + 1);
+  struct err err;
+  size_t i;
 
-  if (name[0] == '\0' || !set_is_address (address))
-    return;
-  runner = find_name (entry, name);
-  if (runner == NULL)
-    {
-      runner = g_new0 (struct entry_runner, 1);
-      g_strlcpy (runner->name, name, sizeof runner->name);
-      g_ptr_array_add (entry->runners, runner);
-    }
-  if (strcmp (runner->address, address) != 0)
+  for (i = 0; i < n; i++)
     {
-      if (runner->peer != 0)
-        net_disconnect (entry->net, runner->peer);
-      g_strlcpy (runner->address, address, sizeof runner->address);
-      runner->peer = net_connect (entry->net, address);
-      runner->reported_us = 0;
+      struct json_object *vm = json_object_array_get_idx (list, i);
+
+      vms[i].name = text_member (vm, "name");
+      vms[i].address = text_member (vm, "address");
+      vms[i].zone = text_member (vm, "zone");
+      vms[i].state = strcmp (text_member (vm, "state"), "leaving") == 0
+                         ? FLEET_VM_LEAVING
+                         : FLEET_VM_LIVE;
     }
-  runner->leaving = strcmp (text_member (vm, "state"), "leaving") == 0;
+  pthread_mutex_lock (&entry->lock);
+  if (fleet_list (entry->fleet->fleet, vms, n, &err) == 0)
+    refresh (entry, g_get_monotonic_time ());
+  else
+    log_err (LOG_LEVEL_DEBUG, NULL, &err);
+  pthread_mutex_unlock (&entry->lock);
+  g_free (vms);
 }
 
 static void
@@ -236,16 +549,12 @@
   struct kv_value value = { 0 };
   struct json_object *list;
   struct err err;
-  size_t i;
 
   if (kv_vms (entry->kv, &value, &err) != 1)
     return;
   list = json_tokener_parse (value.data);
-  pthread_mutex_lock (&entry->lock);
   if (json_object_is_type (list, json_type_array))
-    for (i = 0; i < json_object_array_length (list); i++)
-      take_vm (entry, json_object_array_get_idx (list, i));
-  pthread_mutex_unlock (&entry->lock);
+    take_list (entry, list);
   json_object_put (list);
   kv_value_free (&value);
 }
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -15,7 +15,8 @@
   CALLER_THREADS = 4,
   CHUNK_BYTES = 16 << 10,
   DEADLINE_MAX_MS = 3600 * 1000,
-  PRIORITY_MAX = 9
+  PRIORITY_MAX = 9,
+  OUTPUT_TOKENS = 256 /* expected of a request without max_tokens */
 };
 
 static const char *const outcome_names[ENTRY_OUTCOME_MAX] = {
@@ -250,6 +251,37 @@
   return 0;
 }
 
+static void
+append_text (GString *out, struct json_object *value)
+{
+  if (value != NULL)
+    g_string_append (out, json_object_get_string (value));
+}
+
+/* Collects the prompt and the number of output tokens to expect.  */
+static void
+read_prompt (struct entry_call *call, struct json_object *root)
+{
+  struct json_object *value;
+  struct json_object *content;
+  size_t i;
+
+  call->prompt = g_string_new (NULL);
+  call->output_tokens = OUTPUT_TOKENS;
+  if (json_object_object_get_ex (root, "max_tokens", &value)
+      && json_object_get_int64 (value) > 0)
+    call->output_tokens = (uint64_t)json_object_get_int (value);
+  if (json_object_object_get_ex (root, "prompt", &value))
+    append_text (call->prompt, value);
+  if (json_object_object_get_ex (root, "messages", &value)
+      && json_object_is_type (value, json_type_array))
+    for (i = 0; i < json_object_array_length (value); i++)
+      if (json_object_object_get_ex (json_object_array_get_idx (value, i),
+                                     "content", &content))
+        append_text (call->prompt, content);
+  entry_fleet_hash_prompt (call);
+}
+
 /* Reads the members that routing needs from the JSON of a model request.  */
 static int
 read_model_request (struct entry_call *call)
@@ -268,6 +300,7 @@
   else
     {
       call->service = g_strdup (json_object_get_string (value));
+      read_prompt (call, root);
       if (json_object_object_get_ex (root, "stream", &value))
         {
           if (json_object_is_type (value, json_type_boolean))
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -32,6 +32,12 @@
   MEMBER (drain_limit_s, SET_NUMBER, .number = 60, .min = 1, .max = 3600),
   MEMBER (deadline_ms, SET_NUMBER, .number = 60000, .min = 1, .max = 3600000),
   MEMBER (workers, SET_NUMBER, .number = 16, .min = 1, .max = 256),
+  MEMBER (prefill_us, SET_NUMBER, .number = 100, .min = 0, .max = 100000),
+  MEMBER (step_us, SET_NUMBER, .number = 20000, .min = 0, .max = 1000000),
+  MEMBER (step_request_us, SET_NUMBER, .number = 300, .min = 0, .max = 100000),
+  MEMBER (request_us, SET_NUMBER, .number = 10000, .min = 0, .max = 60000000),
+  MEMBER (zone_distance_us, SET_NUMBER, .number = 1500, .min = 0,
+          .max = 1000000),
   MEMBER (config_peers, SET_ADDRESSES),
 };
 
@@ -57,6 +63,7 @@
           entry_fleet_hello (entry);
           hello_us = now;
         }
+      entry_fleet_tick (entry, now);
       entry_call_tick (entry, now);
       g_usleep ((gulong)ENTRY_TICK_MS * 1000);
     }
@@ -71,7 +78,7 @@
   randombytes_buf (&entry->incarnation, sizeof entry->incarnation);
   pthread_mutex_init (&entry->lock, NULL);
   retry_init (&entry->retries, &entry_retry_config);
-  entry->runners = g_ptr_array_new_with_free_func (g_free);
+  entry_fleet_open (entry);
   entry->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                         (GDestroyNotify)entry_call_unref);
   if (entry_config_open (entry, err) != 0)
@@ -131,7 +138,7 @@
   kv_http_close (entry->kv);
   entry_config_close (entry);
   g_hash_table_destroy (entry->calls);
-  g_ptr_array_free (entry->runners, TRUE);
+  entry_fleet_close (entry);
 }
 
 int
--- a/src/entry_net.c
+++ b/src/entry_net.c
@@ -49,6 +49,7 @@
   (void)peer;
   if (call == NULL)
     return;
+  entry_fleet_first_token (entry, &call->work);
   entry_call_head (call, (unsigned)head->status, head->content_type);
   put_call (call);
 }
@@ -100,6 +101,8 @@
   if (call == NULL)
     return;
   done = end->outcome == MSG_OUTCOME_DONE;
+  entry_fleet_release (entry, peer, &call->work, end);
+  call->runner_peer = 0;
   strm_end (call->strm, end->attempt, end->frames, done, call->answer);
   if (done && strm_complete (call->strm))
     {
@@ -107,7 +110,6 @@
       put_call (call);
       return;
     }
-  entry_fleet_release (entry, peer);
   entry_fleet_name (entry, peer, name, sizeof name);
   msg_str_copy (step, sizeof step, end->step);
   msg_str_copy (text, sizeof text, end->text);
@@ -149,7 +151,7 @@
   call = find_call (entry, msg->u.call.call, msg->u.call.attempt);
   if (call == NULL)
     return;
-  entry_fleet_release (entry, peer);
+  entry_fleet_release (entry, peer, &call->work, NULL);
   entry_fleet_name (entry, peer, name, sizeof name);
   entry_call_attempt_ended (call, MSG_OUTCOME_NOT_RUN, "send", name,
                             "no connection to the agent");
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -445,6 +445,17 @@
   update_usable (slot);
 }
 
+void
+fleet_unfollow (struct fleet *fleet, struct fleet_ref ref)
+{
+  struct slot *slot = slot_of (fleet, ref);
+
+  if (!slot)
+    return;
+  slot->reported = 0;
+  update_usable (slot);
+}
+
 const struct fleet_runner *
 fleet_get (const struct fleet *fleet, struct fleet_ref ref)
 {
--- a/src/route.c
+++ b/src/route.c
@@ -99,7 +99,12 @@
   uint64_t score;
   const char *service;
   struct fleet_ref ref;
-  int own;
+  int own; /* 1 in the entry's zone, 0 elsewhere, UNFIT */
+};
+
+enum
+{
+  UNFIT = -1 /* takes a place only when no other runner does */
 };
 
 static int
@@ -116,6 +121,16 @@
   return 0;
 }
 
+static void
+score (const struct route *route, const struct fleet_runner *runner,
+       const char *zone, struct scored *out)
+{
+  out->score = hash_string (runner->name, route->seed);
+  out->service = runner->service;
+  out->ref = runner->ref;
+  out->own = strcmp (runner->zone, zone) == 0;
+}
+
 static size_t
 take (struct subset *subset, const struct scored *runners, size_t n, int own,
       size_t skip, size_t limit)
@@ -137,6 +152,7 @@
 
   take (subset, runners, n, 0, 0, ROUTE_SUBSET);
   take (subset, runners, n, 1, own, ROUTE_SUBSET);
+  take (subset, runners, n, UNFIT, 0, ROUTE_SUBSET);
   return subset;
 }
 
@@ -156,10 +172,7 @@
 
       if (!runner || !runner->usable)
         continue;
-      all[n].score = hash_string (runner->name, route->seed);
-      all[n].service = runner->service;
-      all[n].ref = runner->ref;
-      all[n++].own = strcmp (runner->zone, zone) == 0;
+      score (route, runner, zone, &all[n++]);
     }
   if (n)
     qsort (all, n, sizeof *all, by_service_and_score);
@@ -176,6 +189,64 @@
   g_free (all);
 }
 
+/* Appends the contacts among the N runners of one service to REFS.  */
+static size_t
+append_contacts (const struct scored *runners, size_t n,
+                 struct fleet_ref *refs, size_t at)
+{
+  struct subset *subset;
+  size_t i;
+
+  if (runners[0].service[0] == '\0')
+    {
+      for (i = 0; i < n; i++)
+        refs[at++] = runners[i].ref;
+      return at;
+    }
+  subset = make_subset (runners, n);
+  memcpy (refs + at, subset->refs, subset->n * sizeof *refs);
+  at += subset->n;
+  g_free (subset);
+  return at;
+}
+
+size_t
+route_contacts (const struct route *route, const struct fleet *fleet,
+                const char *zone,
+                int (*fit) (void *ctx, const struct fleet_runner *runner),
+                void *ctx, struct fleet_ref *refs)
+{
+  size_t slots = fleet_slots (fleet);
+  struct scored *all = g_new (struct scored, slots + 1);
+  size_t n = 0;
+  size_t at = 0;
+  size_t i;
+  size_t end;
+
+  for (i = 0; i < slots; i++)
+    {
+      const struct fleet_runner *runner = fleet_at (fleet, i);
+
+      if (!runner)
+        continue;
+      score (route, runner, zone, &all[n]);
+      if (!fit (ctx, runner))
+        all[n].own = UNFIT;
+      n++;
+    }
+  if (n)
+    qsort (all, n, sizeof *all, by_service_and_score);
+  for (i = 0; i < n; i = end)
+    {
+      for (end = i + 1; end < n; end++)
+        if (strcmp (all[end].service, all[i].service) != 0)
+          break;
+      at = append_contacts (all + i, end - i, refs, at);
+    }
+  g_free (all);
+  return at;
+}
+
 size_t
 route_subset (const struct route *route, const char *service,
               struct fleet_ref *refs)
--- a/tests/unit_fleet.cc
+++ b/tests/unit_fleet.cc
@@ -97,6 +97,21 @@
   EXPECT_TRUE (at (0)->usable);
 }
 
+// Guards against taking closed connections for a fault of the entry's link,
+// which would keep silent runners usable.
+TEST_F (Fleet, UnfollowedRunnersAreNotCountedAsSilent)
+{
+  run (0, 2 * SECOND, 8);
+  for (int i = 3; i < 8; i++)
+    fleet_unfollow (fleet, at (i)->ref);
+  EXPECT_FALSE (at (3)->usable);
+  run (3 * SECOND, 12 * SECOND, 2);
+  EXPECT_FALSE (fleet_keeping (fleet));
+  EXPECT_FALSE (at (2)->usable);
+  report (3, 12 * SECOND);
+  EXPECT_TRUE (at (3)->usable);
+}
+
 // Guards against new work for an agent that stopped reporting.
 TEST_F (Fleet, SilentRunnerGetsNoWork)
 {
