Admit calls by predicted time, fair shares and priorities

Cause: every call was sent to a runner at once, however long the queue, and callers past capacity were cut at their deadline.

Change: entry_admit.c offers each call to lim before its first attempt, with one bounded queue for each service; limits, customer weights and priorities come from the configuration in force. The time of a slot is measured. A refusal is 429 (share) or 503 with Retry-After and outcome not-run. A call whose deadline passes before any attempt is not run.

--- a/src/entry.h
+++ b/src/entry.h
@@ -17,6 +17,7 @@
 #include "goldcresthatch/cfg.h"
 #include "goldcresthatch/fleet.h"
 #include "goldcresthatch/kv.h"
+#include "goldcresthatch/lim.h"
 #include "goldcresthatch/msg.h"
 #include "goldcresthatch/net.h"
 #include "goldcresthatch/retry.h"
@@ -27,7 +28,8 @@
 enum
 {
   ENTRY_BODY_MAX = 1 << 20, /* bytes of a request body */
-  ENTRY_TICK_MS = 100
+  ENTRY_TICK_MS = 100,
+  ENTRY_TOKEN_BYTES = 4 /* engines take about four bytes of text a token */
 };
 
 struct entry_settings
@@ -60,6 +62,15 @@
 };
 
 struct entry_fleet;
+struct entry_admit;
+
+/* What the usable runners of a service can take.  */
+struct entry_fleet_supply
+{
+  uint64_t slots;   /* requests that they run at once */
+  uint64_t room;    /* of these, free by this entry's estimate */
+  int64_t first_us; /* predicted time to the first token */
+};
 
 /* What the caller is told about a call that has no answer.  */
 enum entry_outcome
@@ -97,6 +108,7 @@
   char traceparent[MSG_NAME_MAX];
   GByteArray *body;
   uint64_t priority;
+  int has_priority;       /* by its header */
   GString *prompt;        /* of a model request, else null */
   uint64_t output_tokens; /* expected */
   uint64_t prefix[ROUTE_PIECES_MAX];
@@ -108,7 +120,10 @@
 
   pthread_mutex_t lock; /* guards what follows */
   int started;
-  int suspended; /* the connection waits for entry_call_wake */
+  int queued;        /* for admission */
+  gint64 attempt_us; /* start of the current attempt */
+  int64_t first_us;  /* predicted time to its first token */
+  int suspended;     /* the connection waits for entry_call_wake */
   struct msg_id attempt;
   struct fleet_work work; /* of the current attempt */
   uint64_t runner_peer;   /* 0 between attempts */
@@ -144,6 +159,7 @@
 
   pthread_mutex_t lock; /* guards what follows */
   struct entry_fleet *fleet;
+  struct entry_admit *admit;
   struct retry_budget retries;
   GHashTable *calls; /* by id */
 };
@@ -166,6 +182,10 @@
 /* Starts a call whose request is complete.  */
 void entry_call_start (struct entry_call *call);
 
+/* Starts the first attempt of a call that was admitted; the call's lock is
+   held.  */
+void entry_call_admitted (struct entry_call *call);
+
 /* Ends CALL with a failure; the call's lock is held.  */
 void entry_call_fail (struct entry_call *call, unsigned status,
                       enum entry_outcome outcome, enum err_code code,
@@ -213,6 +233,12 @@
 void entry_fleet_release (struct entry *entry, uint64_t peer,
                           struct fleet_work *work, const struct msg_end *end);
 
+/* Fills in what SERVICE can take, for CALL or, when it is null, for a short
+   request; the entry's lock is held.  */
+void entry_fleet_supply (struct entry *entry, const char *service,
+                         const struct entry_call *call,
+                         struct entry_fleet_supply *out);
+
 /* Keeps new work from PEER, whose endpoint crashed or whose connection broke,
    until its next report that the endpoint is up.  */
 void entry_fleet_fault (struct entry *entry, uint64_t peer);
@@ -237,6 +263,34 @@
 void entry_fleet_close (struct entry *entry);
 void *entry_fleet_main (void *arg);
 
+/* entry_admit.c */
+void entry_admit_open (struct entry *entry);
+void entry_admit_close (struct entry *entry);
+
+/* Decides on CALL, whose lock is held.  Returns nonzero when its first attempt
+   may start now; else it is queued, or refused and has ended.  *EVICTED is the
+   call to pass to entry_admit_evict without a call's lock, or 0.  */
+int entry_admit_offer (struct entry *entry, struct entry_call *call,
+                       uint64_t *evicted);
+void entry_admit_evict (struct entry *entry, uint64_t id);
+
+/* Takes CALL, whose lock is held, out of the queue.  */
+void entry_admit_cancel (struct entry *entry, struct entry_call *call);
+
+/* Note the first token and the whole answer of the attempt of CALL, whose lock
+   is held.  */
+void entry_admit_first_token (struct entry *entry, struct entry_call *call);
+void entry_admit_answered (struct entry *entry, const struct entry_call *call);
+
+/* Starts or refuses queued calls while there is room.  */
+void entry_admit_pump (struct entry *entry);
+
+/* Notes that a slot may have become free; the entry's lock is held.  */
+void entry_admit_freed (struct entry *entry);
+
+/* Waits until a slot may have become free, at most until UNTIL_US.  */
+void entry_admit_wait (struct entry *entry, gint64 until_us);
+
 /* entry_config.c */
 int entry_config_open (struct entry *entry, struct err *err);
 void entry_config_close (struct entry *entry);
--- /dev/null
+++ b/src/entry_admit.c
@@ -0,0 +1,366 @@
+#include "entry.h"
+
+#include <string.h>
+#include <time.h>
+#include <xxhash.h>
+
+#include "goldcresthatch/ctr.h"
+
+enum
+{
+  /* The cost of a request is the time that it keeps one slot of a runner.  */
+  COST_US = 1000,
+  SHARE_PERMIL = 100, /* of the classes below the highest, by default */
+  PERCENT_PERMIL = 10,
+  QUANTUM = 1000, /* cost given to a customer in one round */
+  SMOOTHING = 16, /* weight of one observed request is 1/16 */
+  COST_MAX = 1 << 24,
+  STATUS_TOO_MANY = 429,
+  STATUS_UNAVAILABLE = 503
+};
+
+/* Admission to one service.  */
+struct service
+{
+  struct lim *lim;
+  struct lim_config config;
+  int64_t slot_us; /* measured time in a slot for one unit of cost */
+};
+
+struct entry_admit
+{
+  GHashTable *services; /* name -> struct service */
+  pthread_cond_t freed;
+  int has_freed; /* an attempt ended since the last wait */
+};
+
+static void
+service_free (gpointer data)
+{
+  struct service *service = data;
+
+  lim_free (service->lim);
+  g_free (service);
+}
+
+void
+entry_admit_open (struct entry *entry)
+{
+  struct entry_admit *admit = g_new0 (struct entry_admit, 1);
+  pthread_condattr_t attr;
+
+  admit->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, service_free);
+  pthread_condattr_init (&attr);
+  pthread_condattr_setclock (&attr, CLOCK_MONOTONIC);
+  pthread_cond_init (&admit->freed, &attr);
+  pthread_condattr_destroy (&attr);
+  entry->admit = admit;
+}
+
+void
+entry_admit_close (struct entry *entry)
+{
+  g_hash_table_destroy (entry->admit->services);
+  pthread_cond_destroy (&entry->admit->freed);
+  g_free (entry->admit);
+}
+
+static struct lim_config
+read_config (const struct cfg_snapshot *snap)
+{
+  struct lim_config config = { snap->limits.queue_max, 0, QUANTUM };
+  unsigned share = 0;
+  size_t i;
+
+  for (i = 0; i < snap->priority_count; i++)
+    if (snap->priorities[i].level > 0
+        && (share == 0 || snap->priorities[i].share < share))
+      share = snap->priorities[i].share;
+  config.share_permil = share > 0 ? share * PERCENT_PERMIL : SHARE_PERMIL;
+  return config;
+}
+
+/* Returns the service called NAME with the limits in force.  New limits apply
+   once its queue is empty; the entry's lock is held.  */
+static struct service *
+get_service (struct entry *entry, const char *name,
+             const struct cfg_snapshot *snap)
+{
+  GHashTable *services = entry->admit->services;
+  struct service *service = g_hash_table_lookup (services, name);
+  struct lim_config config = read_config (snap);
+
+  if (service == NULL)
+    {
+      service = g_new0 (struct service, 1);
+      service->slot_us = COST_US;
+      g_hash_table_insert (services, g_strdup (name), service);
+    }
+  else if (lim_queued (service->lim) > 0
+           || (config.queue_max == service->config.queue_max
+               && config.share_permil == service->config.share_permil))
+    return service;
+  lim_free (service->lim);
+  service->config = config;
+  service->lim = lim_new (&config);
+  return service;
+}
+
+/* Returns the time that CALL is expected to keep one slot of a runner.  */
+static int64_t
+slot_us (const struct entry *entry, const struct entry_call *call)
+{
+  const struct entry_settings *settings = &entry->settings;
+
+  if (call->prompt == NULL)
+    return settings->request_us;
+  return (int64_t)call->prompt->len / ENTRY_TOKEN_BYTES * settings->prefill_us
+         + (int64_t)call->output_tokens * settings->step_us;
+}
+
+/* A customer of a higher weight pays less for the same request.  */
+static struct lim_request
+make_request (const struct entry *entry, const struct entry_call *call,
+              const struct cfg_snapshot *snap)
+{
+  const struct cfg_customer *customer
+      = cfg_customer_find (snap, call->customer);
+  struct lim_request request = { .id = call->id.hi };
+  double cost = (double)slot_us (entry, call) / COST_US;
+  uint64_t priority = call->priority;
+
+  if (customer != NULL && customer->weight > 0)
+    cost /= customer->weight;
+  if (customer != NULL && customer->priority != NULL && !call->has_priority)
+    priority = customer->priority->level;
+  request.customer = XXH3_64bits (call->customer, strlen (call->customer));
+  request.priority = (unsigned)MIN (priority, LIM_CLASSES - 1);
+  request.cost = (uint32_t)CLAMP (cost, 1, COST_MAX);
+  return request;
+}
+
+/* Returns when the first token of CALL is due, so that the rest of the answer
+   has its usual time before the deadline.  The estimate takes at most half of
+   the time left: one that is too long would otherwise refuse every request and
+   never be corrected.  */
+static int64_t
+due_us (const struct entry *entry, const struct service *service,
+        const struct entry_call *call, gint64 now)
+{
+  int64_t answer_us = 0;
+
+  if (call->prompt != NULL)
+    answer_us = (int64_t)call->output_tokens * entry->settings.step_us
+                / COST_US * service->slot_us;
+  return call->deadline_us - MIN (answer_us, (call->deadline_us - now) / 2);
+}
+
+static void
+make_supply (const struct service *service,
+             const struct entry_fleet_supply *fleet, struct lim_supply *out)
+{
+  out->room = fleet->room;
+  out->first_us = fleet->first_us;
+  out->us_per_cost = service->slot_us / (int64_t)MAX (fleet->slots, 1);
+}
+
+/* Refuses CALL, whose lock is held.  */
+static void
+refuse (struct entry_call *call, enum lim_verdict verdict,
+        unsigned retry_after_s)
+{
+  static const char *const texts[LIM_VERDICT_MAX] = {
+    [LIM_REFUSE_LATE] = "the deadline cannot be met",
+    [LIM_REFUSE_FULL] = "the queue is full",
+    [LIM_REFUSE_SHARE] = "the customer's share is used up",
+  };
+
+  call->queued = 0;
+  entry_call_fail (
+      call, verdict == LIM_REFUSE_SHARE ? STATUS_TOO_MANY : STATUS_UNAVAILABLE,
+      ENTRY_OUTCOME_NOT_RUN, ERR_LIMIT, "admit", call->service, "%s",
+      texts[verdict]);
+  call->failure.retry_after_s = MAX (retry_after_s, 1);
+}
+
+static struct entry_call *
+find_call (struct entry *entry, uint64_t id)
+{
+  struct entry_call *call;
+
+  pthread_mutex_lock (&entry->lock);
+  call = g_hash_table_lookup (entry->calls, &id);
+  if (call != NULL)
+    entry_call_ref (call);
+  pthread_mutex_unlock (&entry->lock);
+  return call;
+}
+
+void
+entry_admit_evict (struct entry *entry, uint64_t id)
+{
+  struct entry_call *call = id != 0 ? find_call (entry, id) : NULL;
+
+  if (call == NULL)
+    return;
+  pthread_mutex_lock (&call->lock);
+  if (call->queued)
+    refuse (call, LIM_REFUSE_SHARE, 1);
+  pthread_mutex_unlock (&call->lock);
+  entry_call_unref (call);
+}
+
+int
+entry_admit_offer (struct entry *entry, struct entry_call *call,
+                   uint64_t *evicted)
+{
+  struct cfg_snapshot *snap = entry_config_get (entry);
+  struct entry_fleet_supply fleet;
+  struct lim_decision decision = { .verdict = LIM_ADMIT };
+  struct lim_request request = make_request (entry, call, snap);
+  struct lim_supply supply;
+  struct service *service;
+  gint64 now = g_get_monotonic_time ();
+
+  *evicted = 0;
+  pthread_mutex_lock (&entry->lock);
+  entry_fleet_supply (entry, call->service, call, &fleet);
+  /* Without a usable runner there is nothing to predict from: the call waits
+     a short time for one.  */
+  if (fleet.slots > 0)
+    {
+      service = get_service (entry, call->service, snap);
+      make_supply (service, &fleet, &supply);
+      request.due_us = due_us (entry, service, call, now);
+      decision = lim_offer (service->lim, &request, &supply, now);
+    }
+  pthread_mutex_unlock (&entry->lock);
+  cfg_snapshot_unref (snap);
+  if (decision.has_evicted)
+    *evicted = decision.evicted;
+  call->queued = decision.verdict == LIM_QUEUE;
+  if (decision.verdict >= LIM_REFUSE_LATE)
+    refuse (call, decision.verdict, decision.retry_after_s);
+  return decision.verdict == LIM_ADMIT;
+}
+
+void
+entry_admit_cancel (struct entry *entry, struct entry_call *call)
+{
+  struct service *service;
+
+  if (!call->queued)
+    return;
+  call->queued = 0;
+  pthread_mutex_lock (&entry->lock);
+  service = g_hash_table_lookup (entry->admit->services, call->service);
+  if (service != NULL)
+    lim_cancel (service->lim, call->id.hi);
+  pthread_mutex_unlock (&entry->lock);
+}
+
+void
+entry_admit_first_token (struct entry *entry, struct entry_call *call)
+{
+  gint64 now = g_get_monotonic_time ();
+  struct service *service;
+
+  pthread_mutex_lock (&entry->lock);
+  service = g_hash_table_lookup (entry->admit->services, call->service);
+  if (service != NULL)
+    lim_observe (service->lim, call->first_us, now - call->attempt_us, now);
+  pthread_mutex_unlock (&entry->lock);
+}
+
+void
+entry_admit_answered (struct entry *entry, const struct entry_call *call)
+{
+  int64_t cost = MAX (slot_us (entry, call) / COST_US, 1);
+  int64_t measured = (g_get_monotonic_time () - call->attempt_us) / cost;
+  struct service *service;
+
+  pthread_mutex_lock (&entry->lock);
+  service = g_hash_table_lookup (entry->admit->services, call->service);
+  if (service != NULL)
+    service->slot_us += (measured - service->slot_us) / SMOOTHING;
+  pthread_mutex_unlock (&entry->lock);
+}
+
+/* Takes the next request of any queue that has room.  Returns 0 when there is
+   none.  */
+static int
+take_next (struct entry *entry, struct lim_request *request,
+           struct lim_decision *decision)
+{
+  struct entry_fleet_supply fleet;
+  struct lim_supply supply;
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+  int found = 0;
+
+  pthread_mutex_lock (&entry->lock);
+  g_hash_table_iter_init (&iter, entry->admit->services);
+  while (!found && g_hash_table_iter_next (&iter, &name, &value))
+    {
+      struct service *service = value;
+
+      if (lim_queued (service->lim) == 0)
+        continue;
+      entry_fleet_supply (entry, name, NULL, &fleet);
+      make_supply (service, &fleet, &supply);
+      found = supply.room > 0
+              && lim_next (service->lim, &supply, g_get_monotonic_time (),
+                           request, decision);
+    }
+  pthread_mutex_unlock (&entry->lock);
+  return found;
+}
+
+void
+entry_admit_pump (struct entry *entry)
+{
+  struct lim_decision decision;
+  struct lim_request request;
+  struct entry_call *call;
+
+  while (take_next (entry, &request, &decision))
+    {
+      call = find_call (entry, request.id);
+      if (call == NULL)
+        continue;
+      pthread_mutex_lock (&call->lock);
+      if (call->queued && decision.verdict == LIM_ADMIT)
+        {
+          call->queued = 0;
+          entry_call_admitted (call);
+        }
+      else if (call->queued)
+        refuse (call, decision.verdict, decision.retry_after_s);
+      pthread_mutex_unlock (&call->lock);
+      entry_call_unref (call);
+    }
+}
+
+void
+entry_admit_freed (struct entry *entry)
+{
+  entry->admit->has_freed = 1;
+  pthread_cond_signal (&entry->admit->freed);
+}
+
+void
+entry_admit_wait (struct entry *entry, gint64 until_us)
+{
+  struct timespec until
+      = { until_us / G_USEC_PER_SEC, until_us % G_USEC_PER_SEC * 1000 };
+
+  pthread_mutex_lock (&entry->lock);
+  while (!entry->admit->has_freed
+         && pthread_cond_timedwait (&entry->admit->freed, &entry->lock, &until)
+                == 0)
+    ;
+  entry->admit->has_freed = 0;
+  pthread_mutex_unlock (&entry->lock);
+}
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -187,15 +187,24 @@
   call->runner_peer = runner.peer;
   call->work = runner.work;
   call->last_peer = runner.peer;
+  call->attempt_us = g_get_monotonic_time ();
+  call->first_us = runner.first_us;
   strm_begin (call->strm, call->attempt);
   fill_call (call, &runner, &msg);
   net_send (entry->net, runner.peer, &msg, NULL);
 }
 
+void
+entry_call_admitted (struct entry_call *call)
+{
+  start_attempt (call);
+}
+
 void
 entry_call_start (struct entry_call *call)
 {
   struct entry *entry = call->entry;
+  uint64_t evicted;
 
   pthread_mutex_lock (&entry->lock);
   g_hash_table_insert (entry->calls, &call->id, entry_call_ref (call));
@@ -204,8 +213,10 @@
   pthread_mutex_lock (&call->lock);
   call->started = 1;
   call->strm = strm_new (call->stream ? STRM_SSE : STRM_BYTES, HELD_BYTES_MAX);
-  start_attempt (call);
+  if (entry_admit_offer (entry, call, &evicted))
+    entry_call_admitted (call);
   pthread_mutex_unlock (&call->lock);
+  entry_admit_evict (entry, evicted);
 }
 
 /* Tells the agent to stop the current attempt; the call's lock is held.  */
@@ -229,6 +240,7 @@
   if (call->runner_peer != 0)
     entry_fleet_release (call->entry, call->runner_peer, &call->work, NULL);
   call->runner_peer = 0;
+  entry_admit_answered (call->entry, call);
   call->head = 1;
   call->ended = 1;
   ctr_add (CTR_ANSWERED, 1);
@@ -250,6 +262,8 @@
                                 "the runner does not resume the stream");
       return;
     }
+  if (call->stream || call->prompt == NULL)
+    entry_admit_first_token (call->entry, call);
   call->status = status;
   msg_str_copy (call->answer_type, sizeof call->answer_type, content_type);
   if (!call->stream || call->head)
@@ -328,6 +342,7 @@
   pthread_mutex_lock (&call->lock);
   if (!call->ended)
     {
+      entry_admit_cancel (entry, call);
       if (!call->at_most_once)
         cancel_attempt (call);
       call->ended = 1;
@@ -346,6 +361,13 @@
   pthread_mutex_lock (&call->lock);
   if (call->ended || !call->started)
     ;
+  else if (now_us >= call->deadline_us && call->tries == 0)
+    {
+      entry_admit_cancel (call->entry, call);
+      entry_call_fail (call, STATUS_UNAVAILABLE, ENTRY_OUTCOME_NOT_RUN,
+                       ERR_TIMEOUT, "admit", call->service,
+                       "the deadline passed before an attempt");
+    }
   else if (now_us >= call->deadline_us)
     {
       entry_fleet_name (call->entry, call->runner_peer, name, sizeof name);
--- a/src/entry_fleet.c
+++ b/src/entry_fleet.c
@@ -20,8 +20,6 @@
   CONTACT_AGAIN_US = 30 * G_USEC_PER_SEC,
   CACHE_PIECES = 65536,
   CACHE_HALF_LIFE_US = 300 * G_USEC_PER_SEC,
-  /* Engines take about four bytes of text a token.  */
-  TOKEN_BYTES = 4,
   PREFILL_CHUNK_TOKENS = 512
 };
 
@@ -171,7 +169,7 @@
       request->speed.request_us = (uint32_t)settings->request_us;
       return;
     }
-  request->prompt_tokens = call->prompt->len / TOKEN_BYTES + 1;
+  request->prompt_tokens = call->prompt->len / ENTRY_TOKEN_BYTES + 1;
   request->output_tokens = call->output_tokens;
   request->prefix = call->prefix;
   request->n_prefix = call->n_prefix;
@@ -186,8 +184,8 @@
 {
   call->n_prefix
       = route_prefix (call->service, call->prompt->str, call->prompt->len,
-                      (size_t)ROUTE_PIECE_TOKENS * TOKEN_BYTES, call->prefix,
-                      ROUTE_PIECES_MAX);
+                      (size_t)ROUTE_PIECE_TOKENS * ENTRY_TOKEN_BYTES,
+                      call->prefix, ROUTE_PIECES_MAX);
 }
 
 /* Chooses without the runners excluded, whose lock is held.  */
@@ -217,7 +215,7 @@
   if (runner == NULL || link == NULL || link->peer == 0)
     return 0;
   if (call->prompt != NULL)
-    tokens = call->prompt->len / TOKEN_BYTES + 1 - choice->cached;
+    tokens = call->prompt->len / ENTRY_TOKEN_BYTES + 1 - choice->cached;
   link->attempts++;
   out->peer = link->peer;
   out->incarnation = runner->incarnation;
@@ -228,6 +226,34 @@
   return 1;
 }
 
+void
+entry_fleet_supply (struct entry *entry, const char *service,
+                    const struct entry_call *call,
+                    struct entry_fleet_supply *out)
+{
+  struct entry_call brief
+      = { .service = (char *)service, .deadline_us = G_MAXINT64 };
+  struct fleet_ref refs[ROUTE_SUBSET];
+  size_t n = route_subset (entry->fleet->route, service, refs);
+  size_t i;
+
+  memset (out, 0, sizeof *out);
+  for (i = 0; i < n; i++)
+    {
+      const struct fleet_runner *runner
+          = fleet_get (entry->fleet->fleet, refs[i]);
+
+      if (runner == NULL || !runner->usable)
+        continue;
+      out->slots += MAX (runner->load.capacity, 1);
+      if (runner->load.requests < MAX (runner->load.capacity, 1))
+        out->room += MAX (runner->load.capacity, 1) - runner->load.requests;
+    }
+  out->first_us = choose (entry, call != NULL ? call : &brief, NULL, 0,
+                          g_get_monotonic_time ())
+                      .first_us;
+}
+
 int
 entry_fleet_choose (struct entry *entry, const struct entry_call *call,
                     struct entry_runner *out)
@@ -267,6 +293,7 @@
   if (link != NULL && link->attempts > 0)
     link->attempts--;
   fleet_ended (entry->fleet->fleet, work, end);
+  entry_admit_freed (entry);
   pthread_mutex_unlock (&entry->lock);
 }
 
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -240,6 +240,7 @@
                       sizeof call->traceparent)
              != 0)
     return -1;
+  call->has_priority = request_header (call, "X-Priority") != NULL;
   call->deadline_us = g_get_monotonic_time () + (gint64)deadline_ms * 1000;
   call->content_type = g_strdup (request_header (call, "Content-Type"));
   if (call->traceparent[0] != '\0')
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -32,8 +32,8 @@
   MEMBER (drain_limit_s, SET_NUMBER, .number = 60, .min = 1, .max = 3600),
   MEMBER (deadline_ms, SET_NUMBER, .number = 60000, .min = 1, .max = 3600000),
   MEMBER (workers, SET_NUMBER, .number = 16, .min = 1, .max = 256),
-  MEMBER (prefill_us, SET_NUMBER, .number = 100, .min = 0, .max = 100000),
-  MEMBER (step_us, SET_NUMBER, .number = 20000, .min = 0, .max = 1000000),
+  MEMBER (prefill_us, SET_NUMBER, .number = 20, .min = 0, .max = 100000),
+  MEMBER (step_us, SET_NUMBER, .number = 10000, .min = 0, .max = 1000000),
   MEMBER (step_request_us, SET_NUMBER, .number = 300, .min = 0, .max = 100000),
   MEMBER (request_us, SET_NUMBER, .number = 10000, .min = 0, .max = 60000000),
   MEMBER (zone_distance_us, SET_NUMBER, .number = 1500, .min = 0,
@@ -53,6 +53,7 @@
 {
   struct entry *entry = arg;
   gint64 hello_us = 0;
+  gint64 tick_us = 0;
   gint64 now;
 
   while (!g_atomic_int_get (&entry->stopping))
@@ -63,9 +64,14 @@
           entry_fleet_hello (entry);
           hello_us = now;
         }
-      entry_fleet_tick (entry, now);
-      entry_call_tick (entry, now);
-      g_usleep ((gulong)ENTRY_TICK_MS * 1000);
+      if (now >= tick_us)
+        {
+          entry_fleet_tick (entry, now);
+          entry_call_tick (entry, now);
+          tick_us = now + (gint64)ENTRY_TICK_MS * 1000;
+        }
+      entry_admit_pump (entry);
+      entry_admit_wait (entry, tick_us);
     }
   return NULL;
 }
@@ -79,6 +85,7 @@
   pthread_mutex_init (&entry->lock, NULL);
   retry_init (&entry->retries, &entry_retry_config);
   entry_fleet_open (entry);
+  entry_admit_open (entry);
   entry->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                         (GDestroyNotify)entry_call_unref);
   if (entry_config_open (entry, err) != 0)
@@ -138,6 +145,7 @@
   kv_http_close (entry->kv);
   entry_config_close (entry);
   g_hash_table_destroy (entry->calls);
+  entry_admit_close (entry);
   entry_fleet_close (entry);
 }
 
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -1,7 +1,8 @@
 # Shell library of the scripted runs: starts the processes of one site on
 # addresses of its own, and waits for conditions.  A script sets NET to a
 # number from 1 to 254 that no other script uses; its addresses are
-# 127.NET.0.x.
+# 127.NET.0.x.  AGENT_EXTRA and ENTRY_EXTRA, such as ', "capacity": 2', are
+# added to the settings.
 
 BUILD=${BUILD:-build}
 WORK=$(mktemp -d)
@@ -103,7 +104,7 @@
   "name": "vm$1", "zone": "zone-$((($1 - 1) % 3 + 1))",
   "listen": "127.$NET.1.$1:7200", "lock": "127.$NET.1.$1:7201",
   "endpoint": "127.$NET.1.$1:7100", "kind": "$2", "service": "$3",
-  "kv": "$KV"
+  "kv": "$KV"${AGENT_EXTRA:-}
 }
 EOS
   start "agent$1" goldcresthatch-agent --settings "$WORK/agent$1.json"
@@ -117,7 +118,7 @@
   "name": "entry$1", "zone": "zone-$((($1 - 1) % 3 + 1))",
   "listen": "127.$NET.2.$1:8000", "admin": "127.$NET.2.$1:8001",
   "kv": "$KV",
-  "config_peers": ["127.$NET.2.1:8001", "127.$NET.2.2:8001"]
+  "config_peers": ["127.$NET.2.1:8001", "127.$NET.2.2:8001"]${ENTRY_EXTRA:-}
 }
 EOS
   start "entry$1" goldcresthatch-entry --settings "$WORK/entry$1.json"
