Stop requests that crash endpoints, in every entry

Cause: a request that crashes each engine was retried and, sent again, ran on one engine after the other; its neighbours were retried together.

Change: entry_susp.c keeps evidence by fingerprint. END names the crash by its number in the agent's incarnation, which is the same for all calls in flight. Suspects are placed apart; an agent admits one suspect at a time, since entries do not see each other's suspects. At the second crash the request is refused with 422 and outcome not-run. Evidence is written to suspects/FINGERPRINT by a thread of its own, and other entries learn of it by a watch of suspects/index, so a call costs no read.

--- a/include/goldcresthatch/msg.h
+++ b/include/goldcresthatch/msg.h
@@ -133,6 +133,7 @@
   uint64_t stream;
   uint64_t resume_index; /* tokens that the caller already has */
   uint64_t fingerprint;
+  uint64_t suspect; /* it may have crashed an endpoint */
   struct msg_str traceparent;
 };
 
@@ -164,6 +165,8 @@
   uint64_t running;
   uint64_t queued;
   uint64_t cfg_generation;
+  uint64_t crash; /* number of the crash in the agent's incarnation, for
+                     MSG_OUTCOME_CRASHED */
 };
 
 struct msg_cancel
--- a/src/agent.h
+++ b/src/agent.h
@@ -43,6 +43,7 @@
   struct msg_id call;
   struct msg_id attempt;
   int at_most_once;
+  int suspect; /* counted in agent->suspects */
   char method[MSG_NAME_MAX];
   char *path;
   char content_type[MSG_NAME_MAX];
@@ -74,8 +75,9 @@
   GHashTable *jobs;  /* by attempt */
   GHashTable *peers; /* entries by handle: time of the last HELLO */
   unsigned running;
-  uint64_t crashes; /* of the endpoint, seen by this incarnation */
-  uint64_t breaks;  /* times that a call found the endpoint down */
+  unsigned suspects; /* jobs that may crash the endpoint; at most one */
+  uint64_t crashes;  /* of the endpoint, seen by this incarnation */
+  uint64_t breaks;   /* times that a call found the endpoint down */
 
   pthread_t probe;
   gint stopping;
--- a/src/agent_net.c
+++ b/src/agent_net.c
@@ -137,6 +137,9 @@
   msg.u.end.attempt = job->attempt;
   msg.u.end.frames = job->frames;
   msg.u.end.outcome = outcome;
+  /* The crash that ended the job is the one after those before its start.  */
+  if (outcome == MSG_OUTCOME_CRASHED)
+    msg.u.end.crash = job->crashes + 1;
   msg.u.end.step = msg_text (step);
   msg.u.end.text = msg_text (text);
   pthread_mutex_lock (&agent->lock);
@@ -171,11 +174,21 @@
 {
   struct agent_job *job = job_new (agent, peer, &msg->u.call);
   const char *reason;
+  const char *step = "admit";
 
   pthread_mutex_lock (&agent->lock);
   reason = refuse_call (agent, &msg->u.call);
+  /* Entries do not see each other's suspects.  Two of them on one endpoint
+     would both be blamed for its crash.  */
+  if (reason == NULL && msg->u.call.suspect && agent->suspects > 0)
+    {
+      reason = "another suspect runs here";
+      step = "suspect";
+    }
   if (reason == NULL)
     {
+      job->suspect = msg->u.call.suspect != 0;
+      agent->suspects += (unsigned)job->suspect;
       g_atomic_int_inc (&job->refs);
       g_hash_table_insert (agent->jobs, &job->attempt, job);
     }
@@ -186,7 +199,7 @@
       return;
     }
   ctr_add (CTR_STALE_CALLS_REFUSED, 1);
-  agent_send_end (job, MSG_OUTCOME_NOT_RUN, "admit", reason);
+  agent_send_end (job, MSG_OUTCOME_NOT_RUN, step, reason);
   agent_job_unref (job);
 }
 
--- a/src/agent_probe.c
+++ b/src/agent_probe.c
@@ -48,14 +48,18 @@
 agent_endpoint_broke (struct agent_job *job, int crashed)
 {
   struct agent *agent = job->agent;
+  uint64_t crash = 0;
   int changed;
 
   pthread_mutex_lock (&agent->lock);
   if (crashed && job->crashes == agent->crashes)
-    agent->crashes++;
+    crash = ++agent->crashes;
   agent->breaks++;
   changed = set_endpoint (agent, 0);
   pthread_mutex_unlock (&agent->lock);
+  if (crash != 0)
+    log_write (LOG_LEVEL_WARN, NULL, "run", agent->settings.endpoint,
+               "crash %llu of the endpoint", (unsigned long long)crash);
   if (changed)
     report_endpoint (agent, "run", 0);
 }
--- a/src/agent_work.c
+++ b/src/agent_work.c
@@ -161,6 +161,7 @@
     run_on_endpoint (job);
   pthread_mutex_lock (&agent->lock);
   agent->running--;
+  agent->suspects -= (unsigned)job->suspect;
   g_hash_table_remove (agent->jobs, &job->attempt);
   pthread_mutex_unlock (&agent->lock);
   agent_job_unref (job);
--- a/src/ctr.c
+++ b/src/ctr.c
@@ -61,6 +61,9 @@
   [CTR_CFG_GENERATION]
   = { "config_generation", "Generation of the configuration in force.",
       KIND_GAUGE },
+  [CTR_SUSPECTS_STOPPED]
+  = { "suspects_stopped_total", "Requests found to crash endpoints.",
+      KIND_COUNTER },
   [CTR_ENDPOINT_CRASHES]
   = { "endpoint_crashes_total", "Endpoint crashes seen.", KIND_COUNTER },
 };
--- a/src/entry.h
+++ b/src/entry.h
@@ -63,6 +63,7 @@
 
 struct entry_fleet;
 struct entry_admit;
+struct entry_susp;
 
 /* What the usable runners of a service can take.  */
 struct entry_fleet_supply
@@ -108,7 +109,8 @@
   char traceparent[MSG_NAME_MAX];
   GByteArray *body;
   uint64_t priority;
-  int has_priority;       /* by its header */
+  int has_priority; /* by its header */
+  uint64_t fingerprint;
   GString *prompt;        /* of a model request, else null */
   uint64_t output_tokens; /* expected */
   uint64_t prefix[ROUTE_PIECES_MAX];
@@ -125,6 +127,7 @@
   int64_t first_us;  /* predicted time to its first token */
   int suspended;     /* the connection waits for entry_call_wake */
   struct msg_id attempt;
+  int placed;             /* the current attempt runs as a suspect */
   struct fleet_work work; /* of the current attempt */
   uint64_t runner_peer;   /* 0 between attempts */
   uint64_t last_peer;     /* runner of the attempt before */
@@ -160,6 +163,7 @@
   pthread_mutex_t lock; /* guards what follows */
   struct entry_fleet *fleet;
   struct entry_admit *admit;
+  struct entry_susp *susp;
   struct retry_budget retries;
   GHashTable *calls; /* by id */
 };
@@ -223,15 +227,16 @@
 /* Chooses a runner for CALL, other than that of its last attempt when there is
    a choice, and counts the attempt on it.  Returns 0 when there is
    none; else fills in OUT.  */
-int entry_fleet_choose (struct entry *entry, const struct entry_call *call,
+int entry_fleet_choose (struct entry *entry, struct entry_call *call,
                         struct entry_runner *out);
 
 /* Notes the first token of WORK, whose prompt no longer waits.  */
 void entry_fleet_first_token (struct entry *entry, struct fleet_work *work);
 
-/* Counts the end of an attempt on PEER; END is null when none arrived.  */
+/* Counts the end of the attempt of CALL on PEER; END is null when none
+ * arrived.  */
 void entry_fleet_release (struct entry *entry, uint64_t peer,
-                          struct fleet_work *work, const struct msg_end *end);
+                          struct entry_call *call, const struct msg_end *end);
 
 /* Fills in what SERVICE can take, for CALL or, when it is null, for a short
    request; the entry's lock is held.  */
@@ -263,6 +268,26 @@
 void entry_fleet_close (struct entry *entry);
 void *entry_fleet_main (void *arg);
 
+/* entry_susp.c */
+int entry_susp_open (struct entry *entry, struct err *err);
+
+/* To be called after entry->stopping is set.  */
+void entry_susp_close (struct entry *entry);
+
+/* Adds crash number CRASH of the agent as evidence against CALL.  */
+void entry_susp_crashed (struct entry *entry, const struct entry_call *call,
+                         uint64_t crash);
+
+/* Whether CALL must not run any more.  */
+int entry_susp_stopped (struct entry *entry, const struct entry_call *call);
+
+/* Asks to run CALL on REF, as susp_place does, and notes its end; the entry's
+   lock is held.  */
+int entry_susp_place (struct entry *entry, struct entry_call *call,
+                      struct fleet_ref ref);
+void entry_susp_release (struct entry *entry, struct entry_call *call,
+                         int answered);
+
 /* entry_admit.c */
 void entry_admit_open (struct entry *entry);
 void entry_admit_close (struct entry *entry);
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -8,14 +8,17 @@
 
 #include "goldcresthatch/ctr.h"
 #include "goldcresthatch/log.h"
+#include "goldcresthatch/susp.h"
 
 enum
 {
   HELD_BYTES_MAX = 1 << 20, /* of an answer after a gap */
   RETRY_AFTER_S = 1,
+  PLACE_WAIT_US = 200 * 1000, /* longest, for a runner without a suspect */
   /* A crash or a restart leaves a service without a runner for about a second;
      refusing at once would turn it into a burst of resends.  */
   ROUTE_WAIT_US = 3 * G_USEC_PER_SEC,
+  STATUS_UNPROCESSABLE = 422,
   STATUS_BAD_GATEWAY = 502,
   STATUS_UNAVAILABLE = 503,
   STATUS_GATEWAY_TIMEOUT = 504
@@ -148,6 +151,8 @@
   out->priority = call->priority;
   out->stream = (uint64_t)call->stream;
   out->resume_index = strm_tokens (call->strm);
+  out->fingerprint = call->fingerprint;
+  out->suspect = (uint64_t)call->placed;
   out->traceparent = msg_text (call->traceparent);
 }
 
@@ -167,6 +172,17 @@
                      "no runner takes work");
 }
 
+/* Refuses a call that was in flight at too many crashes.  */
+static void
+fail_stopped (struct entry_call *call)
+{
+  entry_call_fail (call, STATUS_UNPROCESSABLE, ENTRY_OUTCOME_NOT_RUN,
+                   ERR_REFUSED, "suspect", call->service,
+                   "the request was in flight at %d crashes of endpoints",
+                   SUSP_STOP);
+  call->failure.retry_after_s = 0;
+}
+
 /* Starts an attempt; the call's lock is held.  */
 static void
 start_attempt (struct entry_call *call)
@@ -175,6 +191,11 @@
   struct entry_runner runner;
   struct msg msg;
 
+  if (entry_susp_stopped (entry, call))
+    {
+      fail_stopped (call);
+      return;
+    }
   if (!entry_fleet_choose (entry, call, &runner))
     {
       wait_for_runner (call);
@@ -212,6 +233,8 @@
   pthread_mutex_unlock (&entry->lock);
   pthread_mutex_lock (&call->lock);
   call->started = 1;
+  call->fingerprint = susp_fingerprint (call->customer, call->path,
+                                        call->body->data, call->body->len);
   call->strm = strm_new (call->stream ? STRM_SSE : STRM_BYTES, HELD_BYTES_MAX);
   if (entry_admit_offer (entry, call, &evicted))
     entry_call_admitted (call);
@@ -230,7 +253,7 @@
   msg.u.cancel.call = call->id;
   msg.u.cancel.attempt = call->attempt;
   net_send (call->entry->net, call->runner_peer, &msg, NULL);
-  entry_fleet_release (call->entry, call->runner_peer, &call->work, NULL);
+  entry_fleet_release (call->entry, call->runner_peer, call, NULL);
   call->runner_peer = 0;
 }
 
@@ -238,8 +261,11 @@
 entry_call_finish (struct entry_call *call)
 {
   if (call->runner_peer != 0)
-    entry_fleet_release (call->entry, call->runner_peer, &call->work, NULL);
+    entry_fleet_release (call->entry, call->runner_peer, call, NULL);
   call->runner_peer = 0;
+  pthread_mutex_lock (&call->entry->lock);
+  entry_susp_release (call->entry, call, 1);
+  pthread_mutex_unlock (&call->entry->lock);
   entry_admit_answered (call->entry, call);
   call->head = 1;
   call->ended = 1;
@@ -300,6 +326,16 @@
   return decision;
 }
 
+/* The runner already has a suspect of another entry: this is a wait for a
+   place rather than a failed attempt.  */
+static void
+wait_for_place (struct entry_call *call)
+{
+  call->tries--;
+  call->retry_at_us
+      = g_get_monotonic_time () + (gint64)randombytes_uniform (PLACE_WAIT_US);
+}
+
 void
 entry_call_attempt_ended (struct entry_call *call, enum msg_outcome outcome,
                           const char *step, const char *peer, const char *text)
@@ -315,6 +351,16 @@
     }
   if (outcome != MSG_OUTCOME_NOT_RUN)
     call->may_have_run = 1;
+  if (outcome == MSG_OUTCOME_NOT_RUN && strcmp (step, "suspect") == 0)
+    {
+      wait_for_place (call);
+      return;
+    }
+  if (!call->at_most_once && entry_susp_stopped (call->entry, call))
+    {
+      fail_stopped (call);
+      return;
+    }
   decision = decide_retry (call, outcome);
   if (decision.verdict == RETRY_YES)
     {
--- a/src/entry_fleet.c
+++ b/src/entry_fleet.c
@@ -254,8 +254,33 @@
                       .first_us;
 }
 
+/* Chooses a runner other than AVOID where a suspect may run.  */
+static struct route_choice
+choose_placed (struct entry *entry, struct entry_call *call,
+               const struct link *avoid, gint64 now)
+{
+  struct fleet_ref excluded[ROUTE_SUBSET + 1];
+  struct route_choice choice;
+  size_t n = 0;
+
+  if (avoid != NULL)
+    excluded[n++] = avoid->ref;
+  for (;;)
+    {
+      choice = choose (entry, call, excluded, n, now);
+      if (choice.ref.generation == 0
+          || entry_susp_place (entry, call, choice.ref) == 0)
+        return choice;
+      if (n == G_N_ELEMENTS (excluded))
+        break;
+      excluded[n++] = choice.ref;
+    }
+  choice.ref.generation = 0;
+  return choice;
+}
+
 int
-entry_fleet_choose (struct entry *entry, const struct entry_call *call,
+entry_fleet_choose (struct entry *entry, struct entry_call *call,
                     struct entry_runner *out)
 {
   gint64 now = g_get_monotonic_time ();
@@ -265,11 +290,12 @@
 
   pthread_mutex_lock (&entry->lock);
   last = find_peer (entry, call->last_peer);
-  choice = choose (entry, call, last != NULL ? &last->ref : NULL,
-                   last != NULL ? 1 : 0, now);
+  choice = choose_placed (entry, call, last, now);
   if (choice.ref.generation == 0 && last != NULL)
-    choice = choose (entry, call, NULL, 0, now);
+    choice = choose_placed (entry, call, NULL, now);
   found = choice.ref.generation != 0 && take (entry, call, &choice, now, out);
+  if (!found)
+    entry_susp_release (entry, call, 0);
   pthread_mutex_unlock (&entry->lock);
   return found;
 }
@@ -284,7 +310,7 @@
 
 void
 entry_fleet_release (struct entry *entry, uint64_t peer,
-                     struct fleet_work *work, const struct msg_end *end)
+                     struct entry_call *call, const struct msg_end *end)
 {
   struct link *link;
 
@@ -292,7 +318,8 @@
   link = find_peer (entry, peer);
   if (link != NULL && link->attempts > 0)
     link->attempts--;
-  fleet_ended (entry->fleet->fleet, work, end);
+  fleet_ended (entry->fleet->fleet, &call->work, end);
+  entry_susp_release (entry, call, 0);
   entry_admit_freed (entry);
   pthread_mutex_unlock (&entry->lock);
 }
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -98,6 +98,8 @@
   entry->net = net_open_entry (identity, &entry_net_ops, entry, err);
   if (entry->net == NULL)
     return -1;
+  if (entry_susp_open (entry, err) != 0)
+    return -1;
   if (pthread_create (&entry->lister, NULL, entry_fleet_main, entry) != 0
       || pthread_create (&entry->ticker, NULL, tick_main, entry) != 0)
     return err_set (err, ERR_LIMIT, "thread", NULL, "cannot start a thread");
@@ -141,6 +143,7 @@
   g_atomic_int_set (&entry->stopping, 1);
   pthread_join (entry->ticker, NULL);
   pthread_join (entry->lister, NULL);
+  entry_susp_close (entry);
   net_close (entry->net);
   kv_http_close (entry->kv);
   entry_config_close (entry);
--- a/src/entry_net.c
+++ b/src/entry_net.c
@@ -101,8 +101,10 @@
   if (call == NULL)
     return;
   done = end->outcome == MSG_OUTCOME_DONE;
-  entry_fleet_release (entry, peer, &call->work, end);
+  entry_fleet_release (entry, peer, call, end);
   call->runner_peer = 0;
+  if (end->outcome == MSG_OUTCOME_CRASHED)
+    entry_susp_crashed (entry, call, end->crash);
   strm_end (call->strm, end->attempt, end->frames, done, call->answer);
   if (done && strm_complete (call->strm))
     {
@@ -151,7 +153,7 @@
   call = find_call (entry, msg->u.call.call, msg->u.call.attempt);
   if (call == NULL)
     return;
-  entry_fleet_release (entry, peer, &call->work, NULL);
+  entry_fleet_release (entry, peer, call, NULL);
   entry_fleet_name (entry, peer, name, sizeof name);
   entry_call_attempt_ended (call, MSG_OUTCOME_NOT_RUN, "send", name,
                             "no connection to the agent");
--- /dev/null
+++ b/src/entry_susp.c
@@ -0,0 +1,399 @@
+#include "entry.h"
+
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "goldcresthatch/ctr.h"
+#include "goldcresthatch/log.h"
+#include "goldcresthatch/susp.h"
+
+enum
+{
+  SUSPECTS_MAX = 65536,
+  INDEX_MAX = 1024, /* fingerprints in the index, newest last */
+  CAS_TRIES = 8,
+  /* A graceful stop waits for the watch to return.  380 entries make 190 such
+     calls a second of the service's 2,000.  */
+  WATCH_MS = 2000,
+  RETRY_US = 1 * G_USEC_PER_SEC,
+  POP_US = 200 * 1000
+};
+
+#define SUSP_INDEX_KEY "suspects/index"
+
+/* Evidence is stored under suspects/FINGERPRINT.  The index names the newest
+   fingerprints, so that an entry learns of evidence by one watch instead of
+   one read for each call.  */
+struct entry_susp
+{
+  struct susp *susp;
+  GAsyncQueue *changed; /* fingerprints to write */
+  pthread_t writer;
+  pthread_t reader;
+  int running;
+};
+
+static int
+parse_id (const char *text, struct msg_id *id)
+{
+  return sscanf (text, "%16" SCNx64 "%16" SCNx64, &id->hi, &id->lo) == 2;
+}
+
+/* Reads a record of evidence.  Returns the number of crashes.  */
+static size_t
+parse_record (const char *text, struct susp_crash *crashes)
+{
+  struct json_object *list = json_tokener_parse (text);
+  size_t n = 0;
+  size_t i;
+
+  if (json_object_is_type (list, json_type_array))
+    for (i = 0; i < json_object_array_length (list) && n < SUSP_CRASHES_MAX;
+         i++)
+      {
+        struct json_object *item = json_object_array_get_idx (list, i);
+        struct json_object *id;
+        struct json_object *at;
+
+        if (!json_object_object_get_ex (item, "id", &id)
+            || !json_object_object_get_ex (item, "at_us", &at)
+            || !json_object_is_type (id, json_type_string)
+            || !parse_id (json_object_get_string (id), &crashes[n].id))
+          continue;
+        crashes[n].age_us
+            = MAX (g_get_real_time () - json_object_get_int64 (at), 0);
+        n++;
+      }
+  json_object_put (list);
+  return n;
+}
+
+static char *
+format_record (const struct susp_crash *crashes, size_t n)
+{
+  struct json_object *list = json_object_new_array ();
+  char id[40];
+  char *text;
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    {
+      struct json_object *item = json_object_new_object ();
+
+      snprintf (id, sizeof id, "%016" PRIx64 "%016" PRIx64, crashes[i].id.hi,
+                crashes[i].id.lo);
+      json_object_object_add (item, "id", json_object_new_string (id));
+      json_object_object_add (
+          item, "at_us",
+          json_object_new_int64 (g_get_real_time () - crashes[i].age_us));
+      json_object_array_add (list, item);
+    }
+  text = g_strdup (json_object_to_json_string (list));
+  json_object_put (list);
+  return text;
+}
+
+static void
+record_key (char *key, size_t size, uint64_t fingerprint)
+{
+  snprintf (key, size, "suspects/%016" PRIx64, fingerprint);
+}
+
+/* Adds evidence; the entry's lock is held.  */
+static void
+add (struct entry *entry, uint64_t fingerprint,
+     const struct susp_crash *crashes, size_t n)
+{
+  struct susp *susp = entry->susp->susp;
+  gint64 now = g_get_monotonic_time ();
+  enum susp_verdict before = susp_check (susp, fingerprint, now);
+
+  if (susp_add (susp, fingerprint, crashes, n, now) == SUSP_STOPPED
+      && before != SUSP_STOPPED)
+    ctr_add (CTR_SUSPECTS_STOPPED, 1);
+}
+
+/* Takes the record of FINGERPRINT into the table.  Returns its revision, 0
+   when it is absent, or -1 when the service was not reached.  */
+static int64_t
+read_record (struct entry *entry, uint64_t fingerprint)
+{
+  struct susp_crash crashes[SUSP_CRASHES_MAX];
+  struct kv_value value = { 0 };
+  char key[KV_KEY_MAX];
+  struct err err;
+  size_t n;
+  int rc;
+
+  record_key (key, sizeof key, fingerprint);
+  rc = kv_get (entry->kv, key, &value, &err);
+  if (rc <= 0)
+    return rc;
+  n = parse_record (value.data, crashes);
+  pthread_mutex_lock (&entry->lock);
+  add (entry, fingerprint, crashes, n);
+  pthread_mutex_unlock (&entry->lock);
+  kv_value_free (&value);
+  return (int64_t)value.revision;
+}
+
+/* Writes the evidence on FINGERPRINT, merged with that of other entries.
+   Returns 0, or -1 to try again later.  */
+static int
+write_record (struct entry *entry, uint64_t fingerprint, uint64_t lease)
+{
+  struct susp_crash crashes[SUSP_CRASHES_MAX];
+  char key[KV_KEY_MAX];
+  uint64_t written;
+  struct err err;
+  int64_t revision;
+  char *text;
+  size_t n;
+  int rc = 0;
+  int i;
+
+  record_key (key, sizeof key, fingerprint);
+  for (i = 0; i < CAS_TRIES && rc == 0; i++)
+    {
+      revision = read_record (entry, fingerprint);
+      if (revision < 0)
+        return -1;
+      pthread_mutex_lock (&entry->lock);
+      n = susp_crashes (entry->susp->susp, fingerprint, crashes,
+                        g_get_monotonic_time ());
+      pthread_mutex_unlock (&entry->lock);
+      if (n == 0)
+        return 0;
+      text = format_record (crashes, n);
+      rc = kv_cas (entry->kv, key, (uint64_t)revision, text, strlen (text),
+                   lease, &written, &err);
+      g_free (text);
+    }
+  return rc == 1 ? 0 : -1;
+}
+
+/* Returns LIST with the name of FINGERPRINT as its newest element.  */
+static char *
+append_index (const char *list, uint64_t fingerprint)
+{
+  struct json_object *old = list != NULL ? json_tokener_parse (list) : NULL;
+  struct json_object *new = json_object_new_array ();
+  char name[20];
+  char *text;
+  size_t n = 0;
+  size_t i;
+
+  snprintf (name, sizeof name, "%016" PRIx64, fingerprint);
+  if (json_object_is_type (old, json_type_array))
+    n = json_object_array_length (old);
+  for (i = n >= INDEX_MAX ? n - INDEX_MAX + 1 : 0; i < n; i++)
+    {
+      struct json_object *item = json_object_array_get_idx (old, i);
+
+      if (g_strcmp0 (json_object_get_string (item), name) != 0)
+        json_object_array_add (new, json_object_get (item));
+    }
+  json_object_array_add (new, json_object_new_string (name));
+  text = g_strdup (json_object_to_json_string (new));
+  json_object_put (old);
+  json_object_put (new);
+  return text;
+}
+
+static int
+write_index (struct entry *entry, uint64_t fingerprint)
+{
+  uint64_t written;
+  struct err err;
+  int rc = 0;
+  int i;
+
+  for (i = 0; i < CAS_TRIES && rc == 0; i++)
+    {
+      struct kv_value value = { 0 };
+      char *text;
+
+      if (kv_get (entry->kv, SUSP_INDEX_KEY, &value, &err) < 0)
+        return -1;
+      text = append_index (value.data, fingerprint);
+      rc = kv_cas (entry->kv, SUSP_INDEX_KEY, value.revision, text,
+                   strlen (text), 0, &written, &err);
+      g_free (text);
+      kv_value_free (&value);
+    }
+  return rc == 1 ? 0 : -1;
+}
+
+static int
+publish (struct entry *entry, uint64_t fingerprint)
+{
+  uint64_t lease;
+  struct err err;
+
+  if (kv_lease_grant (entry->kv, SUSP_RETENTION_US / 1000, &lease, &err) != 0
+      || write_record (entry, fingerprint, lease) != 0
+      || write_index (entry, fingerprint) != 0)
+    {
+      log_write (LOG_LEVEL_WARN, NULL, "suspect", entry->settings.kv,
+                 "evidence on a request could not be written yet");
+      return -1;
+    }
+  return 0;
+}
+
+static void *
+writer_main (void *arg)
+{
+  struct entry *entry = arg;
+  uint64_t *fingerprint;
+
+  while (!g_atomic_int_get (&entry->stopping))
+    {
+      fingerprint = g_async_queue_timeout_pop (entry->susp->changed, POP_US);
+      if (fingerprint == NULL)
+        continue;
+      if (publish (entry, *fingerprint) == 0)
+        {
+          g_free (fingerprint);
+          continue;
+        }
+      g_async_queue_push (entry->susp->changed, fingerprint);
+      g_usleep (RETRY_US);
+    }
+  return NULL;
+}
+
+/* Reads the records that the index names and that are not held yet or have
+   changed since: a fingerprint moves to the end with each change.  */
+static void
+read_index (struct entry *entry, const char *text)
+{
+  struct json_object *list = json_tokener_parse (text);
+  size_t n = 0;
+  size_t i;
+
+  if (json_object_is_type (list, json_type_array))
+    n = json_object_array_length (list);
+  for (i = 0; i < n; i++)
+    {
+      struct json_object *item = json_object_array_get_idx (list, i);
+      guint64 fingerprint;
+      enum susp_verdict verdict;
+
+      if (!json_object_is_type (item, json_type_string)
+          || !g_ascii_string_to_unsigned (json_object_get_string (item), 16, 0,
+                                          UINT64_MAX, &fingerprint, NULL))
+        continue;
+      pthread_mutex_lock (&entry->lock);
+      verdict = susp_check (entry->susp->susp, fingerprint,
+                            g_get_monotonic_time ());
+      pthread_mutex_unlock (&entry->lock);
+      if (verdict != SUSP_STOPPED)
+        read_record (entry, fingerprint);
+    }
+  json_object_put (list);
+}
+
+static void *
+reader_main (void *arg)
+{
+  struct entry *entry = arg;
+  uint64_t seen = 0;
+  struct err err;
+
+  while (!g_atomic_int_get (&entry->stopping))
+    {
+      struct kv_value value = { 0 };
+      int rc
+          = kv_watch (entry->kv, SUSP_INDEX_KEY, seen, WATCH_MS, &value, &err);
+
+      if (rc == 1 && value.revision != seen)
+        {
+          seen = value.revision;
+          read_index (entry, value.data);
+        }
+      else if (rc < 0)
+        g_usleep (RETRY_US);
+      else if (rc == 0)
+        seen = 0;
+      if (rc == 1)
+        kv_value_free (&value);
+    }
+  return NULL;
+}
+
+int
+entry_susp_open (struct entry *entry, struct err *err)
+{
+  struct entry_susp *susp = g_new0 (struct entry_susp, 1);
+
+  susp->susp = susp_new (SUSPECTS_MAX);
+  susp->changed = g_async_queue_new_full (g_free);
+  entry->susp = susp;
+  if (pthread_create (&susp->writer, NULL, writer_main, entry) != 0
+      || pthread_create (&susp->reader, NULL, reader_main, entry) != 0)
+    return err_set (err, ERR_LIMIT, "thread", NULL, "cannot start a thread");
+  return 0;
+}
+
+void
+entry_susp_close (struct entry *entry)
+{
+  pthread_join (entry->susp->writer, NULL);
+  pthread_join (entry->susp->reader, NULL);
+  g_async_queue_unref (entry->susp->changed);
+  susp_free (entry->susp->susp);
+  g_free (entry->susp);
+}
+
+void
+entry_susp_crashed (struct entry *entry, const struct entry_call *call,
+                    uint64_t crash)
+{
+  struct susp_crash seen = { { call->work.incarnation, crash }, 0 };
+  uint64_t fingerprint = call->fingerprint;
+
+  pthread_mutex_lock (&entry->lock);
+  add (entry, fingerprint, &seen, 1);
+  pthread_mutex_unlock (&entry->lock);
+  g_async_queue_push (entry->susp->changed,
+                      g_memdup2 (&fingerprint, sizeof fingerprint));
+}
+
+int
+entry_susp_stopped (struct entry *entry, const struct entry_call *call)
+{
+  enum susp_verdict verdict;
+
+  pthread_mutex_lock (&entry->lock);
+  verdict = susp_check (entry->susp->susp, call->fingerprint,
+                        g_get_monotonic_time ());
+  pthread_mutex_unlock (&entry->lock);
+  return verdict == SUSP_STOPPED;
+}
+
+int
+entry_susp_place (struct entry *entry, struct entry_call *call,
+                  struct fleet_ref ref)
+{
+  gint64 now = g_get_monotonic_time ();
+  struct err err;
+
+  if (susp_place (entry->susp->susp, call->fingerprint, ref, now, &err) != 0)
+    return -1;
+  call->placed
+      = susp_check (entry->susp->susp, call->fingerprint, now) == SUSP_SUSPECT;
+  return 0;
+}
+
+void
+entry_susp_release (struct entry *entry, struct entry_call *call, int answered)
+{
+  if (call->placed || answered)
+    susp_release (entry->susp->susp, call->fingerprint, answered,
+                  g_get_monotonic_time ());
+  call->placed = 0;
+}
--- a/src/msg.c
+++ b/src/msg.c
@@ -82,13 +82,13 @@
         U (report.prompt_tokens),  U (report.capacity),
         U (report.cfg_generation), U (report.fence) };
 
-static const struct field call_fields[] = {
-  I (call.call),         I (call.attempt),         U (call.incarnation),
-  U (call.window),       B (call.at_most_once, 2), N (call.method),
-  T (call.path),         N (call.content_type),    T (call.body),
-  U (call.budget_ms),    U (call.priority),        B (call.stream, 2),
-  U (call.resume_index), U (call.fingerprint),     N (call.traceparent)
-};
+static const struct field call_fields[]
+    = { I (call.call),         I (call.attempt),         U (call.incarnation),
+        U (call.window),       B (call.at_most_once, 2), N (call.method),
+        T (call.path),         N (call.content_type),    T (call.body),
+        U (call.budget_ms),    U (call.priority),        B (call.stream, 2),
+        U (call.resume_index), U (call.fingerprint),     B (call.suspect, 2),
+        N (call.traceparent) };
 
 static const struct field head_fields[]
     = { I (head.call), I (head.attempt), B (head.status, 1000),
@@ -98,11 +98,11 @@
     = { I (data.call), I (data.attempt), U (data.sequence), T (data.bytes) };
 
 static const struct field end_fields[]
-    = { I (end.call),          I (end.attempt),
-        U (end.frames),        B (end.outcome, MSG_OUTCOME_MAX),
-        N (end.step),          T (end.text),
-        U (end.running),       U (end.queued),
-        U (end.cfg_generation) };
+    = { I (end.call),           I (end.attempt),
+        U (end.frames),         B (end.outcome, MSG_OUTCOME_MAX),
+        N (end.step),           T (end.text),
+        U (end.running),        U (end.queued),
+        U (end.cfg_generation), U (end.crash) };
 
 static const struct field cancel_fields[]
     = { I (cancel.call), I (cancel.attempt) };
--- a/tests/unit_msg.cc
+++ b/tests/unit_msg.cc
@@ -64,7 +64,8 @@
                     text ("closed"),
                     7,
                     8,
-                    9 };
+                    9,
+                    10 };
       break;
     case MSG_CANCEL:
       msg.u.cancel = { { 1, 2 }, { 3, 4 } };
