Wait for runners whose service is still being asked for

Cause: a call that arrived before a runner's first report was refused with 404 as invalid, though its service existed; seen in one run of path.sh on a busy machine.

path.sh, no_runner.sh, silence.sh and poison.sh passed, one run each.

--- a/src/entry_fleet.c
+++ b/src/entry_fleet.c
@@ -374,6 +374,8 @@
 entry_fleet_knows (struct entry *entry, const char *service)
 {
   struct fleet *fleet = entry->fleet->fleet;
+  gint64 now = g_get_monotonic_time ();
+  const struct link *link;
   int known = 0;
   size_t i;
 
@@ -382,7 +384,14 @@
     {
       const struct fleet_runner *runner = fleet_at (fleet, i);
 
-      known = runner != NULL && strcmp (runner->service, service) == 0;
+      if (runner == NULL)
+        continue;
+      link = find_ref (entry, runner->ref);
+      /* A call is not refused as invalid while the service of a runner is
+         still being asked for.  */
+      known = strcmp (runner->service, service) == 0
+              || (runner->service[0] == '\0' && link != NULL
+                  && now < link->ask_until_us);
     }
   pthread_mutex_unlock (&entry->lock);
   return known;
