--- a/include/goldcresthatch/msg.h
+++ b/include/goldcresthatch/msg.h
@@ -140,6 +140,7 @@
   uint64_t stream;
   uint64_t resume_index; /* tokens that the caller already has */
   uint64_t fingerprint;
+  uint64_t suspect; /* it may have crashed an endpoint */
   struct msg_str traceparent;
 };
 
@@ -175,6 +176,8 @@
   uint64_t run_start_us;   /* 0 when the endpoint was not asked */
   uint64_t end_us;
   uint64_t run_span; /* bytes of the span id that the endpoint was given */
+  uint64_t crash;    /* number of the crash in the agent's incarnation, for
+                        MSG_OUTCOME_CRASHED */
 };
 
 struct msg_cancel
--- a/src/agent.h
+++ b/src/agent.h
@@ -55,6 +55,7 @@
   struct msg_id call;
   struct msg_id attempt;
   int at_most_once;
+  int suspect; /* counted in agent->suspects */
   char method[MSG_NAME_MAX];
   char *path;
   char content_type[MSG_NAME_MAX];
@@ -64,8 +65,10 @@
   uint64_t priority;
   uint64_t resume_index;
   gint64 deadline_us;
-  uint64_t frames; /* DATA messages sent */
-  int answered;    /* a head arrived */
+  uint64_t frames;  /* DATA messages sent */
+  int answered;     /* a head arrived */
+  uint64_t crashes; /* of the endpoint before the start */
+  int counted;      /* in agent->running */
   gint cancelled;
   struct agent_trace trace;
 };
@@ -98,6 +101,9 @@
   unsigned running;
   uint64_t prompt_done; /* tokens served */
   uint64_t output_done;
+  unsigned suspects; /* jobs that may crash the endpoint; at most one */
+  uint64_t crashes;  /* of the endpoint, seen by this incarnation */
+  uint64_t breaks;   /* times that a call found the endpoint down */
 
   struct cfg_sync *config;
   pthread_t probe;
@@ -133,6 +139,9 @@
 
 /* Fills in the span times of END.  */
 void agent_trace_end (const struct agent_job *job, struct msg_end *end);
+/* Marks the endpoint down until the next probe passes.  CRASHED is nonzero
+   when the endpoint broke off JOB; the jobs of one crash count it once.  */
+void agent_endpoint_broke (struct agent_job *job, int crashed);
 
 /* Thread that checks the endpoint's health.  */
 void *agent_probe_main (void *arg);
--- a/src/agent_work.c
+++ b/src/agent_work.c
@@ -77,6 +77,7 @@
       agent_send_end (job, MSG_OUTCOME_DONE, "", "");
       return;
     case HTTP_NOT_SENT:
+      agent_endpoint_broke (job, 0);
       agent_send_end (job, MSG_OUTCOME_NOT_RUN, "connect", err->text);
       return;
     case HTTP_STOPPED:
@@ -87,6 +88,8 @@
       log_write (LOG_LEVEL_WARN, job->traceparent, "run",
                  job->agent->settings.endpoint, "status %d: %s", status,
                  err->text);
+      if (result == HTTP_BROKEN)
+        agent_endpoint_broke (job, 1);
       agent_send_end (job,
                       result == HTTP_BROKEN ? MSG_OUTCOME_CRASHED
                                             : MSG_OUTCOME_UNKNOWN,
@@ -140,12 +143,19 @@
 {
   struct agent_job *job = data;
   struct agent *agent = ctx;
+  int up;
 
   pthread_mutex_lock (&agent->lock);
   agent->running++;
+  job->counted = 1;
+  job->crashes = agent->crashes;
+  up = agent->endpoint_up;
   pthread_mutex_unlock (&agent->lock);
   if (g_atomic_int_get (&job->cancelled))
     agent_send_end (job, MSG_OUTCOME_NOT_RUN, "queue", "cancelled");
+  else if (!up)
+    agent_send_end (job, MSG_OUTCOME_NOT_RUN, "connect",
+                    "the endpoint is down");
   else if (g_get_monotonic_time () >= job->deadline_us)
     agent_send_end (job, MSG_OUTCOME_NOT_RUN, "queue",
                     "the deadline passed in the queue");
@@ -153,6 +163,7 @@
     run_on_endpoint (job);
   pthread_mutex_lock (&agent->lock);
   agent->running--;
+  agent->suspects -= (unsigned)job->suspect;
   g_hash_table_remove (agent->jobs, &job->attempt);
   pthread_mutex_unlock (&agent->lock);
   agent_job_unref (job);
--- a/src/ctr.c
+++ b/src/ctr.c
@@ -64,6 +64,9 @@
   [CTR_PEERS_REFUSED]
   = { "peers_refused_total",
       "Connections refused because their key is not allowed.", KIND_COUNTER },
+  [CTR_SUSPECTS_STOPPED]
+  = { "suspects_stopped_total", "Requests found to crash endpoints.",
+      KIND_COUNTER },
   [CTR_ENDPOINT_CRASHES]
   = { "endpoint_crashes_total", "Endpoint crashes seen.", KIND_COUNTER },
 };
--- a/src/entry.h
+++ b/src/entry.h
@@ -18,16 +18,24 @@
 #include <stdint.h>
 
 #include "goldcresthatch/cfg.h"
+#include "goldcresthatch/fleet.h"
 #include "goldcresthatch/kv.h"
+#include "goldcresthatch/lim.h"
 #include "goldcresthatch/msg.h"
 #include "goldcresthatch/net.h"
+#include "goldcresthatch/retry.h"
+#include "goldcresthatch/route.h"
 #include "goldcresthatch/set.h"
 #include "goldcresthatch/strm.h"
 
 enum
 {
   ENTRY_BODY_MAX = 1 << 20, /* bytes of a request body */
-  ENTRY_TICK_MS = 100
+  ENTRY_TICK_MS = 100,
+  /* A crash or a restart leaves a service without a runner for about a second;
+     refusing at once would turn it into a burst of resends.  */
+  ENTRY_ROUTE_WAIT_US = 3 * G_USEC_PER_SEC,
+  ENTRY_TOKEN_BYTES = 4 /* engines take about four bytes of text a token */
 };
 
 struct entry_settings
@@ -42,29 +50,35 @@
   int64_t drain_limit_s;
   int64_t deadline_ms; /* of a request that names none */
   int64_t workers;
+  int64_t prefill_us;       /* of an engine, for a token of the prompt */
+  int64_t step_us;          /* of an engine, for a token of one answer */
+  int64_t step_request_us;  /* added to it by each further answer */
+  int64_t request_us;       /* of a plain service */
+  int64_t zone_distance_us; /* one way between two zones */
   struct set_list config_peers;
   char keys[SET_TEXT_MAX]; /* file of CURVE keys, empty for none */
 };
 
-/* A runner as this entry sees it.  */
+/* The runner chosen for an attempt.  */
 struct entry_runner
 {
-  char name[MSG_NAME_MAX];
-  char address[ERR_PEER_MAX];
-  char service[MSG_NAME_MAX];
   uint64_t peer; /* network handle */
   uint64_t incarnation;
   uint64_t window;
-  enum msg_agent_state state;
-  int endpoint_up;
-  int leaving; /* by the platform's list */
-  uint64_t running;
-  uint64_t queued;
-  uint64_t capacity;
-  unsigned own; /* attempts of this entry in progress */
-  int withheld; /* by the configuration: drain or withdraw */
-  uint64_t cfg_generation;
-  gint64 reported_us;
+  int64_t first_us; /* predicted time to the first token */
+  struct fleet_work work;
+};
+
+struct entry_fleet;
+struct entry_admit;
+struct entry_susp;
+
+/* What the usable runners of a service can take.  */
+struct entry_fleet_supply
+{
+  uint64_t slots;   /* requests that they run at once */
+  uint64_t room;    /* of these, free by this entry's estimate */
+  int64_t first_us; /* predicted time to the first token */
 };
 
 /* What the caller is told about a call that has no answer.  */
@@ -103,6 +117,12 @@
   char traceparent[MSG_NAME_MAX];
   GByteArray *body;
   uint64_t priority;
+  int has_priority; /* by its header */
+  uint64_t fingerprint;
+  GString *prompt;        /* of a model request, else null */
+  uint64_t output_tokens; /* expected */
+  uint64_t prefix[ROUTE_PIECES_MAX];
+  size_t n_prefix;
   int stream;
   int at_most_once;
   gint64 deadline_us;
@@ -110,11 +130,18 @@
 
   pthread_mutex_t lock; /* guards what follows */
   int started;
-  int suspended; /* the connection waits for entry_call_wake */
+  int queued;        /* for admission */
+  gint64 attempt_us; /* start of the current attempt */
+  int64_t first_us;  /* predicted time to its first token */
+  int suspended;     /* the connection waits for entry_call_wake */
   struct msg_id attempt;
-  uint64_t runner_peer; /* 0 between attempts */
-  uint64_t last_peer;   /* runner of the attempt before */
+  int placed;             /* the current attempt runs as a suspect */
+  struct fleet_work work; /* of the current attempt */
+  uint64_t runner_peer;   /* 0 between attempts */
+  uint64_t last_peer;     /* runner of the attempt before */
   unsigned tries;
+  int may_have_run;        /* an attempt ended without a proof of "not run" */
+  gint64 retry_at_us;      /* time of the next attempt; 0 when none is due */
   gint64 waiting_since_us; /* for a runner; 0 when not waiting */
   int head;                /* status and content type may be sent */
   int ended;               /* no more bytes follow */
@@ -147,8 +174,11 @@
   struct entry_warn *warn;
 
   pthread_mutex_t lock; /* guards what follows */
-  GPtrArray *runners;   /* struct entry_runner */
-  GHashTable *calls;    /* by id */
+  struct entry_fleet *fleet;
+  struct entry_admit *admit;
+  struct entry_susp *susp;
+  struct retry_budget retries;
+  GHashTable *calls; /* by id */
 };
 
 /* entry_http.c */
@@ -160,6 +190,8 @@
 void entry_http_append_failure (struct entry_call *call);
 
 /* entry_call.c */
+extern const struct retry_config entry_retry_config;
+
 struct entry_call *entry_call_new (struct entry *entry);
 struct entry_call *entry_call_ref (struct entry_call *call);
 void entry_call_unref (struct entry_call *call);
@@ -167,6 +199,10 @@
 /* Starts a call whose request is complete.  */
 void entry_call_start (struct entry_call *call);
 
+/* Starts the first attempt of a call that was admitted; the call's lock is
+   held.  */
+void entry_call_admitted (struct entry_call *call);
+
 /* Ends CALL with a failure; the call's lock is held.  */
 void entry_call_fail (struct entry_call *call, unsigned status,
                       enum entry_outcome outcome, enum err_code code,
@@ -201,29 +237,116 @@
 void entry_fleet_report (struct entry *entry, uint64_t peer,
                          const struct msg_report *report);
 
-/* Chooses a runner for SERVICE, other than the one with the handle AVOID when
-   there is a choice, and counts the attempt on it.  Returns 0 when there is
+/* Chooses a runner for CALL, other than that of its last attempt when there is
+   a choice, and counts the attempt on it.  Returns 0 when there is
    none; else fills in OUT.  */
-int entry_fleet_choose (struct entry *entry, const char *service,
-                        uint64_t avoid, struct entry_runner *out);
-
-/* Whether RUNNER takes work; the entry's lock is held.  */
-int entry_fleet_usable (const struct entry_runner *runner, gint64 now_us);
-void entry_fleet_release (struct entry *entry, uint64_t peer);
+int entry_fleet_choose (struct entry *entry, struct entry_call *call,
+                        struct entry_runner *out);
+
+/* Notes the first token of WORK, whose prompt no longer waits.  */
+void entry_fleet_first_token (struct entry *entry, struct fleet_work *work);
+
+/* Counts the end of the attempt of CALL on PEER; END is null when none
+ * arrived.  */
+void entry_fleet_release (struct entry *entry, uint64_t peer,
+                          struct entry_call *call, const struct msg_end *end);
+
+/* Fills in what SERVICE can take, for CALL or, when it is null, for a short
+   request; the entry's lock is held.  */
+void entry_fleet_get_supply (struct entry *entry, const char *service,
+                         const struct entry_call *call,
+                         struct entry_fleet_supply *out);
+
+/* Keeps new work from PEER, whose endpoint crashed or whose connection broke,
+   until its next report that the endpoint is up.  */
+void entry_fleet_fault (struct entry *entry, uint64_t peer);
 int entry_fleet_alive (struct entry *entry, uint64_t peer, gint64 now_us);
 void entry_fleet_name (struct entry *entry, uint64_t peer, char *name,
                        size_t size);
 int entry_fleet_knows (struct entry *entry, const char *service);
 void entry_fleet_hello (struct entry *entry);
-void *entry_fleet_main (void *arg);
 
-/* Gives no new work to the runners that SNAP drains or withdraws.  */
+/* Judges silence and follows the subsets.  To be called on each tick, before
+   entry_call_tick.  */
+void entry_fleet_tick (struct entry *entry, gint64 now_us);
+
+/* Hashes the prompt of CALL for the estimate of cached prefixes.  */
+void entry_fleet_hash_prompt (struct entry_call *call);
+
+/* Keeps new work from the runners that the configuration drains or withdraws.
+   To be called with each new snapshot.  */
 void entry_fleet_withhold (struct entry *entry,
                            const struct cfg_snapshot *snap);
+void entry_fleet_open (struct entry *entry);
+void entry_fleet_close (struct entry *entry);
+void *entry_fleet_main (void *arg);
 
 /* Appends the runners as seen here to the JSON array LIST.  */
 void entry_fleet_status (struct entry *entry, struct json_object *list);
 
+/* Returns the number of runners listed.  */
+size_t entry_fleet_size (struct entry *entry);
+
+/* Calls VISIT for each runner whose service is known; the entry's lock is
+   held meanwhile.  */
+void entry_fleet_each (struct entry *entry,
+                       void (*visit) (void *ctx, const char *service,
+                                      int usable),
+                       void *ctx);
+
+/* entry_susp.c */
+int entry_susp_open (struct entry *entry, struct err *err);
+
+/* To be called after entry->stopping is set.  */
+void entry_susp_close (struct entry *entry);
+
+/* Adds crash number CRASH of the agent as evidence against CALL.  */
+void entry_susp_crashed (struct entry *entry, const struct entry_call *call,
+                         uint64_t crash);
+
+/* Whether CALL must not run any more.  */
+int entry_susp_stopped (struct entry *entry, const struct entry_call *call);
+
+/* Asks to run CALL on REF, as susp_place does, and notes its end; the entry's
+   lock is held.  */
+int entry_susp_place (struct entry *entry, struct entry_call *call,
+                      struct fleet_ref ref);
+void entry_susp_release (struct entry *entry, struct entry_call *call,
+                         int answered);
+
+/* entry_admit.c */
+void entry_admit_open (struct entry *entry);
+void entry_admit_close (struct entry *entry);
+
+/* Decides on CALL, whose lock is held.  Returns nonzero when its first attempt
+   may start now; else it is queued, or refused and has ended.  *EVICTED is the
+   call to pass to entry_admit_evict without a call's lock, or 0.  */
+int entry_admit_offer (struct entry *entry, struct entry_call *call,
+                       uint64_t *evicted);
+void entry_admit_evict (struct entry *entry, uint64_t id);
+
+/* Takes CALL, whose lock is held, out of the queue.  */
+void entry_admit_cancel (struct entry *entry, struct entry_call *call);
+
+/* Whether CALL is queued and no runner has been usable for
+   ENTRY_ROUTE_WAIT_US.  */
+int entry_admit_starved (struct entry *entry, const struct entry_call *call,
+                         gint64 now_us);
+
+/* Note the first token and the whole answer of the attempt of CALL, whose lock
+   is held.  */
+void entry_admit_first_token (struct entry *entry, struct entry_call *call);
+void entry_admit_answered (struct entry *entry, const struct entry_call *call);
+
+/* Starts or refuses queued calls while there is room.  */
+void entry_admit_pump (struct entry *entry);
+
+/* Notes that a slot may have become free; the entry's lock is held.  */
+void entry_admit_freed (struct entry *entry);
+
+/* Waits until a slot may have become free, at most until UNTIL_US.  */
+void entry_admit_wait (struct entry *entry, gint64 until_us);
+
 /* entry_config.c */
 int entry_config_open (struct entry *entry, struct err *err);
 void entry_config_close (struct entry *entry);
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -1,5 +1,6 @@
 #include "entry.h"
 
+#include <sodium.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -7,20 +8,30 @@
 
 #include "goldcresthatch/ctr.h"
 #include "goldcresthatch/log.h"
+#include "goldcresthatch/susp.h"
 
 enum
 {
-  TRIES_MAX = 3,
   HELD_BYTES_MAX = 1 << 20, /* of an answer after a gap */
   RETRY_AFTER_S = 1,
-  /* A crash or a restart leaves a service without a runner for about a second;
-     refusing at once would turn it into a burst of resends.  */
-  ROUTE_WAIT_US = 3 * G_USEC_PER_SEC,
+  PLACE_WAIT_US = 200 * 1000, /* longest, for a runner without a suspect */
+  STATUS_UNPROCESSABLE = 422,
   STATUS_BAD_GATEWAY = 502,
   STATUS_UNAVAILABLE = 503,
   STATUS_GATEWAY_TIMEOUT = 504
 };
 
+/* A failed runner ends all its attempts at once, so the bucket starts full.
+   The fourth attempt covers a runner that refused.  */
+const struct retry_config entry_retry_config = {
+  .ratio_permil = 100,
+  .reserve = 100,
+  .burst = 100,
+  .attempts_max = 4,
+  .backoff_us = 50000,
+  .backoff_max_us = 1000000,
+};
+
 struct entry_call *
 entry_call_new (struct entry *entry)
 {
@@ -53,6 +64,8 @@
   g_free (call->content_type);
   g_free (call->service);
   g_free (call->trace);
+  if (call->prompt != NULL)
+    g_string_free (call->prompt, TRUE);
   g_byte_array_free (call->body, TRUE);
   g_string_free (call->answer, TRUE);
   if (call->strm != NULL)
@@ -138,6 +151,8 @@
   out->priority = call->priority;
   out->stream = (uint64_t)call->stream;
   out->resume_index = strm_tokens (call->strm);
+  out->fingerprint = call->fingerprint;
+  out->suspect = (uint64_t)call->placed;
   out->traceparent = msg_text (call->attempt_parent);
 }
 
@@ -150,49 +165,84 @@
 
   if (call->waiting_since_us == 0)
     call->waiting_since_us = now;
-  if (!call->head && now - call->waiting_since_us >= ROUTE_WAIT_US)
+  if (!call->head && !call->may_have_run
+      && now - call->waiting_since_us >= ENTRY_ROUTE_WAIT_US)
     entry_call_fail (call, STATUS_UNAVAILABLE, ENTRY_OUTCOME_NOT_RUN,
                      ERR_LIMIT, "route", call->service,
                      "no runner takes work");
 }
 
+/* Refuses a call that was in flight at too many crashes.  */
+static void
+fail_stopped (struct entry_call *call)
+{
+  entry_call_fail (call, STATUS_UNPROCESSABLE, ENTRY_OUTCOME_NOT_RUN,
+                   ERR_REFUSED, "suspect", call->service,
+                   "the request was in flight at %d crashes of endpoints",
+                   SUSP_STOP);
+  call->failure.retry_after_s = 0;
+}
+
 /* Starts an attempt; the call's lock is held.  */
 static void
 start_attempt (struct entry_call *call)
 {
   struct entry *entry = call->entry;
   struct entry_runner runner;
+  char name[MSG_NAME_MAX];
   struct msg msg;
 
-  if (!entry_fleet_choose (entry, call->service, call->last_peer, &runner))
+  if (entry_susp_stopped (entry, call))
+    {
+      fail_stopped (call);
+      return;
+    }
+  if (!entry_fleet_choose (entry, call, &runner))
     {
       wait_for_runner (call);
       return;
     }
   call->waiting_since_us = 0;
+  call->retry_at_us = 0;
   call->tries++;
   call->attempt = msg_id_new ();
   call->runner_peer = runner.peer;
+  call->work = runner.work;
   call->last_peer = runner.peer;
+  call->attempt_us = g_get_monotonic_time ();
+  call->first_us = runner.first_us;
   strm_begin (call->strm, call->attempt);
-  entry_trace_attempt (call, runner.name);
+  entry_fleet_name (entry, runner.peer, name, sizeof name);
+  entry_trace_attempt (call, name);
   fill_call (call, &runner, &msg);
   net_send (entry->net, runner.peer, &msg, NULL);
 }
 
+void
+entry_call_admitted (struct entry_call *call)
+{
+  start_attempt (call);
+}
+
 void
 entry_call_start (struct entry_call *call)
 {
   struct entry *entry = call->entry;
+  uint64_t evicted;
 
   pthread_mutex_lock (&entry->lock);
   g_hash_table_insert (entry->calls, &call->id, entry_call_ref (call));
+  retry_first (&entry->retries, &entry_retry_config);
   pthread_mutex_unlock (&entry->lock);
   pthread_mutex_lock (&call->lock);
   call->started = 1;
+  call->fingerprint = susp_fingerprint (call->customer, call->path,
+                                        call->body->data, call->body->len);
   call->strm = strm_new (call->stream ? STRM_SSE : STRM_BYTES, HELD_BYTES_MAX);
-  start_attempt (call);
+  if (entry_admit_offer (entry, call, &evicted))
+    entry_call_admitted (call);
   pthread_mutex_unlock (&call->lock);
+  entry_admit_evict (entry, evicted);
 }
 
 /* Tells the agent to stop the current attempt; the call's lock is held.  */
@@ -206,15 +256,20 @@
   msg.u.cancel.call = call->id;
   msg.u.cancel.attempt = call->attempt;
   net_send (call->entry->net, call->runner_peer, &msg, NULL);
-  entry_fleet_release (call->entry, call->runner_peer);
+  entry_fleet_release (call->entry, call->runner_peer, call, NULL);
   call->runner_peer = 0;
 }
 
 void
 entry_call_finish (struct entry_call *call)
 {
-  entry_fleet_release (call->entry, call->runner_peer);
+  if (call->runner_peer != 0)
+    entry_fleet_release (call->entry, call->runner_peer, call, NULL);
   call->runner_peer = 0;
+  pthread_mutex_lock (&call->entry->lock);
+  entry_susp_release (call->entry, call, 1);
+  pthread_mutex_unlock (&call->entry->lock);
+  entry_admit_answered (call->entry, call);
   call->head = 1;
   call->ended = 1;
   entry_trace_done (call, NULL);
@@ -238,6 +293,8 @@
                                 "the runner does not resume the stream");
       return;
     }
+  if (call->stream || call->prompt == NULL)
+    entry_admit_first_token (call->entry, call);
   call->status = status;
   msg_str_copy (call->answer_type, sizeof call->answer_type, content_type);
   if (!call->stream || call->head)
@@ -246,20 +303,50 @@
   entry_call_wake (call);
 }
 
-/* Whether another attempt may follow one that ended with OUTCOME.  */
-static int
-may_repeat (const struct entry_call *call, enum msg_outcome outcome)
+/* Decides whether another attempt follows one that ended with OUTCOME.  */
+static struct retry_decision
+decide_retry (struct entry_call *call, enum msg_outcome outcome)
 {
-  if (outcome != MSG_OUTCOME_NOT_RUN && call->at_most_once)
-    return 0;
-  return call->tries < TRIES_MAX
-         && g_get_monotonic_time () < call->deadline_us;
+  static const enum retry_failure failures[MSG_OUTCOME_MAX] = {
+    [MSG_OUTCOME_DONE] = RETRY_UNKNOWN, /* a part of the answer was lost */
+    [MSG_OUTCOME_NOT_RUN] = RETRY_NOT_RUN,
+    [MSG_OUTCOME_UNKNOWN] = RETRY_UNKNOWN,
+    [MSG_OUTCOME_CRASHED] = RETRY_CRASHED,
+  };
+  struct entry *entry = call->entry;
+  struct retry_attempt attempt = {
+    .failure = failures[outcome],
+    .idempotent = !call->at_most_once,
+    .attempts = call->tries,
+    .deadline_us = call->deadline_us,
+  };
+  struct retry_decision decision;
+  uint64_t random;
+
+  randombytes_buf (&random, sizeof random);
+  pthread_mutex_lock (&entry->lock);
+  decision = retry_decide (&entry->retries, &entry_retry_config, &attempt,
+                           g_get_monotonic_time (), random);
+  pthread_mutex_unlock (&entry->lock);
+  return decision;
+}
+
+/* The runner already has a suspect of another entry: this is a wait for a
+   place rather than a failed attempt.  */
+static void
+wait_for_place (struct entry_call *call)
+{
+  call->tries--;
+  call->retry_at_us
+      = g_get_monotonic_time () + (gint64)randombytes_uniform (PLACE_WAIT_US);
 }
 
 void
 entry_call_attempt_ended (struct entry_call *call, enum msg_outcome outcome,
                           const char *step, const char *peer, const char *text)
 {
+  struct retry_decision decision;
+
   call->runner_peer = 0;
   if (strm_closed (call->strm))
     {
@@ -267,21 +354,36 @@
       entry_call_finish (call);
       return;
     }
-  if (may_repeat (call, outcome))
+  if (outcome != MSG_OUTCOME_NOT_RUN)
+    call->may_have_run = 1;
+  if (outcome == MSG_OUTCOME_NOT_RUN && strcmp (step, "suspect") == 0)
+    {
+      wait_for_place (call);
+      return;
+    }
+  if (!call->at_most_once && entry_susp_stopped (call->entry, call))
+    {
+      fail_stopped (call);
+      return;
+    }
+  decision = decide_retry (call, outcome);
+  if (decision.verdict == RETRY_YES)
     {
       entry_trace_attempt_ended (call, step, peer, text);
       ctr_add (call->head ? CTR_RESUMES : CTR_RETRIES, 1);
       if (!call->stream)
         g_string_truncate (call->answer, 0);
-      start_attempt (call);
+      call->retry_at_us = g_get_monotonic_time () + decision.delay_us;
       return;
     }
-  if (outcome == MSG_OUTCOME_NOT_RUN)
+  if (!call->may_have_run)
     entry_call_fail (call, STATUS_UNAVAILABLE, ENTRY_OUTCOME_NOT_RUN,
-                     ERR_REFUSED, step, peer, "%s", text);
+                     ERR_REFUSED, step, peer, "%s (%s)", text,
+                     retry_name (decision.verdict));
   else
     entry_call_fail (call, STATUS_BAD_GATEWAY, ENTRY_OUTCOME_UNKNOWN, ERR_IO,
-                     step, peer, "%s", text);
+                     step, peer, "%s (%s)", text,
+                     retry_name (decision.verdict));
 }
 
 void
@@ -293,6 +395,7 @@
   pthread_mutex_lock (&call->lock);
   if (!call->ended)
     {
+      entry_admit_cancel (entry, call);
       if (!call->at_most_once)
         cancel_attempt (call);
       call->ended = 1;
@@ -313,6 +416,20 @@
   pthread_mutex_lock (&call->lock);
   if (call->ended || !call->started)
     ;
+  else if (now_us >= call->deadline_us && call->tries == 0)
+    {
+      entry_admit_cancel (call->entry, call);
+      entry_call_fail (call, STATUS_UNAVAILABLE, ENTRY_OUTCOME_NOT_RUN,
+                       ERR_TIMEOUT, "admit", call->service,
+                       "the deadline passed before an attempt");
+    }
+  else if (entry_admit_starved (call->entry, call, now_us))
+    {
+      entry_admit_cancel (call->entry, call);
+      entry_call_fail (call, STATUS_UNAVAILABLE, ENTRY_OUTCOME_NOT_RUN,
+                       ERR_LIMIT, "route", call->service,
+                       "no runner takes work");
+    }
   else if (now_us >= call->deadline_us)
     {
       entry_fleet_name (call->entry, call->runner_peer, name, sizeof name);
@@ -328,7 +445,8 @@
       entry_call_attempt_ended (call, MSG_OUTCOME_UNKNOWN, "run", name,
                                 "the agent is silent");
     }
-  else if (call->waiting_since_us != 0)
+  else if (call->waiting_since_us != 0
+           || (call->retry_at_us != 0 && now_us >= call->retry_at_us))
     start_attempt (call);
   pthread_mutex_unlock (&call->lock);
 }
--- a/src/entry_config.c
+++ b/src/entry_config.c
@@ -6,12 +6,8 @@
 fleet_size (void *ctx)
 {
   struct entry *entry = ctx;
-  size_t runners;
 
-  pthread_mutex_lock (&entry->lock);
-  runners = entry->runners->len;
-  pthread_mutex_unlock (&entry->lock);
-  return runners + entry->settings.config_peers.count;
+  return entry_fleet_size (entry) + entry->settings.config_peers.count;
 }
 
 static void
--- a/src/entry_fleet.c
+++ b/src/entry_fleet.c
@@ -1,136 +1,370 @@
 #include "entry.h"
 
 #include <json-c/json.h>
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "goldcresthatch/eng.h"
 #include "goldcresthatch/log.h"
 
 enum
 {
   LIST_PERIOD_US = 1 * G_USEC_PER_SEC,
-  SILENCE_US = 6 * G_USEC_PER_SEC /* three report intervals */
+  REFRESH_PERIOD_US = 500 * 1000, /* of the subsets */
+  /* Time from a connection's start in which a report is asked for by a HELLO
+     on each tick, since a HELLO to a peer not yet connected is dropped.  */
+  ASK_US = 5 * G_USEC_PER_SEC,
+  /* A runner whose connection was closed for lack of a report is tried again
+     after this time, unless the subset has room for it at once.  */
+  CONTACT_AGAIN_US = 30 * G_USEC_PER_SEC,
+  CACHE_PIECES = 65536,
+  CACHE_HALF_LIFE_US = 300 * G_USEC_PER_SEC,
+  PREFILL_CHUNK_TOKENS = 512
 };
 
-static struct entry_runner *
-find_peer (struct entry *entry, uint64_t peer)
+/* A connection to a runner, also to one that is no longer listed but still
+   has attempts in progress.  */
+struct link
 {
-  guint i;
+  uint64_t peer; /* 0 when closed */
+  struct fleet_ref ref;
+  char name[MSG_NAME_MAX + 1];
+  char address[MSG_NAME_MAX + 1];
+  unsigned attempts; /* in progress */
+  int wanted;        /* in the subset of its service */
+  gint64 opened_us;
+  gint64 closed_us;
+  gint64 reported_us;
+  uint64_t running; /* by the last report, like the four that follow */
+  uint64_t queued;
+  enum msg_agent_state state;
+  int endpoint_up;
+  uint64_t cfg_generation;
+  gint64 ask_until_us; /* for a report; 0 when one has arrived */
+};
 
-  for (i = 0; i < entry->runners->len; i++)
-    {
-      struct entry_runner *runner = g_ptr_array_index (entry->runners, i);
+struct entry_fleet
+{
+  struct fleet *fleet;
+  struct route *route;
+  GPtrArray *links;    /* struct link, at most one for each ref */
+  GPtrArray *by_index; /* link of the newest ref with this index, or null */
+  GHashTable *by_peer;
+  gint64 refreshed_us;
+  char
+      list_error[ERR_TEXT_MAX]; /* logged last; empty when the list is valid */
+};
 
-      if (runner->peer == peer)
-        return runner;
-    }
-  return NULL;
+static int64_t
+distance_us (void *ctx, const char *from, const char *to)
+{
+  const struct entry *entry = ctx;
+
+  return strcmp (from, to) == 0 ? 0 : entry->settings.zone_distance_us;
 }
 
-static struct entry_runner *
-find_name (struct entry *entry, const char *name)
+void
+entry_fleet_open (struct entry *entry)
 {
-  guint i;
+  struct route_config config = {
+    .entry = entry->settings.name,
+    .cache_pieces = CACHE_PIECES,
+    .half_life_us = CACHE_HALF_LIFE_US,
+    .prefill_role = ENG_ROLE_PREFILL,
+    .decode_role = ENG_ROLE_DECODE,
+    .distance_us = distance_us,
+    .ctx = entry,
+  };
 
-  for (i = 0; i < entry->runners->len; i++)
-    {
-      struct entry_runner *runner = g_ptr_array_index (entry->runners, i);
+  entry->fleet = g_new0 (struct entry_fleet, 1);
+  entry->fleet->fleet = fleet_new ();
+  entry->fleet->route = route_new (&config);
+  entry->fleet->by_index = g_ptr_array_new ();
+  entry->fleet->by_peer = g_hash_table_new (g_int64_hash, g_int64_equal);
+  entry->fleet->links = g_ptr_array_new_with_free_func (g_free);
+}
 
-      if (strcmp (runner->name, name) == 0)
-        return runner;
-    }
-  return NULL;
+void
+entry_fleet_close (struct entry *entry)
+{
+  fleet_free (entry->fleet->fleet);
+  route_free (entry->fleet->route);
+  g_ptr_array_free (entry->fleet->by_index, TRUE);
+  g_hash_table_destroy (entry->fleet->by_peer);
+  g_ptr_array_free (entry->fleet->links, TRUE);
+  g_free (entry->fleet);
+}
+
+static struct link *
+find_peer (struct entry *entry, uint64_t peer)
+{
+  return g_hash_table_lookup (entry->fleet->by_peer, &peer);
+}
+
+static struct link *
+find_ref (struct entry *entry, struct fleet_ref ref)
+{
+  GPtrArray *links = entry->fleet->by_index;
+  struct link *link;
+
+  if (ref.index >= links->len)
+    return NULL;
+  link = g_ptr_array_index (links, ref.index);
+  return link != NULL && link->ref.generation == ref.generation ? link : NULL;
+}
+
+static void
+ask (struct link *link, gint64 now)
+{
+  link->ask_until_us = now + ASK_US;
+}
+
+static void
+refresh_route (struct entry *entry)
+{
+  route_refresh (entry->fleet->route, entry->fleet->fleet,
+                 entry->settings.zone);
 }
 
 void
 entry_fleet_report (struct entry *entry, uint64_t peer,
                     const struct msg_report *report)
 {
-  struct entry_runner *runner;
+  const struct fleet_runner *runner;
+  gint64 now = g_get_monotonic_time ();
+  struct link *link;
+  struct err err;
+  int was_usable;
 
   pthread_mutex_lock (&entry->lock);
-  runner = find_peer (entry, peer);
-  if (runner != NULL)
+  link = find_peer (entry, peer);
+  runner = link != NULL ? fleet_get (entry->fleet->fleet, link->ref) : NULL;
+  /* A report under another runner's name comes from a VM that was replaced
+     while the list still shows the old one.  */
+  if (link != NULL && report->agent.n == strlen (link->name)
+      && memcmp (report->agent.p, link->name, report->agent.n) == 0)
     {
-      msg_str_copy (runner->service, sizeof runner->service, report->service);
-      runner->incarnation = report->incarnation;
-      runner->window = report->window;
-      runner->state = (enum msg_agent_state)report->state;
-      runner->endpoint_up = report->endpoint_up != 0;
-      runner->running = report->running;
-      runner->queued = report->queued;
-      runner->capacity = report->capacity;
-      runner->cfg_generation = report->cfg_generation;
-      runner->reported_us = g_get_monotonic_time ();
+      link->reported_us = now;
+      link->running = report->running;
+      link->queued = report->queued;
+      link->state = (enum msg_agent_state)report->state;
+      link->endpoint_up = report->endpoint_up != 0;
+      link->cfg_generation = report->cfg_generation;
+      link->ask_until_us = 0;
+      was_usable = runner != NULL && runner->usable;
+      if (runner != NULL
+          && fleet_report (entry->fleet->fleet, report, now, &err) != 0)
+        log_err (LOG_LEVEL_DEBUG, NULL, &err);
+      if (runner != NULL && !was_usable && runner->usable)
+        refresh_route (entry);
     }
   pthread_mutex_unlock (&entry->lock);
 }
 
-int
-entry_fleet_usable (const struct entry_runner *runner, gint64 now)
+static void
+fill_request (struct entry *entry, const struct entry_call *call,
+              const struct fleet_ref *excluded, size_t n,
+              struct route_request *request)
+{
+  const struct entry_settings *settings = &entry->settings;
+
+  memset (request, 0, sizeof *request);
+  request->service = call->service;
+  request->zone = settings->zone;
+  request->priority = (unsigned)call->priority;
+  request->budget_us = call->deadline_us - g_get_monotonic_time ();
+  request->excluded = excluded;
+  request->n_excluded = n;
+  if (call->prompt == NULL)
+    {
+      request->speed.request_us = (uint32_t)settings->request_us;
+      return;
+    }
+  request->prompt_tokens = call->prompt->len / ENTRY_TOKEN_BYTES + 1;
+  request->output_tokens = call->output_tokens;
+  request->prefix = call->prefix;
+  request->n_prefix = call->n_prefix;
+  request->speed.prefill_us_per_token = (uint32_t)settings->prefill_us;
+  request->speed.chunk_tokens = PREFILL_CHUNK_TOKENS;
+  request->speed.step_us = (uint32_t)settings->step_us;
+  request->speed.step_us_per_request = (uint32_t)settings->step_request_us;
+}
+
+void
+entry_fleet_hash_prompt (struct entry_call *call)
+{
+  call->n_prefix
+      = route_prefix (call->service, call->prompt->str, call->prompt->len,
+                      (size_t)ROUTE_PIECE_TOKENS * ENTRY_TOKEN_BYTES,
+                      call->prefix, ROUTE_PIECES_MAX);
+}
+
+/* Chooses without the runners excluded, whose lock is held.  */
+static struct route_choice
+choose (struct entry *entry, const struct entry_call *call,
+        const struct fleet_ref *excluded, size_t n, gint64 now)
+{
+  struct route_request request;
+  uint64_t random;
+
+  randombytes_buf (&random, sizeof random);
+  fill_request (entry, call, excluded, n, &request);
+  return route_choose (entry->fleet->route, entry->fleet->fleet, &request,
+                       random, now);
+}
+
+/* Counts the attempt of CALL on the runner of CHOICE and fills in OUT.  */
+static int
+take (struct entry *entry, const struct entry_call *call,
+      const struct route_choice *choice, gint64 now, struct entry_runner *out)
 {
-  return runner->endpoint_up && runner->state == MSG_AGENT_SERVING
-         && !runner->leaving && !runner->withheld && runner->reported_us != 0
-         && now - runner->reported_us < SILENCE_US;
+  struct entry_fleet *fleet = entry->fleet;
+  const struct fleet_runner *runner = fleet_get (fleet->fleet, choice->ref);
+  struct link *link = find_ref (entry, choice->ref);
+  uint64_t tokens = 0;
+
+  if (runner == NULL || link == NULL || link->peer == 0)
+    return 0;
+  if (call->prompt != NULL)
+    tokens = call->prompt->len / ENTRY_TOKEN_BYTES + 1 - choice->cached;
+  link->attempts++;
+  out->peer = link->peer;
+  out->incarnation = runner->incarnation;
+  out->window = runner->window;
+  out->first_us = choice->first_us;
+  out->work = fleet_sent (fleet->fleet, choice->ref, tokens);
+  route_served (fleet->route, choice->ref, call->prefix, call->n_prefix, now);
+  return 1;
 }
 
-/* A total order in which a lower value is chosen first.  */
-static uint64_t
-load (const struct entry_runner *runner, uint64_t avoid)
+void
+entry_fleet_get_supply (struct entry *entry, const char *service,
+                    const struct entry_call *call,
+                    struct entry_fleet_supply *out)
+{
+  struct entry_call brief
+      = { .service = (char *)service, .deadline_us = G_MAXINT64 };
+  struct fleet_ref refs[ROUTE_SUBSET];
+  size_t n = route_subset (entry->fleet->route, service, refs);
+  size_t i;
+
+  memset (out, 0, sizeof *out);
+  for (i = 0; i < n; i++)
+    {
+      const struct fleet_runner *runner
+          = fleet_get (entry->fleet->fleet, refs[i]);
+
+      if (runner == NULL || !runner->usable)
+        continue;
+      out->slots += MAX (runner->load.capacity, 1);
+      if (runner->load.requests < MAX (runner->load.capacity, 1))
+        out->room += MAX (runner->load.capacity, 1) - runner->load.requests;
+    }
+  out->first_us = choose (entry, call != NULL ? call : &brief, NULL, 0,
+                          g_get_monotonic_time ())
+                      .first_us;
+}
+
+/* Chooses a runner other than AVOID where a suspect may run.  */
+static struct route_choice
+choose_placed (struct entry *entry, struct entry_call *call,
+               const struct link *avoid, gint64 now)
 {
-  uint64_t penalty = runner->peer == avoid ? UINT32_MAX : 0;
+  struct fleet_ref excluded[ROUTE_SUBSET + 1];
+  struct route_choice choice;
+  size_t n = 0;
 
-  return runner->running + runner->queued + runner->own + penalty;
+  if (avoid != NULL)
+    excluded[n++] = avoid->ref;
+  for (;;)
+    {
+      choice = choose (entry, call, excluded, n, now);
+      if (choice.ref.generation == 0
+          || entry_susp_place (entry, call, choice.ref) == 0)
+        return choice;
+      if (n == G_N_ELEMENTS (excluded))
+        break;
+      excluded[n++] = choice.ref;
+    }
+  choice.ref.generation = 0;
+  return choice;
 }
 
 int
-entry_fleet_choose (struct entry *entry, const char *service, uint64_t avoid,
+entry_fleet_choose (struct entry *entry, struct entry_call *call,
                     struct entry_runner *out)
 {
   gint64 now = g_get_monotonic_time ();
-  struct entry_runner *best = NULL;
-  guint i;
+  struct route_choice choice;
+  struct link *last;
+  int found;
 
   pthread_mutex_lock (&entry->lock);
-  for (i = 0; i < entry->runners->len; i++)
-    {
-      struct entry_runner *runner = g_ptr_array_index (entry->runners, i);
+  last = find_peer (entry, call->last_peer);
+  choice = choose_placed (entry, call, last, now);
+  if (choice.ref.generation == 0 && last != NULL)
+    choice = choose_placed (entry, call, NULL, now);
+  found = choice.ref.generation != 0 && take (entry, call, &choice, now, out);
+  if (!found)
+    entry_susp_release (entry, call, 0);
+  pthread_mutex_unlock (&entry->lock);
+  return found;
+}
 
-      if (strcmp (runner->service, service) == 0
-          && entry_fleet_usable (runner, now)
-          && (best == NULL || load (runner, avoid) < load (best, avoid)))
-        best = runner;
-    }
-  if (best != NULL)
-    {
-      best->own++;
-      *out = *best;
-    }
+void
+entry_fleet_first_token (struct entry *entry, struct fleet_work *work)
+{
+  pthread_mutex_lock (&entry->lock);
+  fleet_first_token (entry->fleet->fleet, work);
   pthread_mutex_unlock (&entry->lock);
-  return best != NULL;
 }
 
 void
-entry_fleet_release (struct entry *entry, uint64_t peer)
+entry_fleet_release (struct entry *entry, uint64_t peer,
+                     struct entry_call *call, const struct msg_end *end)
 {
-  struct entry_runner *runner;
+  struct link *link;
 
   pthread_mutex_lock (&entry->lock);
-  runner = find_peer (entry, peer);
-  if (runner != NULL && runner->own > 0)
-    runner->own--;
+  link = find_peer (entry, peer);
+  if (link != NULL && link->attempts > 0)
+    link->attempts--;
+  fleet_ended (entry->fleet->fleet, &call->work, end);
+  entry_susp_release (entry, call, 0);
+  entry_admit_freed (entry);
+  pthread_mutex_unlock (&entry->lock);
+}
+
+void
+entry_fleet_fault (struct entry *entry, uint64_t peer)
+{
+  struct link *link;
+
+  pthread_mutex_lock (&entry->lock);
+  link = find_peer (entry, peer);
+  if (link != NULL)
+    {
+      fleet_fault (entry->fleet->fleet, link->ref);
+      ask (link, g_get_monotonic_time ());
+    }
   pthread_mutex_unlock (&entry->lock);
 }
 
 int
 entry_fleet_alive (struct entry *entry, uint64_t peer, gint64 now_us)
 {
-  struct entry_runner *runner;
-  int alive;
+  const struct fleet_runner *runner;
+  struct link *link;
+  int alive = 0;
 
   pthread_mutex_lock (&entry->lock);
-  runner = find_peer (entry, peer);
-  alive = runner != NULL && now_us - runner->reported_us < SILENCE_US;
+  link = find_peer (entry, peer);
+  runner = link != NULL ? fleet_get (entry->fleet->fleet, link->ref) : NULL;
+  if (runner != NULL)
+    alive = !runner->silent || runner->kept;
+  else if (link != NULL)
+    alive = now_us - link->reported_us < FLEET_SILENCE_US;
   pthread_mutex_unlock (&entry->lock);
   return alive;
 }
@@ -138,184 +372,363 @@
 void
 entry_fleet_name (struct entry *entry, uint64_t peer, char *name, size_t size)
 {
-  struct entry_runner *runner;
+  struct link *link;
 
   pthread_mutex_lock (&entry->lock);
-  runner = find_peer (entry, peer);
-  g_strlcpy (name, runner != NULL ? runner->name : "", size);
+  link = find_peer (entry, peer);
+  g_strlcpy (name, link != NULL ? link->name : "", size);
   pthread_mutex_unlock (&entry->lock);
 }
 
 int
 entry_fleet_knows (struct entry *entry, const char *service)
 {
+  struct fleet *fleet = entry->fleet->fleet;
+  gint64 now = g_get_monotonic_time ();
+  const struct link *link;
   int known = 0;
-  guint i;
+  size_t i;
 
   pthread_mutex_lock (&entry->lock);
-  for (i = 0; i < entry->runners->len && !known; i++)
+  for (i = 0; i < fleet_slots (fleet) && !known; i++)
     {
-      struct entry_runner *runner = g_ptr_array_index (entry->runners, i);
-
-      known = strcmp (runner->service, service) == 0;
+      const struct fleet_runner *runner = fleet_at (fleet, i);
+
+      if (runner == NULL)
+        continue;
+      link = find_ref (entry, runner->ref);
+      /* A call is not refused as invalid while the service of a runner is
+         still being asked for.  */
+      known = strcmp (runner->service, service) == 0
+              || (runner->service[0] == '\0' && link != NULL
+                  && now < link->ask_until_us);
     }
   pthread_mutex_unlock (&entry->lock);
   return known;
 }
 
 void
-entry_fleet_hello (struct entry *entry)
+entry_fleet_withhold (struct entry *entry, const struct cfg_snapshot *snap)
 {
-  struct msg msg = { .type = MSG_HELLO };
-  guint i;
+  const char **names = g_new0 (const char *, snap->runner_count + 1);
+  size_t n = 0;
+  size_t i;
 
-  msg.u.hello.entry = msg_text (entry->settings.name);
-  msg.u.hello.incarnation = entry->incarnation;
-  msg.u.hello.cfg_generation = entry_config_generation (entry);
+  for (i = 0; i < snap->runner_count; i++)
+    if (snap->runners[i].drain || snap->runners[i].withdraw)
+      names[n++] = snap->runners[i].name;
   pthread_mutex_lock (&entry->lock);
-  for (i = 0; i < entry->runners->len; i++)
-    {
-      struct entry_runner *runner = g_ptr_array_index (entry->runners, i);
+  fleet_withhold (entry->fleet->fleet, names, n);
+  refresh_route (entry);
+  pthread_mutex_unlock (&entry->lock);
+  g_free (names);
+}
 
-      net_send (entry->net, runner->peer, &msg, NULL);
+size_t
+entry_fleet_size (struct entry *entry)
+{
+  size_t count = 0;
+  size_t i;
+
+  pthread_mutex_lock (&entry->lock);
+  for (i = 0; i < fleet_slots (entry->fleet->fleet); i++)
+    count += fleet_at (entry->fleet->fleet, i) != NULL;
+  pthread_mutex_unlock (&entry->lock);
+  return count;
+}
+
+void
+entry_fleet_each (struct entry *entry,
+                  void (*visit) (void *ctx, const char *service, int usable),
+                  void *ctx)
+{
+  const struct fleet_runner *runner;
+  size_t i;
+
+  pthread_mutex_lock (&entry->lock);
+  for (i = 0; i < fleet_slots (entry->fleet->fleet); i++)
+    {
+      runner = fleet_at (entry->fleet->fleet, i);
+      if (runner != NULL && runner->service[0] != '\0')
+        visit (ctx, runner->service, runner->usable);
     }
   pthread_mutex_unlock (&entry->lock);
 }
 
 static const char *
-text_member (struct json_object *object, const char *name)
+state_name (const struct link *link, const struct fleet_runner *runner,
+            const struct cfg_snapshot *snap)
 {
-  struct json_object *value;
+  const struct cfg_runner *listed = cfg_runner_find (snap, runner->name);
 
-  if (!json_object_object_get_ex (object, name, &value)
-      || !json_object_is_type (value, json_type_string))
-    return "";
-  return json_object_get_string (value);
+  if (link->reported_us == 0 || runner->silent)
+    return "silent";
+  if (link->state == MSG_AGENT_LEAVING)
+    return "leaving";
+  if (!link->endpoint_up)
+    return "down";
+  if (listed != NULL && (listed->drain || listed->withdraw))
+    return "withheld";
+  if (link->state == MSG_AGENT_DRAINING)
+    return "draining";
+  return runner->usable ? "serving" : "leaving";
 }
 
-/* Takes one VM of the platform's list; the entry's lock is held.  */
 static void
-take_vm (struct entry *entry, struct json_object *vm)
+add_number (struct json_object *object, const char *name, uint64_t number)
 {
-  const char *name = text_member (vm, "name");
-  const char *address = text_member (vm, "address");
-  struct entry_runner *runner;
+  json_object_object_add (object, name, json_object_new_uint64 (number));
+}
 
-  if (name[0] == '\0' || !set_is_address (address))
-    return;
-  runner = find_name (entry, name);
-  if (runner == NULL)
+void
+entry_fleet_status (struct entry *entry, struct json_object *list)
+{
+  struct cfg_snapshot *snap = entry_config_get (entry);
+  GPtrArray *links = entry->fleet->links;
+  guint i;
+
+  pthread_mutex_lock (&entry->lock);
+  for (i = 0; i < links->len; i++)
     {
-      runner = g_new0 (struct entry_runner, 1);
-      g_strlcpy (runner->name, name, sizeof runner->name);
-      g_ptr_array_add (entry->runners, runner);
+      struct link *link = g_ptr_array_index (links, i);
+      const struct fleet_runner *runner
+          = fleet_get (entry->fleet->fleet, link->ref);
+      struct json_object *item;
+
+      if (runner == NULL)
+        continue;
+      item = json_object_new_object ();
+      json_object_object_add (item, "name",
+                              json_object_new_string (runner->name));
+      json_object_object_add (item, "service",
+                              json_object_new_string (runner->service));
+      json_object_object_add (
+          item, "state",
+          json_object_new_string (state_name (link, runner, snap)));
+      add_number (item, "running", link->running);
+      add_number (item, "queued", link->queued);
+      add_number (item, "capacity", runner->load.capacity);
+      add_number (item, "own", runner->outstanding);
+      add_number (item, "generation", link->cfg_generation);
+      json_object_array_add (list, item);
     }
-  if (strcmp (runner->address, address) != 0)
+  pthread_mutex_unlock (&entry->lock);
+  cfg_snapshot_unref (snap);
+}
+
+/* Sends HELLO to every runner, or only to those whose report is awaited; the
+   entry's lock is held.  */
+static void
+hello (struct entry *entry, int all, gint64 now)
+{
+  GPtrArray *links = entry->fleet->links;
+  struct msg msg = { .type = MSG_HELLO };
+  guint i;
+
+  msg.u.hello.entry = msg_text (entry->settings.name);
+  msg.u.hello.incarnation = entry->incarnation;
+  msg.u.hello.cfg_generation = entry_config_generation (entry);
+  for (i = 0; i < links->len; i++)
     {
-      if (runner->peer != 0)
-        net_disconnect (entry->net, runner->peer);
-      g_strlcpy (runner->address, address, sizeof runner->address);
-      runner->peer = net_connect (entry->net, address);
-      runner->reported_us = 0;
+      struct link *link = g_ptr_array_index (links, i);
+
+      if (link->peer != 0 && (all || now < link->ask_until_us))
+        net_send (entry->net, link->peer, &msg, NULL);
     }
-  runner->leaving = strcmp (text_member (vm, "state"), "leaving") == 0;
 }
 
-/* Marks the runners that SNAP drains or withdraws; the lock is held.  */
+void
+entry_fleet_hello (struct entry *entry)
+{
+  pthread_mutex_lock (&entry->lock);
+  hello (entry, 1, g_get_monotonic_time ());
+  pthread_mutex_unlock (&entry->lock);
+}
+
+/* Makes a link for each runner listed; the entry's lock is held.  */
 static void
-withhold (struct entry *entry, const struct cfg_snapshot *snap)
+add_links (struct entry *entry)
 {
-  const struct cfg_runner *listed;
-  guint i;
+  struct fleet *fleet = entry->fleet->fleet;
+  size_t i;
 
-  for (i = 0; i < entry->runners->len; i++)
+  if (entry->fleet->by_index->len < fleet_slots (fleet))
+    g_ptr_array_set_size (entry->fleet->by_index, (gint)fleet_slots (fleet));
+  for (i = 0; i < fleet_slots (fleet); i++)
     {
-      struct entry_runner *runner = g_ptr_array_index (entry->runners, i);
+      const struct fleet_runner *runner = fleet_at (fleet, i);
+      struct link *link;
+
+      if (runner == NULL || find_ref (entry, runner->ref) != NULL)
+        continue;
+      link = g_new0 (struct link, 1);
+      link->ref = runner->ref;
+      g_strlcpy (link->name, runner->name, sizeof link->name);
+      g_strlcpy (link->address, runner->address, sizeof link->address);
+      link->closed_us = -(gint64)CONTACT_AGAIN_US;
+      g_ptr_array_add (entry->fleet->links, link);
+      g_ptr_array_index (entry->fleet->by_index, i) = link;
+    }
+}
 
-      listed = cfg_runner_find (snap, runner->name);
-      runner->withheld = listed != NULL && (listed->drain || listed->withdraw);
+/* Whether RUNNER may turn out to be usable, so that it takes a place in the
+   subset before the ones that are known not to be.  */
+static int
+is_fit (void *ctx, const struct fleet_runner *runner)
+{
+  const struct link *link = find_ref (ctx, runner->ref);
+  gint64 now = g_get_monotonic_time ();
+
+  if (runner->usable)
+    return 1;
+  if (link == NULL)
+    return 0;
+  if (link->peer == 0)
+    return now - link->closed_us >= CONTACT_AGAIN_US;
+  return now - link->opened_us < FLEET_SILENCE_US;
+}
+
+static void
+close_link (struct entry *entry, struct link *link, gint64 now)
+{
+  net_disconnect (entry->net, link->peer);
+  g_hash_table_remove (entry->fleet->by_peer, &link->peer);
+  link->peer = 0;
+  link->closed_us = now;
+  fleet_unfollow (entry->fleet->fleet, link->ref);
+}
+
+static void
+drop_link (struct entry *entry, guint at)
+{
+  struct link *link = g_ptr_array_index (entry->fleet->links, at);
+
+  if (find_ref (entry, link->ref) == link)
+    g_ptr_array_index (entry->fleet->by_index, link->ref.index) = NULL;
+  g_ptr_array_remove_index_fast (entry->fleet->links, at);
+}
+
+/* Opens the links that are wanted, closes the others once they are idle, and
+   drops those of runners no longer listed.  */
+static void
+apply_links (struct entry *entry, gint64 now)
+{
+  GPtrArray *links = entry->fleet->links;
+  guint i = 0;
+
+  while (i < links->len)
+    {
+      struct link *link = g_ptr_array_index (links, i);
+      int listed = fleet_get (entry->fleet->fleet, link->ref) != NULL;
+
+      if (link->wanted && link->peer == 0)
+        {
+          link->peer = net_connect (entry->net, link->address);
+          g_hash_table_insert (entry->fleet->by_peer, &link->peer, link);
+          link->opened_us = now;
+          ask (link, now);
+        }
+      else if (!link->wanted && link->peer != 0 && link->attempts == 0)
+        close_link (entry, link, now);
+      if (listed || link->peer != 0)
+        i++;
+      else
+        drop_link (entry, i);
     }
 }
 
+/* Follows the list and the subsets; the entry's lock is held.  */
+static void
+refresh (struct entry *entry, gint64 now)
+{
+  struct entry_fleet *fleet = entry->fleet;
+  struct fleet_ref *refs
+      = g_new (struct fleet_ref, fleet_slots (fleet->fleet) + 1);
+  size_t n;
+  size_t i;
+  guint l;
+
+  fleet->refreshed_us = now;
+  add_links (entry);
+  for (l = 0; l < fleet->links->len; l++)
+    ((struct link *)g_ptr_array_index (fleet->links, l))->wanted = 0;
+  n = route_contacts (fleet->route, fleet->fleet, entry->settings.zone, is_fit,
+                      entry, refs);
+  for (i = 0; i < n; i++)
+    find_ref (entry, refs[i])->wanted = 1;
+  g_free (refs);
+  apply_links (entry, now);
+  refresh_route (entry);
+}
+
 void
-entry_fleet_withhold (struct entry *entry, const struct cfg_snapshot *snap)
+entry_fleet_tick (struct entry *entry, gint64 now_us)
 {
   pthread_mutex_lock (&entry->lock);
-  withhold (entry, snap);
+  fleet_tick (entry->fleet->fleet, now_us);
+  if (now_us - entry->fleet->refreshed_us >= REFRESH_PERIOD_US)
+    refresh (entry, now_us);
+  hello (entry, 0, now_us);
   pthread_mutex_unlock (&entry->lock);
 }
 
 static const char *
-state_name (const struct entry_runner *runner)
+text_member (struct json_object *object, const char *name)
 {
-  static const char *const names[MSG_AGENT_STATE_MAX] = {
-    [MSG_AGENT_SERVING] = "serving",
-    [MSG_AGENT_DRAINING] = "draining",
-    [MSG_AGENT_LEAVING] = "leaving",
-  };
+  struct json_object *value;
 
-  if (runner->reported_us == 0
-      || g_get_monotonic_time () - runner->reported_us >= SILENCE_US)
-    return "silent";
-  if (runner->leaving)
-    return "leaving";
-  if (!runner->endpoint_up)
-    return "down";
-  return runner->withheld ? "withheld" : names[runner->state];
+  if (!json_object_object_get_ex (object, name, &value)
+      || !json_object_is_type (value, json_type_string))
+    return "";
+  return json_object_get_string (value);
 }
 
-void
-entry_fleet_status (struct entry *entry, struct json_object *list)
+static void
+take_list (struct entry *entry, struct json_object *list)
 {
-  guint i;
+  size_t n = json_object_array_length (list);
+  struct fleet_vm *vms = g_new0 (struct fleet_vm, n + 1);
+  struct err err;
+  size_t i;
 
+  for (i = 0; i < n; i++)
+    {
+      struct json_object *vm = json_object_array_get_idx (list, i);
+
+      vms[i].name = text_member (vm, "name");
+      vms[i].address = text_member (vm, "address");
+      vms[i].zone = text_member (vm, "zone");
+      vms[i].state = strcmp (text_member (vm, "state"), "leaving") == 0
+                         ? FLEET_VM_LEAVING
+                         : FLEET_VM_LIVE;
+    }
   pthread_mutex_lock (&entry->lock);
-  for (i = 0; i < entry->runners->len; i++)
+  if (fleet_list (entry->fleet->fleet, vms, n, &err) == 0)
     {
-      struct entry_runner *runner = g_ptr_array_index (entry->runners, i);
-      struct json_object *item = json_object_new_object ();
-
-      json_object_object_add (item, "name",
-                              json_object_new_string (runner->name));
-      json_object_object_add (item, "service",
-                              json_object_new_string (runner->service));
-      json_object_object_add (item, "state",
-                              json_object_new_string (state_name (runner)));
-      json_object_object_add (item, "running",
-                              json_object_new_uint64 (runner->running));
-      json_object_object_add (item, "queued",
-                              json_object_new_uint64 (runner->queued));
-      json_object_object_add (item, "capacity",
-                              json_object_new_uint64 (runner->capacity));
-      json_object_object_add (item, "own",
-                              json_object_new_uint64 (runner->own));
-      json_object_object_add (item, "generation",
-                              json_object_new_uint64 (runner->cfg_generation));
-      json_object_array_add (list, item);
+      refresh (entry, g_get_monotonic_time ());
+      entry->fleet->list_error[0] = '\0';
+    }
+  else if (strcmp (entry->fleet->list_error, err.text) != 0)
+    {
+      g_strlcpy (entry->fleet->list_error, err.text, ERR_TEXT_MAX);
+      log_err (LOG_LEVEL_WARN, NULL, &err);
     }
   pthread_mutex_unlock (&entry->lock);
+  g_free (vms);
 }
 
 static void
 read_list (struct entry *entry)
 {
   struct kv_value value = { 0 };
-  struct cfg_snapshot *snap;
   struct json_object *list;
   struct err err;
-  size_t i;
 
   if (kv_vms (entry->kv, &value, &err) != 1)
     return;
   list = json_tokener_parse (value.data);
-  pthread_mutex_lock (&entry->lock);
   if (json_object_is_type (list, json_type_array))
-    for (i = 0; i < json_object_array_length (list); i++)
-      take_vm (entry, json_object_array_get_idx (list, i));
-  snap = entry_config_get (entry);
-  withhold (entry, snap);
-  cfg_snapshot_unref (snap);
-  pthread_mutex_unlock (&entry->lock);
+    take_list (entry, list);
   json_object_put (list);
   kv_value_free (&value);
 }
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -33,6 +33,12 @@
   MEMBER (drain_limit_s, SET_NUMBER, .number = 60, .min = 1, .max = 3600),
   MEMBER (deadline_ms, SET_NUMBER, .number = 60000, .min = 1, .max = 3600000),
   MEMBER (workers, SET_NUMBER, .number = 16, .min = 1, .max = 256),
+  MEMBER (prefill_us, SET_NUMBER, .number = 20, .min = 0, .max = 100000),
+  MEMBER (step_us, SET_NUMBER, .number = 10000, .min = 0, .max = 1000000),
+  MEMBER (step_request_us, SET_NUMBER, .number = 300, .min = 0, .max = 100000),
+  MEMBER (request_us, SET_NUMBER, .number = 10000, .min = 0, .max = 60000000),
+  MEMBER (zone_distance_us, SET_NUMBER, .number = 1500, .min = 0,
+          .max = 1000000),
   MEMBER (config_peers, SET_ADDRESSES),
   MEMBER (keys, SET_TEXT),
 };
@@ -49,6 +55,7 @@
 {
   struct entry *entry = arg;
   gint64 hello_us = 0;
+  gint64 tick_us = 0;
   gint64 now;
 
   while (!g_atomic_int_get (&entry->stopping))
@@ -59,9 +66,15 @@
           entry_fleet_hello (entry);
           hello_us = now;
         }
-      entry_call_tick (entry, now);
-      entry_warn_tick (entry, now);
-      g_usleep ((gulong)ENTRY_TICK_MS * 1000);
+      if (now >= tick_us)
+        {
+          entry_fleet_tick (entry, now);
+          entry_call_tick (entry, now);
+          entry_warn_tick (entry, now);
+          tick_us = now + (gint64)ENTRY_TICK_MS * 1000;
+        }
+      entry_admit_pump (entry);
+      entry_admit_wait (entry, tick_us);
     }
   return NULL;
 }
@@ -73,7 +86,9 @@
 
   randombytes_buf (&entry->incarnation, sizeof entry->incarnation);
   pthread_mutex_init (&entry->lock, NULL);
-  entry->runners = g_ptr_array_new_with_free_func (g_free);
+  retry_init (&entry->retries, &entry_retry_config);
+  entry_fleet_open (entry);
+  entry_admit_open (entry);
   entry->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                         (GDestroyNotify)entry_call_unref);
   entry_control_open (entry);
@@ -89,7 +104,8 @@
   entry->net = net_open_entry (identity, keys, &entry_net_ops, entry, err);
   if (entry->net == NULL)
     return -1;
-  if (entry_config_start (entry, err) != 0)
+  if (entry_config_start (entry, err) != 0
+      || entry_susp_open (entry, err) != 0)
     return -1;
   if (pthread_create (&entry->lister, NULL, entry_fleet_main, entry) != 0
       || pthread_create (&entry->ticker, NULL, tick_main, entry) != 0)
@@ -138,6 +154,7 @@
   pthread_join (entry->lister, NULL);
   entry_control_stop (entry);
   entry_config_stop (entry);
+  entry_susp_close (entry);
   net_close (entry->net);
   entry_control_close (entry);
   entry_config_close (entry);
@@ -145,7 +162,8 @@
   entry_trace_close (entry);
   entry_warn_close (entry);
   g_hash_table_destroy (entry->calls);
-  g_ptr_array_free (entry->runners, TRUE);
+  entry_admit_close (entry);
+  entry_fleet_close (entry);
 }
 
 int
--- a/src/entry_net.c
+++ b/src/entry_net.c
@@ -52,6 +52,7 @@
   (void)peer;
   if (call == NULL)
     return;
+  entry_fleet_first_token (entry, &call->work);
   entry_call_head (call, (unsigned)head->status, head->content_type);
   put_call (call);
 }
@@ -72,6 +73,22 @@
   put_call (call);
 }
 
+static int
+text_is (struct msg_str s, const char *text)
+{
+  return s.n == strlen (text) && memcmp (s.p, text, s.n) == 0;
+}
+
+/* Whether END shows that the runner cannot take work at present.  */
+static int
+is_fault (const struct msg_end *end)
+{
+  return end->outcome == MSG_OUTCOME_CRASHED
+         || (end->outcome == MSG_OUTCOME_NOT_RUN
+             && (text_is (end->step, "admit")
+                 || text_is (end->step, "connect")));
+}
+
 static void
 on_end (struct entry *entry, uint64_t peer, const struct msg *msg)
 {
@@ -83,11 +100,17 @@
   int done;
 
   cfg_sync_heard (entry->config, peer, end->cfg_generation);
+  if (is_fault (end))
+    entry_fleet_fault (entry, peer);
   if (call == NULL)
     return;
   done = end->outcome == MSG_OUTCOME_DONE;
   entry_fleet_name (entry, peer, name, sizeof name);
   entry_trace_agent (call, end, name);
+  entry_fleet_release (entry, peer, call, end);
+  call->runner_peer = 0;
+  if (end->outcome == MSG_OUTCOME_CRASHED)
+    entry_susp_crashed (entry, call, end->crash);
   strm_end (call->strm, end->attempt, end->frames, done, call->answer);
   if (done && strm_complete (call->strm))
     {
@@ -95,7 +118,6 @@
       put_call (call);
       return;
     }
-  entry_fleet_release (entry, peer);
   msg_str_copy (step, sizeof step, end->step);
   msg_str_copy (text, sizeof text, end->text);
   entry_call_attempt_ended (
@@ -151,10 +173,11 @@
 
   if (msg->type != MSG_CALL)
     return;
+  entry_fleet_fault (entry, peer);
   call = find_call (entry, msg->u.call.call, msg->u.call.attempt);
   if (call == NULL)
     return;
-  entry_fleet_release (entry, peer);
+  entry_fleet_release (entry, peer, call, NULL);
   entry_fleet_name (entry, peer, name, sizeof name);
   entry_call_attempt_ended (call, MSG_OUTCOME_NOT_RUN, "send", name,
                             "no connection to the agent");
@@ -164,6 +187,7 @@
 static void
 on_lost (void *ctx, uint64_t peer)
 {
+  entry_fleet_fault (ctx, peer);
   entry_call_peer_lost (ctx, peer);
 }
 
--- a/src/entry_warn.c
+++ b/src/entry_warn.c
@@ -152,45 +152,33 @@
   unsigned usable;
 };
 
-/* Counts the runners of each service by name.  */
-static GHashTable *
-count_runners (struct entry *entry, gint64 now)
+static void
+count_runner (void *ctx, const char *service, int usable)
 {
-  GHashTable *services
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  struct service_runners *count;
-  guint i;
+  GHashTable *services = ctx;
+  struct service_runners *count = g_hash_table_lookup (services, service);
 
-  pthread_mutex_lock (&entry->lock);
-  for (i = 0; i < entry->runners->len; i++)
+  if (count == NULL)
     {
-      struct entry_runner *runner = g_ptr_array_index (entry->runners, i);
-
-      if (runner->service[0] == '\0')
-        continue;
-      count = g_hash_table_lookup (services, runner->service);
-      if (count == NULL)
-        {
-          count = g_new0 (struct service_runners, 1);
-          g_hash_table_insert (services, g_strdup (runner->service), count);
-        }
-      count->known++;
-      count->usable += entry_fleet_usable (runner, now) != 0;
+      count = g_new0 (struct service_runners, 1);
+      g_hash_table_insert (services, g_strdup (service), count);
     }
-  pthread_mutex_unlock (&entry->lock);
-  return services;
+  count->known++;
+  count->usable += usable != 0;
 }
 
 static void
 report_runners (struct entry *entry, gint64 now)
 {
-  GHashTable *services = count_runners (entry, now);
+  GHashTable *services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   struct entry_warn *warn = entry->warn;
   char evidence[WARN_EVIDENCE_MAX];
   GHashTableIter iter;
   gpointer name;
   gpointer value;
 
+  entry_fleet_each (entry, count_runner, services);
   pthread_mutex_lock (&warn->lock);
   g_hash_table_iter_init (&iter, services);
   while (g_hash_table_iter_next (&iter, &name, &value))
--- a/src/msg.c
+++ b/src/msg.c
@@ -86,13 +86,13 @@
         N (report.version),        U (report.prompt_done),
         U (report.output_done) };
 
-static const struct field call_fields[] = {
-  I (call.call),         I (call.attempt),         U (call.incarnation),
-  U (call.window),       B (call.at_most_once, 2), N (call.method),
-  T (call.path),         N (call.content_type),    T (call.body),
-  U (call.budget_ms),    U (call.priority),        B (call.stream, 2),
-  U (call.resume_index), U (call.fingerprint),     N (call.traceparent)
-};
+static const struct field call_fields[]
+    = { I (call.call),         I (call.attempt),         U (call.incarnation),
+        U (call.window),       B (call.at_most_once, 2), N (call.method),
+        T (call.path),         N (call.content_type),    T (call.body),
+        U (call.budget_ms),    U (call.priority),        B (call.stream, 2),
+        U (call.resume_index), U (call.fingerprint),     B (call.suspect, 2),
+        N (call.traceparent) };
 
 static const struct field head_fields[]
     = { I (head.call), I (head.attempt), B (head.status, 1000),
@@ -108,7 +108,7 @@
         U (end.running),        U (end.queued),
         U (end.cfg_generation), U (end.queue_start_us),
         U (end.run_start_us),   U (end.end_us),
-        U (end.run_span) };
+        U (end.run_span),       U (end.crash) };
 
 static const struct field cancel_fields[]
     = { I (cancel.call), I (cancel.attempt) };
--- a/tests/unit_entry_warn.cc
+++ b/tests/unit_entry_warn.cc
@@ -21,7 +21,7 @@
   SetUp () override
   {
     pthread_mutex_init (&entry.lock, nullptr);
-    entry.runners = g_ptr_array_new ();
+    entry_fleet_open (&entry);
     g_strlcpy (entry.settings.kv, "127.0.0.1:7000", sizeof entry.settings.kv);
     entry_warn_open (&entry);
     call.entry = &entry;
@@ -37,7 +37,7 @@
   TearDown () override
   {
     g_byte_array_free (call.body, TRUE);
-    g_ptr_array_free (entry.runners, TRUE);
+    entry_fleet_close (&entry);
     entry_warn_close (&entry);
   }
 
--- a/tests/unit_fleet.cc
+++ b/tests/unit_fleet.cc
@@ -78,6 +78,40 @@
   }
 };
 
+// Guards against further attempts on a runner whose endpoint just crashed,
+// also while silent runners are kept, and against shutting it out for good.
+TEST_F (Fleet, FaultLastsUntilTheNextReport)
+{
+  run (0, 2 * SECOND, 8);
+  fleet_fault (fleet, at (0)->ref);
+  EXPECT_FALSE (at (0)->usable);
+  EXPECT_TRUE (at (1)->usable);
+  for (int64_t t = 3 * SECOND; t <= 9 * SECOND; t += SECOND)
+    fleet_tick (fleet, t);
+  ASSERT_TRUE (fleet_keeping (fleet));
+  EXPECT_FALSE (at (0)->usable);
+  EXPECT_TRUE (at (1)->usable);
+  report (0, 10 * SECOND, MSG_AGENT_DRAINING);
+  EXPECT_FALSE (at (0)->usable);
+  report (0, 11 * SECOND);
+  EXPECT_TRUE (at (0)->usable);
+}
+
+// Guards against taking closed connections for a fault of the entry's link,
+// which would keep silent runners usable.
+TEST_F (Fleet, UnfollowedRunnersAreNotCountedAsSilent)
+{
+  run (0, 2 * SECOND, 8);
+  for (int i = 3; i < 8; i++)
+    fleet_unfollow (fleet, at (i)->ref);
+  EXPECT_FALSE (at (3)->usable);
+  run (3 * SECOND, 12 * SECOND, 2);
+  EXPECT_FALSE (fleet_keeping (fleet));
+  EXPECT_FALSE (at (2)->usable);
+  report (3, 12 * SECOND);
+  EXPECT_TRUE (at (3)->usable);
+}
+
 // Guards against new work for an agent that stopped reporting.
 TEST_F (Fleet, SilentRunnerGetsNoWork)
 {
--- a/tests/unit_msg.cc
+++ b/tests/unit_msg.cc
@@ -68,7 +68,8 @@
                     10,
                     11,
                     12,
-                    13 };
+                    13,
+                    14 };
       break;
     case MSG_CANCEL:
       msg.u.cancel = { { 1, 2 }, { 3, 4 } };
