--- a/src/cfg_sync.c
+++ b/src/cfg_sync.c
@@ -2,6 +2,7 @@
 
 #include <pthread.h>
 #include <sodium.h>
+#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 #include <urcu-bp.h>
@@ -44,7 +45,7 @@
   void *ctx;
   const struct set_list *peers;
   struct kv *kv;
-  struct net *net;
+  struct net *_Atomic net; /* null until the start */
   GAsyncQueue *jobs;
   pthread_t thread;
   bool started;
@@ -52,10 +53,11 @@
   uint64_t polled_revision;      /* of the value last parsed */
   struct cfg_snapshot *snapshot; /* published by RCU */
 
+  _Atomic uint64_t generation; /* of the snapshot whose adoption is complete */
+  _Atomic gint64 asked_us;
+
   pthread_mutex_t lock; /* guards what follows */
   struct cfg_doc *doc;
-  uint64_t generation; /* of the snapshot whose adoption is complete */
-  gint64 asked_us;
 };
 
 static void
@@ -86,12 +88,7 @@
 uint64_t
 cfg_sync_generation (struct cfg_sync *sync)
 {
-  uint64_t generation;
-
-  pthread_mutex_lock (&sync->lock);
-  generation = sync->generation;
-  pthread_mutex_unlock (&sync->lock);
-  return generation;
+  return sync->generation;
 }
 
 bool
@@ -114,12 +111,13 @@
 char *
 cfg_sync_delta (struct cfg_sync *sync, uint64_t have, uint64_t *generation)
 {
-  char *text = NULL;
+  char *text;
 
-  pthread_mutex_lock (&sync->lock);
   *generation = sync->generation;
-  if (have < sync->generation)
-    text = cfg_delta (sync->doc, have);
+  if (have >= *generation)
+    return NULL;
+  pthread_mutex_lock (&sync->lock);
+  text = cfg_delta (sync->doc, have);
   pthread_mutex_unlock (&sync->lock);
   return text;
 }
@@ -139,9 +137,7 @@
   synchronize_rcu ();
   cfg_snapshot_unref (old);
   sync->ops->adopted (sync->ctx, snap);
-  pthread_mutex_lock (&sync->lock);
   sync->generation = snap->generation;
-  pthread_mutex_unlock (&sync->lock);
   ctr_set (CTR_CFG_GENERATION, (int64_t)snap->generation);
   log_write (LOG_LEVEL_INFO, NULL, "config", source, "generation %llu adopted",
              (unsigned long long)snap->generation);
@@ -345,9 +341,7 @@
                 struct err *err)
 {
   sync->kv = kv;
-  pthread_mutex_lock (&sync->lock);
   sync->net = net;
-  pthread_mutex_unlock (&sync->lock);
   if (pthread_create (&sync->thread, NULL, sync_main, sync) != 0)
     return err_set (err, ERR_LIMIT, "thread", NULL, "cannot start a thread");
   sync->started = true;
@@ -397,17 +391,13 @@
 cfg_sync_heard (struct cfg_sync *sync, uint64_t peer, uint64_t generation)
 {
   gint64 now = g_get_monotonic_time ();
-  uint64_t held;
-  bool ask;
+  gint64 asked = sync->asked_us;
+  uint64_t held = sync->generation;
 
-  pthread_mutex_lock (&sync->lock);
-  held = sync->generation;
-  ask = generation > held && sync->net != NULL
-        && (sync->asked_us == 0 || now - sync->asked_us >= ASK_PERIOD_US);
-  if (ask)
-    sync->asked_us = now;
-  pthread_mutex_unlock (&sync->lock);
-  if (ask)
+  if (generation <= held || sync->net == NULL
+      || (asked != 0 && now - asked < ASK_PERIOD_US))
+    return;
+  if (atomic_compare_exchange_strong (&sync->asked_us, &asked, now))
     send_get (sync, peer, held);
 }
 
