--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -22,6 +22,11 @@
 }
 trap cleanup EXIT
 
+# The listeners share a port that is in use, so a run of the same script from
+# another checkout would serve half of the requests.
+exec 9> "${TMPDIR:-/tmp}/goldcresthatch-net-$NET.lock"
+flock 9
+
 die ()
 {
   echo "FAILED: $*"
@@ -33,7 +38,7 @@
 {
   local name=$1 program=$2
   shift 2
-  "$BUILD/$program" "$@" >> "$WORK/$name.log" 2>&1 &
+  "$BUILD/$program" "$@" >> "$WORK/$name.log" 2>&1 9>&- &
   PIDS[$name]=$!
 }
 
@@ -203,7 +208,7 @@
 start_load ()			# ARGUMENTS...
 {
   "$BUILD/load-client" --transcript "$WORK/transcript" "$@" \
-    > "$WORK/load.json" 2>> "$WORK/load.log" &
+    > "$WORK/load.json" 2>> "$WORK/load.log" 9>&- &
   PIDS[load]=$!
 }
 
