Wait for the bookings service in the scripted run path

The run waited for the chat model only, so a booking sent before the report of the second agent had arrived would be refused as 'no such model or service'. That answer was seen once in 12 runs, though another worktree's run on the same addresses may also explain it. The run now waits for both; what it compares is unchanged.

--- a/tests/scripts/path.sh
+++ b/tests/scripts/path.sh
@@ -8,6 +8,7 @@
 set_vms 1 2
 start_entry 1
 wait_for "chat" serves 1 chat-model
+wait_for "bookings" curl -sf "http://127.$NET.2.1:8000/bookings/status"
 
 echo "== whole answer"
 chat 1 chat-model hello false
