--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -4,7 +4,6 @@
 # 127.NET.0.x to 127.NET.2.x.  AGENT_EXTRA and ENTRY_EXTRA add settings.
 
 BUILD=${BUILD:-build}
-NET=$((NET + ${NET_OFFSET:-0}))	# lets two checkouts run at the same time
 WORK=$(mktemp -d)
 WAIT_S=60			# generous, since a wait only ends a failed run
 declare -A PIDS			# process id by name
