Admit and answer non-idempotent attempts through the run table

The agent checked only incarnation and window, so a resend could not ask what became of an attempt. CALL with the at-most-once flag goes through run_admit, its answer is kept for VOID, and VOIDED carries whether the body is held, its size and its digest. The window of REPORT comes from the same table; window_ms sets its length. A cancel no longer stops a non-idempotent call that has started.

--- a/include/goldcresthatch/msg.h
+++ b/include/goldcresthatch/msg.h
@@ -185,6 +185,9 @@
   uint64_t state; /* enum msg_void_state */
   uint64_t status;
   struct msg_str content_type;
+  uint64_t held; /* BODY is the whole body, not left out for its size */
+  uint64_t size;
+  uint64_t digest; /* XXH64 of the whole body */
   struct msg_str body;
 };
 
--- a/include/goldcresthatch/run.h
+++ b/include/goldcresthatch/run.h
@@ -29,7 +29,7 @@
   RUN_BODIES_MAX = 16 << 20 /* bytes of all result bodies held */
 };
 
-#define RUN_WINDOW_US INT64_C (30000000)
+#define RUN_WINDOW_US INT64_C (30000000) /* default length of a window */
 #define RUN_RETENTION_US INT64_C (3600000000)
 
 enum run_admit
@@ -46,8 +46,9 @@
 struct run_table;
 
 /* Creates a table for an agent of INCARNATION, which must be new, in window 1
-   at NOW_US.  */
-struct run_table *run_new (uint64_t incarnation, int64_t now_us);
+   at NOW_US.  A window lasts WINDOW_US, which is above 0.  */
+struct run_table *run_new (uint64_t incarnation, int64_t window_us,
+                           int64_t now_us);
 void run_free (struct run_table *table);
 
 /* Returns the current window.  */
--- a/src/agent.h
+++ b/src/agent.h
@@ -11,10 +11,12 @@
 #include <glib.h>
 #include <pthread.h>
 #include <stdint.h>
+#include <xxhash.h>
 
 #include "goldcresthatch/kv.h"
 #include "goldcresthatch/msg.h"
 #include "goldcresthatch/net.h"
+#include "goldcresthatch/run.h"
 #include "goldcresthatch/set.h"
 
 struct agent_settings
@@ -31,6 +33,7 @@
   char log_level[SET_TEXT_MAX];
   int64_t capacity;      /* requests run at once */
   int64_t drain_limit_s; /* of a graceful shutdown */
+  int64_t window_ms;     /* length of the windows that admit attempts */
 };
 
 /* A call that runs or waits for a worker.  Reference-counted: the table of
@@ -55,6 +58,7 @@
   uint64_t frames; /* DATA messages sent */
   int answered;    /* a head arrived */
   gint cancelled;
+  struct agent_result *result; /* null unless at most once */
 };
 
 struct agent
@@ -64,7 +68,6 @@
   struct kv *kv;
   GThreadPool *workers;
   uint64_t incarnation;
-  gint64 start_us;
 
   pthread_mutex_t lock; /* guards what follows */
   enum msg_agent_state state;
@@ -72,6 +75,7 @@
   GHashTable *jobs;  /* by attempt */
   GHashTable *peers; /* entries by handle: time of the last HELLO */
   unsigned running;
+  struct run_table *runs; /* non-idempotent attempts and the window */
 
   pthread_t probe;
   gint stopping;
@@ -80,8 +84,33 @@
 /* Handles the messages of entries.  */
 extern const struct net_ops agent_net_ops;
 
-/* The window that attempts are admitted by (see the design page).  */
-uint64_t agent_window (const struct agent *agent);
+/* agent_run.c: the agent's lock is held where it is not said otherwise.  */
+
+/* Returns the window that attempts are admitted by.  */
+uint64_t agent_run_window (struct agent *agent);
+
+/* Admits a non-idempotent CALL.  REASON refuses it for another cause than the
+   run table's, unless null.  Returns null when the call may start; else the
+   text of the refusal, which is empty for a duplicate, to be dropped.  */
+const char *agent_run_admit (struct agent *agent, const struct msg_call *call,
+                             const char *reason);
+
+/* Collects the answer of JOB for the run table; without a lock.  */
+void agent_run_begin (struct agent_job *job);
+void agent_run_head (struct agent_job *job, unsigned status,
+                     struct msg_str content_type);
+void agent_run_data (struct agent_job *job, const char *data, size_t size);
+void agent_run_free (struct agent_job *job);
+
+/* Records the outcome of JOB, before END tells it; takes the agent's lock.  */
+void agent_run_finish (struct agent_job *job, enum msg_outcome outcome);
+
+/* Makes the outcome of the running attempts unknown.  */
+void agent_run_crash (struct agent *agent);
+
+/* Answers a VOID; takes the agent's lock.  */
+void agent_run_void (struct agent *agent, uint64_t peer,
+                     const struct msg *msg);
 
 /* Sends a REPORT to PEER, or to every recent entry when PEER is 0.  */
 void agent_report (struct agent *agent, uint64_t peer);
--- a/src/agent_main.c
+++ b/src/agent_main.c
@@ -38,6 +38,8 @@
           .words = "error|warn|info|debug"),
   MEMBER (capacity, SET_NUMBER, .number = 32, .min = 1, .max = 1024),
   MEMBER (drain_limit_s, SET_NUMBER, .number = 60, .min = 1, .max = 3600),
+  MEMBER (window_ms, SET_NUMBER, .number = RUN_WINDOW_US / 1000, .min = 100,
+          .max = 600000),
 };
 
 static const struct daemon_program program = {
@@ -78,8 +80,9 @@
 static int
 agent_open (struct agent *agent, struct err *err)
 {
-  agent->start_us = g_get_monotonic_time ();
   randombytes_buf (&agent->incarnation, sizeof agent->incarnation);
+  agent->runs = run_new (agent->incarnation, agent->settings.window_ms * 1000,
+                         g_get_monotonic_time ());
   pthread_mutex_init (&agent->lock, NULL);
   agent->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                        (GDestroyNotify)agent_job_unref);
@@ -138,6 +141,7 @@
   kv_http_close (agent->kv);
   g_hash_table_destroy (agent->jobs);
   g_hash_table_destroy (agent->peers);
+  run_free (agent->runs);
 }
 
 int
--- a/src/agent_net.c
+++ b/src/agent_net.c
@@ -8,16 +8,9 @@
 
 enum
 {
-  WINDOW_US = 30 * G_USEC_PER_SEC,
   PEER_SILENCE_US = 10 * G_USEC_PER_SEC /* until reports to an entry stop */
 };
 
-uint64_t
-agent_window (const struct agent *agent)
-{
-  return 1 + (uint64_t)(g_get_monotonic_time () - agent->start_us) / WINDOW_US;
-}
-
 static void
 fill_report (struct agent *agent, struct msg *msg)
 {
@@ -29,9 +22,9 @@
   report->zone = msg_text (agent->settings.zone);
   report->service = msg_text (agent->settings.service);
   report->incarnation = agent->incarnation;
-  report->window = agent_window (agent);
   report->capacity = (uint64_t)agent->settings.capacity;
   pthread_mutex_lock (&agent->lock);
+  report->window = agent_run_window (agent);
   report->state = agent->state;
   report->endpoint_up = (uint64_t)agent->endpoint_up;
   report->running = agent->running;
@@ -103,6 +96,8 @@
   job->call = call->call;
   job->attempt = call->attempt;
   job->at_most_once = call->at_most_once != 0;
+  if (job->at_most_once)
+    agent_run_begin (job);
   msg_str_copy (job->method, sizeof job->method, call->method);
   msg_str_copy (job->content_type, sizeof job->content_type,
                 call->content_type);
@@ -123,6 +118,7 @@
     return;
   g_free (job->path);
   g_free (job->body);
+  agent_run_free (job);
   free (job);
 }
 
@@ -139,6 +135,8 @@
   msg.u.end.outcome = outcome;
   msg.u.end.step = msg_text (step);
   msg.u.end.text = msg_text (text);
+  if (job->at_most_once)
+    agent_run_finish (job, outcome);
   pthread_mutex_lock (&agent->lock);
   msg.u.end.running = agent->running;
   msg.u.end.queued = g_hash_table_size (agent->jobs) - agent->running;
@@ -146,23 +144,34 @@
   net_send (agent->net, job->peer, &msg, NULL);
 }
 
-/* Returns why the call must not start, or null.  */
+/* Returns why the agent starts no call at all, or null.  */
+static const char *
+refuse_all (const struct agent *agent)
+{
+  if (agent->state != MSG_AGENT_SERVING)
+    return "the agent takes no new work";
+  if (!agent->endpoint_up)
+    return "the endpoint is down";
+  return NULL;
+}
+
+/* Returns why the call must not start, or null; the text is empty when no END
+   may answer it.  */
 static const char *
 refuse_call (struct agent *agent, const struct msg_call *call)
 {
-  uint64_t window = agent_window (agent);
+  uint64_t window;
 
+  if (call->at_most_once)
+    return agent_run_admit (agent, call, refuse_all (agent));
+  window = agent_run_window (agent);
   if (call->incarnation != agent->incarnation)
     return "addressed to an earlier incarnation";
   if (call->window + 1 < window || call->window > window)
     return "addressed in an earlier window";
-  if (agent->state != MSG_AGENT_SERVING)
-    return "the agent takes no new work";
-  if (!agent->endpoint_up)
-    return "the endpoint is down";
   if (g_hash_table_contains (agent->jobs, &call->attempt))
     return "the attempt is known already";
-  return NULL;
+  return refuse_all (agent);
 }
 
 static void
@@ -185,7 +194,8 @@
       return;
     }
   ctr_add (CTR_STALE_CALLS_REFUSED, 1);
-  agent_send_end (job, MSG_OUTCOME_NOT_RUN, "admit", reason);
+  if (reason[0] != '\0')
+    agent_send_end (job, MSG_OUTCOME_NOT_RUN, "admit", reason);
   agent_job_unref (job);
 }
 
@@ -208,6 +218,7 @@
         [MSG_HELLO] = on_hello,
         [MSG_CALL] = on_call,
         [MSG_CANCEL] = on_cancel,
+        [MSG_VOID] = agent_run_void,
       };
 
 static void
--- a/src/agent_probe.c
+++ b/src/agent_probe.c
@@ -37,6 +37,8 @@
       pthread_mutex_lock (&agent->lock);
       changed = up != agent->endpoint_up;
       agent->endpoint_up = up;
+      if (changed && !up)
+        agent_run_crash (agent);
       pthread_mutex_unlock (&agent->lock);
       if (changed)
         {
--- /dev/null
+++ b/src/agent_run.c
@@ -0,0 +1,140 @@
+#include "agent.h"
+
+#include <string.h>
+
+#include "goldcresthatch/log.h"
+
+/* The answer of a non-idempotent call as its bytes arrive.  Only a body that a
+   claim record holds is kept; the digest covers all of it.  */
+struct agent_result
+{
+  unsigned status;
+  char content_type[MSG_NAME_MAX + 1];
+  GString *body; /* the first CALL_BODY_MAX bytes */
+  size_t size;
+  XXH64_state_t *digest;
+};
+
+uint64_t
+agent_run_window (struct agent *agent)
+{
+  return run_window (agent->runs, g_get_monotonic_time ());
+}
+
+const char *
+agent_run_admit (struct agent *agent, const struct msg_call *call,
+                 const char *reason)
+{
+  static const char *const texts[RUN_ADMIT_MAX] = {
+    [RUN_STALE_INCARNATION] = "addressed to an earlier incarnation",
+    [RUN_STALE_WINDOW] = "addressed in an earlier window",
+    [RUN_BARRED] = "the attempt is barred",
+    [RUN_DUPLICATE] = "",
+    [RUN_FULL] = "the run table is full",
+  };
+  gint64 now = g_get_monotonic_time ();
+  enum run_admit admit = run_admit (agent->runs, call->attempt,
+                                    call->incarnation, call->window, now);
+
+  if (admit != RUN_ADMITTED)
+    return texts[admit];
+  /* Bars the attempt, so that a second CALL does not start it either.  */
+  if (reason != NULL)
+    run_finish (agent->runs, call->attempt, MSG_OUTCOME_NOT_RUN, NULL, now);
+  return reason;
+}
+
+void
+agent_run_begin (struct agent_job *job)
+{
+  struct agent_result *result = g_new0 (struct agent_result, 1);
+
+  result->body = g_string_new (NULL);
+  result->digest = XXH64_createState ();
+  XXH64_reset (result->digest, 0);
+  job->result = result;
+}
+
+void
+agent_run_free (struct agent_job *job)
+{
+  if (job->result == NULL)
+    return;
+  g_string_free (job->result->body, TRUE);
+  XXH64_freeState (job->result->digest);
+  g_free (job->result);
+}
+
+void
+agent_run_head (struct agent_job *job, unsigned status,
+                struct msg_str content_type)
+{
+  job->result->status = status;
+  msg_str_copy (job->result->content_type, sizeof job->result->content_type,
+                content_type);
+}
+
+void
+agent_run_data (struct agent_job *job, const char *data, size_t size)
+{
+  struct agent_result *result = job->result;
+  size_t room = CALL_BODY_MAX - result->body->len;
+
+  result->size += size;
+  XXH64_update (result->digest, data, size);
+  g_string_append_len (result->body, data, (gssize)MIN (size, room));
+}
+
+void
+agent_run_finish (struct agent_job *job, enum msg_outcome outcome)
+{
+  const struct agent_result *result = job->result;
+  struct call_result record = { .status = result->status,
+                                .size = result->size,
+                                .digest = XXH64_digest (result->digest) };
+
+  memcpy (record.content_type, result->content_type,
+          sizeof record.content_type);
+  if (result->size <= CALL_BODY_MAX)
+    record.body = result->body->str;
+  pthread_mutex_lock (&job->agent->lock);
+  run_finish (job->agent->runs, job->attempt, outcome, &record,
+              g_get_monotonic_time ());
+  pthread_mutex_unlock (&job->agent->lock);
+}
+
+void
+agent_run_crash (struct agent *agent)
+{
+  size_t count = run_crash (agent->runs, g_get_monotonic_time ());
+
+  if (count > 0)
+    log_write (LOG_LEVEL_WARN, NULL, "run", agent->settings.endpoint,
+               "the outcome of %zu non-idempotent calls is unknown", count);
+}
+
+void
+agent_run_void (struct agent *agent, uint64_t peer, const struct msg *msg)
+{
+  const struct msg_void *bar = &msg->u.bar;
+  const struct call_result *result;
+  struct msg reply = { .type = MSG_VOIDED };
+  struct msg_voided *voided = &reply.u.voided;
+
+  voided->attempt = bar->attempt;
+  pthread_mutex_lock (&agent->lock);
+  voided->state = run_void (agent->runs, bar->attempt, bar->incarnation,
+                            bar->window, g_get_monotonic_time (), &result);
+  if (result != NULL)
+    {
+      voided->status = result->status;
+      voided->content_type = msg_text (result->content_type);
+      voided->held = result->body != NULL;
+      voided->size = result->size;
+      voided->digest = result->digest;
+      if (result->body != NULL)
+        voided->body = (struct msg_str){ result->body, result->size };
+    }
+  net_send (agent->net, peer, &reply, NULL);
+  pthread_mutex_unlock (&agent->lock);
+}
--- a/src/agent_work.c
+++ b/src/agent_work.c
@@ -14,6 +14,14 @@
   NUMBER_MAX = 24
 };
 
+/* A non-idempotent call that has started runs to its end: its result is wanted
+   by a resend when nobody waits for it now.  */
+static int
+must_stop (struct agent_job *job)
+{
+  return !job->at_most_once && g_atomic_int_get (&job->cancelled);
+}
+
 static int
 on_head (void *ctx, int status, ne_request *req)
 {
@@ -28,8 +36,10 @@
       = msg_text (ne_get_response_header (req, "Content-Type"));
   if (msg.u.head.content_type.n > MSG_NAME_MAX)
     msg.u.head.content_type.n = MSG_NAME_MAX;
+  if (job->at_most_once)
+    agent_run_head (job, (unsigned)status, msg.u.head.content_type);
   net_send (job->agent->net, job->peer, &msg, NULL);
-  return g_atomic_int_get (&job->cancelled);
+  return must_stop (job);
 }
 
 static int
@@ -43,8 +53,10 @@
   msg.u.data.sequence = job->frames++;
   msg.u.data.bytes.p = data;
   msg.u.data.bytes.n = size;
+  if (job->at_most_once)
+    agent_run_data (job, data, size);
   net_send (job->agent->net, job->peer, &msg, NULL);
-  return g_atomic_int_get (&job->cancelled);
+  return must_stop (job);
 }
 
 /* Asks an engine to stop a request whose answer is no longer read.  */
--- a/src/msg.c
+++ b/src/msg.c
@@ -111,8 +111,10 @@
     = { I (bar.attempt), U (bar.incarnation), U (bar.window) };
 
 static const struct field voided_fields[]
-    = { I (voided.attempt), B (voided.state, MSG_VOID_STATE_MAX),
-        B (voided.status, 1000), N (voided.content_type), T (voided.body) };
+    = { I (voided.attempt),      B (voided.state, MSG_VOID_STATE_MAX),
+        B (voided.status, 1000), N (voided.content_type),
+        B (voided.held, 2),      U (voided.size),
+        U (voided.digest),       T (voided.body) };
 
 static const struct field order_fields[]
     = { N (order.shard), U (order.fence),    I (order.order),
--- a/src/run.c
+++ b/src/run.c
@@ -28,6 +28,7 @@
 {
   uint64_t incarnation;
   uint64_t window;
+  int64_t window_us; /* length of a window */
   int64_t window_start_us;
   int64_t now_us;
   uint64_t dropped_window; /* highest window of a dropped record, or 0 */
@@ -136,9 +137,9 @@
   if (now_us <= table->now_us)
     return;
   table->now_us = now_us;
-  windows = (now_us - table->window_start_us) / RUN_WINDOW_US;
+  windows = (now_us - table->window_start_us) / table->window_us;
   table->window += (uint64_t)windows;
-  table->window_start_us += windows * RUN_WINDOW_US;
+  table->window_start_us += windows * table->window_us;
   expire (table);
 }
 
@@ -169,12 +170,13 @@
 }
 
 struct run_table *
-run_new (uint64_t incarnation, int64_t now_us)
+run_new (uint64_t incarnation, int64_t window_us, int64_t now_us)
 {
   struct run_table *table = g_new0 (struct run_table, 1);
 
   table->incarnation = incarnation;
   table->window = 1;
+  table->window_us = window_us;
   table->window_start_us = now_us;
   table->now_us = now_us;
   table->records = g_hash_table_new_full (id_hash, id_equal, NULL, g_free);
--- a/tests/diff_call.cc
+++ b/tests/diff_call.cc
@@ -67,7 +67,7 @@
   std::deque<uint64_t> calls; // attempts whose CALL is under way
   uint64_t incarnation = 1;
   int64_t now = 0;
-  struct run_table *table = run_new (incarnation, 0);
+  struct run_table *table = run_new (incarnation, RUN_WINDOW_US, 0);
 
   static int
   below (int n)
@@ -271,7 +271,7 @@
   restart ()
   {
     run_free (table);
-    table = run_new (++incarnation, now);
+    table = run_new (++incarnation, RUN_WINDOW_US, now);
   }
 
   void
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -95,7 +95,7 @@
   start_agent "$i" "$kind" "$service"
 }
 
-start_agent ()			# I KIND SERVICE
+start_agent ()			# I KIND SERVICE; adds $AGENT_SETTINGS
 {
   cat > "$WORK/agent$1.json" <<EOS
 {
@@ -103,13 +103,13 @@
   "name": "vm$1", "zone": "zone-$((($1 - 1) % 3 + 1))",
   "listen": "127.$NET.1.$1:7200", "lock": "127.$NET.1.$1:7201",
   "endpoint": "127.$NET.1.$1:7100", "kind": "$2", "service": "$3",
-  "kv": "$KV"
+  "kv": "$KV"${AGENT_SETTINGS:+, $AGENT_SETTINGS}
 }
 EOS
   start "agent$1" goldcresthatch-agent --settings "$WORK/agent$1.json"
 }
 
-start_entry ()			# I
+start_entry ()			# I; adds $ENTRY_SETTINGS
 {
   cat > "$WORK/entry$1.json" <<EOS
 {
@@ -117,7 +117,7 @@
   "name": "entry$1", "zone": "zone-$((($1 - 1) % 3 + 1))",
   "listen": "127.$NET.2.$1:8000", "admin": "127.$NET.2.$1:8001",
   "kv": "$KV",
-  "config_peers": ["127.$NET.2.1:8001", "127.$NET.2.2:8001"]
+  "config_peers": ["127.$NET.2.1:8001", "127.$NET.2.2:8001"]${ENTRY_SETTINGS:+, $ENTRY_SETTINGS}
 }
 EOS
   start "entry$1" goldcresthatch-entry --settings "$WORK/entry$1.json"
--- a/tests/unit_msg.cc
+++ b/tests/unit_msg.cc
@@ -73,8 +73,8 @@
       msg.u.bar = { { 3, 4 }, 5, 6 };
       break;
     case MSG_VOIDED:
-      msg.u.voided
-          = { { 3, 4 }, MSG_VOID_DONE, 200, text ("a/b"), text ("{}") };
+      msg.u.voided = { { 3, 4 }, MSG_VOID_DONE, 200, text ("a/b"), 1, 2,
+                       13,       text ("{}") };
       break;
     case MSG_ORDER:
       msg.u.order
--- a/tests/unit_run.cc
+++ b/tests/unit_run.cc
@@ -14,7 +14,7 @@
 class Run : public ::testing::Test
 {
 protected:
-  struct run_table *table = run_new (INC, 0);
+  struct run_table *table = run_new (INC, RUN_WINDOW_US, 0);
   int64_t now = 0;
   const struct call_result *result = nullptr;
 
