Drive non-idempotent calls through their claim in the entry

Each at-most-once call creates claim/CUSTOMER/HASH under a retention lease before its CALL is sent, asks the agent by VOID when no answer comes, and writes the outcome in the background after the caller has its answer. The call stays in the table until then, so a graceful shutdown waits for it. A key-value request that found no connection is now ERR_REFUSED: it had no effect.

--- a/src/entry.h
+++ b/src/entry.h
@@ -116,9 +116,18 @@
   char answer_type[MSG_NAME_MAX];
   struct strm *strm;
   GString *answer; /* bytes not yet given to the caller */
+  int key_drawn;   /* KEY was drawn here, not given by the caller */
+  int recorded;    /* the answer was recorded by an earlier attempt */
+  struct entry_claim *claim; /* null until the claim is made */
   struct entry_failure failure;
 };
 
+/* Work for the pool of workers: RUN is called once and owns the task.  */
+struct entry_task
+{
+  void (*run) (struct entry_task *task);
+};
+
 struct entry
 {
   struct entry_settings settings;
@@ -133,6 +142,7 @@
   gint stopping;
   gint draining;
   struct entry_config *config;
+  struct entry_lease *lease; /* retention of claims */
 
   pthread_mutex_t lock; /* guards what follows */
   GPtrArray *runners;   /* struct entry_runner */
@@ -185,6 +195,45 @@
 /* Fails calls past their deadline or on silent runners.  */
 void entry_call_tick (struct entry *entry, gint64 now_us);
 
+/* Returns a reference to each call in progress.  */
+GPtrArray *entry_call_all (struct entry *entry);
+
+/* entry_claim.c: the call's lock is held unless it is said otherwise.  */
+
+/* Opens and closes the workers and the lease; without a lock.  */
+int entry_claim_open (struct entry *entry, struct err *err);
+void entry_claim_close (struct entry *entry);
+
+/* Claims the at-most-once CALL for RUNNER, on which the attempt is counted,
+   then sends it.  */
+void entry_claim_start (struct entry_call *call,
+                        const struct entry_runner *runner);
+
+/* Sends CALL's attempt to RUNNER.  */
+void entry_call_send (struct entry_call *call,
+                      const struct entry_runner *runner);
+
+/* The attempt ended with OUTCOME; its runner is released.  */
+void entry_claim_ended (struct entry_call *call, enum msg_outcome outcome);
+
+/* The connection to the runner broke.  */
+void entry_claim_lost (struct entry_call *call);
+
+void entry_claim_tick (struct entry_call *call, gint64 now_us);
+
+/* Gives VOIDED to the calls that asked for it; without a lock.  */
+void entry_claim_voided (struct entry *entry, uint64_t peer,
+                         const struct msg *msg);
+
+/* The caller has gone.  Returns nonzero when CALL must stay until its record
+   is written.  */
+int entry_claim_abandon (struct entry_call *call);
+void entry_claim_free (struct entry_call *call);
+
+/* Whether "not run" for CALL could be false for an earlier request under the
+   caller's key, which no read of the claim has ruled out.  */
+int entry_claim_unread (const struct entry_call *call);
+
 /* entry_fleet.c */
 void entry_fleet_report (struct entry *entry, uint64_t peer,
                          const struct msg_report *report);
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -54,6 +54,7 @@
   g_free (call->service);
   g_byte_array_free (call->body, TRUE);
   g_string_free (call->answer, TRUE);
+  entry_claim_free (call);
   if (call->strm != NULL)
     strm_free (call->strm);
   pthread_mutex_destroy (&call->lock);
@@ -99,8 +100,11 @@
   err_set (&failure->err, code, step, peer, "%s", text);
   failure->status = status;
   failure->outcome = outcome;
+  /* Also where a resend under the same key settles an unknown outcome.  */
   failure->retry_after_s
-      = outcome == ENTRY_OUTCOME_NOT_RUN ? RETRY_AFTER_S : 0;
+      = outcome == ENTRY_OUTCOME_NOT_RUN || status == STATUS_UNAVAILABLE
+            ? RETRY_AFTER_S
+            : 0;
   if (call->stream && call->head)
     entry_http_append_failure (call);
   call->failed = 1;
@@ -148,18 +152,30 @@
   if (call->waiting_since_us == 0)
     call->waiting_since_us = now;
   if (!call->head && now - call->waiting_since_us >= ROUTE_WAIT_US)
-    entry_call_fail (call, STATUS_UNAVAILABLE, ENTRY_OUTCOME_NOT_RUN,
+    entry_call_fail (call, STATUS_UNAVAILABLE,
+                     entry_claim_unread (call) ? ENTRY_OUTCOME_UNKNOWN
+                                               : ENTRY_OUTCOME_NOT_RUN,
                      ERR_LIMIT, "route", call->service,
                      "no runner takes work");
 }
 
+void
+entry_call_send (struct entry_call *call, const struct entry_runner *runner)
+{
+  struct msg msg;
+
+  call->runner_peer = runner->peer;
+  strm_begin (call->strm, call->attempt);
+  fill_call (call, runner, &msg);
+  net_send (call->entry->net, runner->peer, &msg, NULL);
+}
+
 /* Starts an attempt; the call's lock is held.  */
 static void
 start_attempt (struct entry_call *call)
 {
   struct entry *entry = call->entry;
   struct entry_runner runner;
-  struct msg msg;
 
   if (!entry_fleet_choose (entry, call->service, call->last_peer, &runner))
     {
@@ -169,11 +185,11 @@
   call->waiting_since_us = 0;
   call->tries++;
   call->attempt = msg_id_new ();
-  call->runner_peer = runner.peer;
   call->last_peer = runner.peer;
-  strm_begin (call->strm, call->attempt);
-  fill_call (call, &runner, &msg);
-  net_send (entry->net, runner.peer, &msg, NULL);
+  if (call->at_most_once)
+    entry_claim_start (call, &runner);
+  else
+    entry_call_send (call, &runner);
 }
 
 void
@@ -210,6 +226,11 @@
 entry_call_finish (struct entry_call *call)
 {
   entry_fleet_release (call->entry, call->runner_peer);
+  if (call->claim != NULL)
+    {
+      entry_claim_ended (call, MSG_OUTCOME_DONE);
+      return;
+    }
   call->runner_peer = 0;
   call->head = 1;
   call->ended = 1;
@@ -254,6 +275,11 @@
 entry_call_attempt_ended (struct entry_call *call, enum msg_outcome outcome,
                           const char *step, const char *peer, const char *text)
 {
+  if (call->claim != NULL)
+    {
+      entry_claim_ended (call, outcome);
+      return;
+    }
   call->runner_peer = 0;
   if (strm_closed (call->strm))
     {
@@ -281,15 +307,18 @@
 entry_call_abandon (struct entry_call *call)
 {
   struct entry *entry = call->entry;
+  int stays;
 
   pthread_mutex_lock (&call->lock);
-  if (!call->ended)
+  stays = call->claim != NULL && entry_claim_abandon (call);
+  if (!call->ended && !stays)
     {
-      if (!call->at_most_once)
-        cancel_attempt (call);
+      cancel_attempt (call);
       call->ended = 1;
     }
   pthread_mutex_unlock (&call->lock);
+  if (stays)
+    return;
   pthread_mutex_lock (&entry->lock);
   g_hash_table_remove (entry->calls, &call->id);
   pthread_mutex_unlock (&entry->lock);
@@ -301,7 +330,9 @@
   char name[MSG_NAME_MAX];
 
   pthread_mutex_lock (&call->lock);
-  if (call->ended || !call->started)
+  if (call->claim != NULL)
+    entry_claim_tick (call, now_us);
+  else if (call->ended || !call->started)
     ;
   else if (now_us >= call->deadline_us)
     {
@@ -323,9 +354,8 @@
   pthread_mutex_unlock (&call->lock);
 }
 
-/* Returns a reference to each call in progress.  */
-static GPtrArray *
-all_calls (struct entry *entry)
+GPtrArray *
+entry_call_all (struct entry *entry)
 {
   GPtrArray *calls
       = g_ptr_array_new_with_free_func ((GDestroyNotify)entry_call_unref);
@@ -343,7 +373,7 @@
 void
 entry_call_tick (struct entry *entry, gint64 now_us)
 {
-  GPtrArray *calls = all_calls (entry);
+  GPtrArray *calls = entry_call_all (entry);
   guint i;
 
   for (i = 0; i < calls->len; i++)
@@ -354,7 +384,7 @@
 void
 entry_call_peer_lost (struct entry *entry, uint64_t peer)
 {
-  GPtrArray *calls = all_calls (entry);
+  GPtrArray *calls = entry_call_all (entry);
   char name[MSG_NAME_MAX];
   guint i;
 
@@ -364,7 +394,9 @@
       struct entry_call *call = g_ptr_array_index (calls, i);
 
       pthread_mutex_lock (&call->lock);
-      if (!call->ended && call->runner_peer == peer)
+      if (call->claim != NULL && call->runner_peer == peer)
+        entry_claim_lost (call);
+      else if (!call->ended && call->runner_peer == peer)
         {
           cancel_attempt (call);
           entry_call_attempt_ended (call, MSG_OUTCOME_UNKNOWN, "run", name,
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -154,6 +154,8 @@
   else
     response = MHD_create_response_from_buffer (
         call->answer->len, call->answer->str, MHD_RESPMEM_MUST_COPY);
+  if (call->recorded)
+    MHD_add_response_header (response, "X-Recorded", "true");
   if (call->answer_type[0] != '\0')
     MHD_add_response_header (response, "Content-Type", call->answer_type);
   return send_response (call->connection, call->status, response);
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -76,7 +76,7 @@
   if (entry_config_open (entry, err) != 0)
     return -1;
   entry->kv = kv_http_open (entry->settings.kv, KV_TIMEOUT_S, err);
-  if (entry->kv == NULL)
+  if (entry->kv == NULL || entry_claim_open (entry, err) != 0)
     return -1;
   snprintf (identity, sizeof identity, "%.64s/%016llx", entry->settings.name,
             (unsigned long long)entry->incarnation);
@@ -127,6 +127,7 @@
   pthread_join (entry->ticker, NULL);
   pthread_join (entry->lister, NULL);
   net_close (entry->net);
+  entry_claim_close (entry);
   kv_http_close (entry->kv);
   entry_config_close (entry);
   g_hash_table_destroy (entry->calls);
--- a/src/entry_net.c
+++ b/src/entry_net.c
@@ -106,6 +106,7 @@
         [MSG_HEAD] = on_head,
         [MSG_DATA] = on_data,
         [MSG_END] = on_end,
+        [MSG_VOIDED] = entry_claim_voided,
       };
 
 static void
--- a/src/kv_http.c
+++ b/src/kv_http.c
@@ -80,15 +80,19 @@
     .on_head = take_head,
     .on_data = take_data,
   };
+  enum http_result result;
   int status;
 
-  if (http_run (&call, &status, err) != HTTP_OK)
+  result = http_run (&call, &status, err);
+  if (result == HTTP_OK)
+    return status;
+  if (err != NULL)
     {
-      if (err != NULL)
-        snprintf (err->step, sizeof err->step, "kv");
-      return -1;
+      snprintf (err->step, sizeof err->step, "kv");
+      if (result == HTTP_NOT_SENT)
+        err->code = ERR_REFUSED;
     }
-  return status;
+  return -1;
 }
 
 static int
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -173,3 +173,85 @@
   unset "PIDS[load]"
   jq -c 'del(.resent, .on_time)' "$WORK/load.json"
 }
+
+# Starts two endpoint VMs of a plain service and two entries.
+booking_site ()
+{
+  start_kv
+  start_runner 1 plain bookings
+  start_runner 2 plain bookings
+  set_vms 1 2
+  start_entry 1
+  start_entry 2
+  wait_for "booking at entry 1" books 1 ready-1
+  wait_for "booking at entry 2" books 2 ready-2
+}
+
+booking ()			# ENTRY KEY [CURL-ARGUMENTS...]
+{
+  local entry=$1 key=$2
+  shift 2
+  curl -s -m 30 -X POST -H "Idempotency-Key: $key" -d "{\"booking\":\"$key\"}" \
+    "$@" "http://127.$NET.2.$entry:8000/bookings/new"
+}
+
+books ()			# ENTRY KEY
+{
+  booking "$1" "$2" -f
+}
+
+# Sends CALLS bookings to both entries in the background.
+start_bookings ()		# CALLS [ARGUMENTS...]
+{
+  CALLS=$1
+  shift
+  start_load --entry "127.$NET.2.1:8000" --entry "127.$NET.2.2:8000" \
+    --bookings "$CALLS" --booking-path /bookings/new --threads 16 "$@"
+}
+
+runs ()				# VM, or none for the sum of both
+{
+  local i
+  for i in ${1:-1 2}; do
+    curl -sf "http://127.$NET.1.$i:7100/test/runs"
+  done | jq -s 'map(to_entries[]) | map(.value) | add // 0'
+}
+
+runs_at_least ()		# NUMBER
+{
+  [ "$(runs)" -ge "$1" ]
+}
+
+fault ()			# ADDRESS QUERY
+{
+  curl -sf -X POST "http://$1/test/fault?$2" > /dev/null || die "fault $2"
+}
+
+# Waits for the load and stops every entry and agent, after which nothing can
+# run any more; then compares what callers were told with what ran.
+booking_verdict ()		# FAULTS
+{
+  local name i
+  load_done > "$WORK/counts.json"
+  for name in entry1 entry2 agent1 agent2; do
+    stop $name
+  done
+  for i in 1 2; do
+    curl -sf "http://127.$NET.1.$i:7100/test/runs"
+  done | jq -r 'to_entries[] | "\(.key | fromjson | .booking) \(.value)"' \
+    > "$WORK/runs"
+  awk -v faults="$1" '
+    NR == FNR { ran[$1] += $2; next }
+    { calls++; told[$3]++ }
+    $3 == "answered_whole" && !ran[$2] { lost++ }
+    $3 == "not_run" && ran[$2] { falsely++ }
+    END {
+      for (key in ran)
+	doubled += ran[key] > 1
+      printf "calls %d, faults %d\n", calls, faults
+      printf "doubled %d, lost %d, falsely not run %d\n", doubled, lost, falsely
+      printf "invalid %d, wrong %d, cut %d\n", told["invalid"], told["wrong"], told["cut"]
+      print (told["answered_whole"] * 2 > calls ? "most" : "FEW") " calls were answered"
+    }' "$WORK/runs" "$WORK/transcript"
+  cat "$WORK/counts.json" >&2
+}
