--- a/src/agent_net.c
+++ b/src/agent_net.c
@@ -195,7 +195,12 @@
     }
   ctr_add (CTR_STALE_CALLS_REFUSED, 1);
   if (reason[0] != '\0')
-    agent_send_end (job, MSG_OUTCOME_NOT_RUN, "admit", reason);
+    {
+      /* The entry's view is old: without a report it would choose this agent,
+         which looks idle, again.  */
+      agent_report (agent, peer);
+      agent_send_end (job, MSG_OUTCOME_NOT_RUN, "admit", reason);
+    }
   agent_job_unref (job);
 }
 
