Do not answer 404 before the fleet is known

A starting entry answered each call for a service 404, outcome invalid, until the runners' first reports came: in booking_kill_entry the 400 bookings never reached 240 runs, and in booking_pairs 407 of 3000 were invalid. Such a call now waits for a runner as one whose runners are all away, and /readyz fails until every listed runner has reported or three report intervals have passed. booking_kill_entry: 400 of 400 answered.

--- a/include/goldcresthatch/kv.h
+++ b/include/goldcresthatch/kv.h
@@ -10,7 +10,7 @@
  *   Every call blocks for at most the adapter's timeout.  A write that fails
  *   with ERR_TIMEOUT or ERR_IO may have taken effect; the writer finds out by
  *   reading the write identity that its value carries.  With ERR_REFUSED it
- * had no effect.
+ *   had no effect.
  */
 
 #include <stddef.h>
--- a/src/entry.h
+++ b/src/entry.h
@@ -137,6 +137,7 @@
   struct MHD_Daemon *callers;
   struct MHD_Daemon *admins;
   uint64_t incarnation;
+  gint64 start_us;
   pthread_t ticker;
   pthread_t lister;
   gint stopping;
@@ -146,6 +147,7 @@
 
   pthread_mutex_t lock; /* guards what follows */
   GPtrArray *runners;   /* struct entry_runner */
+  int listed;           /* the platform's list has been read */
   GHashTable *calls;    /* by id */
 };
 
@@ -248,6 +250,10 @@
 void entry_fleet_name (struct entry *entry, uint64_t peer, char *name,
                        size_t size);
 int entry_fleet_knows (struct entry *entry, const char *service);
+
+/* Whether every runner on the platform's list has reported or had the time to:
+   until then, a service that is not known may exist.  */
+int entry_fleet_settled (struct entry *entry);
 void entry_fleet_hello (struct entry *entry);
 void *entry_fleet_main (void *arg);
 
--- a/src/entry_fleet.c
+++ b/src/entry_fleet.c
@@ -161,6 +161,27 @@
   return known;
 }
 
+int
+entry_fleet_settled (struct entry *entry)
+{
+  int settled;
+  guint i;
+
+  if (g_get_monotonic_time () - entry->start_us >= SILENCE_US)
+    return 1;
+  pthread_mutex_lock (&entry->lock);
+  settled = entry->listed;
+  for (i = 0; i < entry->runners->len && settled; i++)
+    {
+      const struct entry_runner *runner
+          = g_ptr_array_index (entry->runners, i);
+
+      settled = runner->leaving || runner->reported_us != 0;
+    }
+  pthread_mutex_unlock (&entry->lock);
+  return settled;
+}
+
 void
 entry_fleet_hello (struct entry *entry)
 {
@@ -230,6 +251,7 @@
     return;
   list = json_tokener_parse (value.data);
   pthread_mutex_lock (&entry->lock);
+  entry->listed = 1;
   if (json_object_is_type (list, json_type_array))
     for (i = 0; i < json_object_array_length (list); i++)
       take_vm (entry, json_object_array_get_idx (list, i));
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -323,7 +323,8 @@
     rc = read_service_request (call);
   if (rc != 0)
     return;
-  if (!entry_fleet_knows (call->entry, call->service))
+  if (!entry_fleet_knows (call->entry, call->service)
+      && entry_fleet_settled (call->entry))
     {
       reject (call, MHD_HTTP_NOT_FOUND, "route", "no such model or service");
       return;
@@ -342,11 +343,13 @@
                           text_response ("text/plain", "ok\n"));
   if (strcmp (url, "/readyz") == 0)
     {
-      int ready = !g_atomic_int_get (&entry->draining);
+      int draining = g_atomic_int_get (&entry->draining);
+      int ready = !draining && entry_fleet_settled (entry);
+      const char *state = draining ? "draining\n" : "starting\n";
 
       return send_response (
           connection, ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
-          text_response ("text/plain", ready ? "ready\n" : "draining\n"));
+          text_response ("text/plain", ready ? "ready\n" : state));
     }
   text = g_string_new (NULL);
   ctr_render (text);
