Keep an entry unready until it has read the list of VMs

booking_pairs restarts an entry while the key-value service is down: after three report intervals it took its empty fleet for the whole one and answered 52 of 2100 bookings 404, outcome invalid. The time limit now counts from the first list read.

--- a/src/entry.h
+++ b/src/entry.h
@@ -137,7 +137,6 @@
   struct MHD_Daemon *callers;
   struct MHD_Daemon *admins;
   uint64_t incarnation;
-  gint64 start_us;
   pthread_t ticker;
   pthread_t lister;
   gint stopping;
@@ -147,7 +146,7 @@
 
   pthread_mutex_t lock; /* guards what follows */
   GPtrArray *runners;   /* struct entry_runner */
-  int listed;           /* the platform's list has been read */
+  gint64 listed_us;     /* the platform's list was first read, or 0 */
   GHashTable *calls;    /* by id */
 };
 
--- a/src/entry_fleet.c
+++ b/src/entry_fleet.c
@@ -167,10 +167,13 @@
   int settled;
   guint i;
 
-  if (g_get_monotonic_time () - entry->start_us >= SILENCE_US)
-    return 1;
   pthread_mutex_lock (&entry->lock);
-  settled = entry->listed;
+  settled = entry->listed_us != 0;
+  if (settled && g_get_monotonic_time () - entry->listed_us >= SILENCE_US)
+    {
+      pthread_mutex_unlock (&entry->lock);
+      return 1;
+    }
   for (i = 0; i < entry->runners->len && settled; i++)
     {
       const struct entry_runner *runner
@@ -251,7 +254,8 @@
     return;
   list = json_tokener_parse (value.data);
   pthread_mutex_lock (&entry->lock);
-  entry->listed = 1;
+  if (entry->listed_us == 0)
+    entry->listed_us = g_get_monotonic_time ();
   if (json_object_is_type (list, json_type_array))
     for (i = 0; i < json_object_array_length (list); i++)
       take_vm (entry, json_object_array_get_idx (list, i));
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -68,7 +68,6 @@
 {
   char identity[SET_TEXT_MAX + 32];
 
-  entry->start_us = g_get_monotonic_time ();
   randombytes_buf (&entry->incarnation, sizeof entry->incarnation);
   pthread_mutex_init (&entry->lock, NULL);
   entry->runners = g_ptr_array_new_with_free_func (g_free);
