Bound the workers' work during an outage of the key-value service

In a silent outage each operation holds a worker for its timeout, so calls queue up before 16 workers and callers wait for the queue.

--- a/src/entry_claim.c
+++ b/src/entry_claim.c
@@ -25,6 +25,13 @@
   /* How long a claim may stay unreadable before the caller is told.  */
   OUTAGE_ANSWER_MS = 3000,
 
+  /* During an outage each operation holds a worker for the adapter's timeout.
+     After this many failures in a row, only one operation in each period is
+     tried, so that no queue builds up before the workers; the others wait for
+     OUTAGE_ANSWER_MS and then fail without an effect.  */
+  FAILURES_MAX = 8,
+  TRY_PERIOD_MS = 250,
+
   HASH_BYTES = 16,
   DRAWN_BYTES = 16,
   STATUS_BAD_GATEWAY = 502,
@@ -39,8 +46,12 @@
   pthread_mutex_t lock;
   uint64_t id; /* 0 before the first */
   gint64 granted_us;
+  unsigned failures; /* of operations, in a row */
+  gint64 try_us;     /* time of the next operation after too many */
 };
 
+struct claim_task;
+
 struct entry_claim
 {
   struct call call;
@@ -51,11 +62,13 @@
   int busy;                   /* a key-value operation is in progress */
   int answered;
   int over;
-  int gone;          /* the caller has left */
-  unsigned retries;  /* pauses in a row */
-  gint64 retry_us;   /* time of CALL_EV_RETRY, or 0 */
-  gint64 ask_us;     /* time of CALL_EV_NO_ANSWER, or 0 */
-  gint64 trouble_us; /* start of the pauses for the service, or 0 */
+  int gone;                /* the caller has left */
+  unsigned retries;        /* pauses in a row */
+  gint64 retry_us;         /* time of CALL_EV_RETRY, or 0 */
+  gint64 ask_us;           /* time of CALL_EV_NO_ANSWER, or 0 */
+  gint64 trouble_us;       /* start of the pauses for the service, or 0 */
+  struct claim_task *held; /* operation to be tried at the next tick */
+  gint64 held_us;          /* when an operation was first held, or 0 */
   char key[KV_KEY_MAX];
 };
 
@@ -133,6 +146,32 @@
   return granted;
 }
 
+/* Whether an operation may be sent to the service now.  */
+static int
+may_try (struct entry_lease *lease)
+{
+  gint64 now = g_get_monotonic_time ();
+  int may = 1;
+
+  pthread_mutex_lock (&lease->lock);
+  if (lease->failures >= FAILURES_MAX)
+    {
+      may = now >= lease->try_us;
+      if (may)
+        lease->try_us = now + (gint64)TRY_PERIOD_MS * MS;
+    }
+  pthread_mutex_unlock (&lease->lock);
+  return may;
+}
+
+static void
+note_result (struct entry_lease *lease, int failed)
+{
+  pthread_mutex_lock (&lease->lock);
+  lease->failures = failed ? lease->failures + 1 : 0;
+  pthread_mutex_unlock (&lease->lock);
+}
+
 static void
 write_record (struct claim_task *task, struct call_event *event,
               struct err *err)
@@ -181,6 +220,50 @@
          || kind == CALL_EV_READ_FAILED || kind == CALL_EV_READ_BAD;
 }
 
+/* Keeps a task for the next tick while the service is down, unless the caller
+   has waited long enough.  Returns nonzero when it is kept.  */
+static int
+hold_task (struct claim_task *task)
+{
+  struct entry_call *call = task->call;
+  struct entry_claim *claim = call->claim;
+  gint64 now = g_get_monotonic_time ();
+  int hold;
+
+  pthread_mutex_lock (&call->lock);
+  if (claim->held_us == 0)
+    claim->held_us = now;
+  hold = !claim->answered && now < call->deadline_us
+         && now - claim->held_us < (gint64)OUTAGE_ANSWER_MS * MS;
+  if (hold)
+    claim->held = task;
+  pthread_mutex_unlock (&call->lock);
+  return hold;
+}
+
+/* Runs the operation, or fails it without an effect unless TRY is set.  */
+static void
+carry_out (struct claim_task *task, int try, struct call_event *event,
+           struct call_record *record, struct err *err)
+{
+  struct entry *entry = task->call->entry;
+  int write = task->kind == CALL_ACT_WRITE;
+
+  if (!try)
+    {
+      event->kind = write ? CALL_EV_WRITE_REFUSED : CALL_EV_READ_FAILED;
+      err_set (err, ERR_REFUSED, "kv", entry->settings.kv,
+               "the service has failed and is not asked now");
+      return;
+    }
+  if (write)
+    write_record (task, event, err);
+  else
+    read_record (task, event, record, err);
+  note_result (entry->lease,
+               is_trouble (event->kind) && event->kind != CALL_EV_READ_BAD);
+}
+
 /* Worker: carries out one operation and goes on with the call.  */
 static void
 run_claim_task (struct entry_task *base)
@@ -190,11 +273,11 @@
   struct call_record record = { 0 };
   struct call_event event = { 0 };
   struct err err = { 0 };
+  int try = may_try (call->entry->lease);
 
-  if (task->kind == CALL_ACT_WRITE)
-    write_record (task, &event, &err);
-  else
-    read_record (task, &event, &record, &err);
+  if (!try && hold_task (task))
+    return;
+  carry_out (task, try, &event, &record, &err);
   if (is_trouble (event.kind))
     log_err (LOG_LEVEL_INFO, call->traceparent, &err);
   pthread_mutex_lock (&call->lock);
@@ -576,6 +659,11 @@
 {
   struct entry_claim *claim = call->claim;
 
+  if (claim->held != NULL)
+    {
+      g_thread_pool_push (call->entry->workers, claim->held, NULL);
+      claim->held = NULL;
+    }
   if (claim->busy || claim->over)
     return;
   if (!claim->answered && is_late (call, now_us))
