--- a/src/agent_probe.c
+++ b/src/agent_probe.c
@@ -86,6 +86,8 @@
       if (breaks != agent->breaks)
         up = 0;
       changed = set_endpoint (agent, up);
+      if (changed && !up)
+        agent_run_crash (agent);
       pthread_mutex_unlock (&agent->lock);
       if (changed)
         report_endpoint (agent, "probe", up);
--- a/src/entry.h
+++ b/src/entry.h
@@ -67,6 +67,7 @@
   uint64_t window;
   int64_t first_us; /* predicted time to the first token */
   struct fleet_work work;
+  char name[MSG_NAME_MAX + 1];
 };
 
 struct entry_fleet;
@@ -150,11 +151,20 @@
   char answer_type[MSG_NAME_MAX];
   struct strm *strm;
   GString *answer; /* bytes not yet given to the caller */
+  int key_drawn;   /* KEY was drawn here, not given by the caller */
+  int recorded;    /* the answer was recorded by an earlier attempt */
+  struct entry_claim *claim; /* null until the claim is made */
   struct entry_failure failure;
   struct entry_trace *trace;         /* null until the headers are read */
   char attempt_parent[MSG_NAME_MAX]; /* traceparent of the attempt */
 };
 
+/* Work for the pool of workers: RUN is called once and owns the task.  */
+struct entry_task
+{
+  void (*run) (struct entry_task *task);
+};
+
 struct entry
 {
   struct entry_settings settings;
@@ -168,6 +178,7 @@
   pthread_t lister;
   gint stopping;
   gint draining;
+  struct entry_lease *lease; /* retention of claims */
   struct entry_control *control;
   struct cfg_sync *config;
   struct entry_trace_rings *rings;
@@ -233,6 +244,45 @@
 /* Fails calls past their deadline or on silent runners.  */
 void entry_call_tick (struct entry *entry, gint64 now_us);
 
+/* Returns a reference to each call in progress.  */
+GPtrArray *entry_call_all (struct entry *entry);
+
+/* entry_claim.c: the call's lock is held unless it is said otherwise.  */
+
+/* Opens and closes the workers and the lease; without a lock.  */
+int entry_claim_open (struct entry *entry, struct err *err);
+void entry_claim_close (struct entry *entry);
+
+/* Claims the at-most-once CALL for RUNNER, on which the attempt is counted,
+   then sends it.  */
+void entry_claim_start (struct entry_call *call,
+                        const struct entry_runner *runner);
+
+/* Sends CALL's attempt to RUNNER.  */
+void entry_call_send (struct entry_call *call,
+                      const struct entry_runner *runner);
+
+/* The attempt ended with OUTCOME; its runner is released.  */
+void entry_claim_ended (struct entry_call *call, enum msg_outcome outcome);
+
+/* The connection to the runner broke.  */
+void entry_claim_lost (struct entry_call *call);
+
+void entry_claim_tick (struct entry_call *call, gint64 now_us);
+
+/* Gives VOIDED to the calls that asked for it; without a lock.  */
+void entry_claim_voided (struct entry *entry, uint64_t peer,
+                         const struct msg *msg);
+
+/* The caller has gone.  Returns nonzero when CALL must stay until its record
+   is written.  */
+int entry_claim_abandon (struct entry_call *call);
+void entry_claim_free (struct entry_call *call);
+
+/* Whether "not run" for CALL could be false for an earlier request under the
+   caller's key, which no read of the claim has ruled out.  */
+int entry_claim_unread (const struct entry_call *call);
+
 /* entry_fleet.c */
 void entry_fleet_report (struct entry *entry, uint64_t peer,
                          const struct msg_report *report);
@@ -254,8 +304,8 @@
 /* Fills in what SERVICE can take, for CALL or, when it is null, for a short
    request; the entry's lock is held.  */
 void entry_fleet_get_supply (struct entry *entry, const char *service,
-                         const struct entry_call *call,
-                         struct entry_fleet_supply *out);
+                             const struct entry_call *call,
+                             struct entry_fleet_supply *out);
 
 /* Keeps new work from PEER, whose endpoint crashed or whose connection broke,
    until its next report that the endpoint is up.  */
@@ -264,6 +314,14 @@
 void entry_fleet_name (struct entry *entry, uint64_t peer, char *name,
                        size_t size);
 int entry_fleet_knows (struct entry *entry, const char *service);
+
+/* Whether every runner on the platform's list has reported or had the time to:
+   until then, a service that is not known may exist.  */
+int entry_fleet_settled (struct entry *entry);
+
+/* Returns the network handle of the agent NAME, or 0 when no connection to it
+   is open.  */
+uint64_t entry_fleet_peer (struct entry *entry, const char *name);
 void entry_fleet_hello (struct entry *entry);
 
 /* Judges silence and follows the subsets.  To be called on each tick, before
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -68,6 +68,7 @@
     g_string_free (call->prompt, TRUE);
   g_byte_array_free (call->body, TRUE);
   g_string_free (call->answer, TRUE);
+  entry_claim_free (call);
   if (call->strm != NULL)
     strm_free (call->strm);
   pthread_mutex_destroy (&call->lock);
@@ -107,14 +108,21 @@
 
   if (call->ended)
     return;
+  /* An earlier request under the same key may have run.  */
+  if (outcome == ENTRY_OUTCOME_NOT_RUN && call->claim == NULL
+      && entry_claim_unread (call))
+    outcome = ENTRY_OUTCOME_UNKNOWN;
   va_start (ap, fmt);
   vsnprintf (text, sizeof text, fmt, ap);
   va_end (ap);
   err_set (&failure->err, code, step, peer, "%s", text);
   failure->status = status;
   failure->outcome = outcome;
+  /* Also where a resend under the same key settles an unknown outcome.  */
   failure->retry_after_s
-      = outcome == ENTRY_OUTCOME_NOT_RUN ? RETRY_AFTER_S : 0;
+      = outcome == ENTRY_OUTCOME_NOT_RUN || status == STATUS_UNAVAILABLE
+            ? RETRY_AFTER_S
+            : 0;
   if (call->stream && call->head)
     entry_http_append_failure (call);
   call->failed = 1;
@@ -183,14 +191,26 @@
   call->failure.retry_after_s = 0;
 }
 
+void
+entry_call_send (struct entry_call *call, const struct entry_runner *runner)
+{
+  struct msg msg;
+
+  call->runner_peer = runner->peer;
+  call->attempt_us = g_get_monotonic_time ();
+  call->first_us = runner->first_us;
+  strm_begin (call->strm, call->attempt);
+  entry_trace_attempt (call, runner->name);
+  fill_call (call, runner, &msg);
+  net_send (call->entry->net, runner->peer, &msg, NULL);
+}
+
 /* Starts an attempt; the call's lock is held.  */
 static void
 start_attempt (struct entry_call *call)
 {
   struct entry *entry = call->entry;
   struct entry_runner runner;
-  char name[MSG_NAME_MAX];
-  struct msg msg;
 
   if (entry_susp_stopped (entry, call))
     {
@@ -206,16 +226,12 @@
   call->retry_at_us = 0;
   call->tries++;
   call->attempt = msg_id_new ();
-  call->runner_peer = runner.peer;
   call->work = runner.work;
   call->last_peer = runner.peer;
-  call->attempt_us = g_get_monotonic_time ();
-  call->first_us = runner.first_us;
-  strm_begin (call->strm, call->attempt);
-  entry_fleet_name (entry, runner.peer, name, sizeof name);
-  entry_trace_attempt (call, name);
-  fill_call (call, &runner, &msg);
-  net_send (entry->net, runner.peer, &msg, NULL);
+  if (call->at_most_once)
+    entry_claim_start (call, &runner);
+  else
+    entry_call_send (call, &runner);
 }
 
 void
@@ -265,6 +281,11 @@
 {
   if (call->runner_peer != 0)
     entry_fleet_release (call->entry, call->runner_peer, call, NULL);
+  if (call->claim != NULL)
+    {
+      entry_claim_ended (call, MSG_OUTCOME_DONE);
+      return;
+    }
   call->runner_peer = 0;
   pthread_mutex_lock (&call->entry->lock);
   entry_susp_release (call->entry, call, 1);
@@ -347,6 +368,11 @@
 {
   struct retry_decision decision;
 
+  if (call->claim != NULL)
+    {
+      entry_claim_ended (call, outcome);
+      return;
+    }
   call->runner_peer = 0;
   if (strm_closed (call->strm))
     {
@@ -391,18 +417,21 @@
 {
   struct entry *entry = call->entry;
   struct err err;
+  int stays;
 
   pthread_mutex_lock (&call->lock);
-  if (!call->ended)
+  stays = call->claim != NULL && entry_claim_abandon (call);
+  if (!call->ended && !stays)
     {
       entry_admit_cancel (entry, call);
-      if (!call->at_most_once)
-        cancel_attempt (call);
+      cancel_attempt (call);
       call->ended = 1;
       err_set (&err, ERR_IO, "caller", NULL, "the caller has gone");
       entry_trace_done (call, &err);
     }
   pthread_mutex_unlock (&call->lock);
+  if (stays)
+    return;
   pthread_mutex_lock (&entry->lock);
   g_hash_table_remove (entry->calls, &call->id);
   pthread_mutex_unlock (&entry->lock);
@@ -414,7 +443,9 @@
   char name[MSG_NAME_MAX];
 
   pthread_mutex_lock (&call->lock);
-  if (call->ended || !call->started)
+  if (call->claim != NULL)
+    entry_claim_tick (call, now_us);
+  else if (call->ended || !call->started)
     ;
   else if (now_us >= call->deadline_us && call->tries == 0)
     {
@@ -451,9 +482,8 @@
   pthread_mutex_unlock (&call->lock);
 }
 
-/* Returns a reference to each call in progress.  */
-static GPtrArray *
-all_calls (struct entry *entry)
+GPtrArray *
+entry_call_all (struct entry *entry)
 {
   GPtrArray *calls
       = g_ptr_array_new_with_free_func ((GDestroyNotify)entry_call_unref);
@@ -471,7 +501,7 @@
 void
 entry_call_tick (struct entry *entry, gint64 now_us)
 {
-  GPtrArray *calls = all_calls (entry);
+  GPtrArray *calls = entry_call_all (entry);
   guint i;
 
   for (i = 0; i < calls->len; i++)
@@ -482,7 +512,7 @@
 void
 entry_call_peer_lost (struct entry *entry, uint64_t peer)
 {
-  GPtrArray *calls = all_calls (entry);
+  GPtrArray *calls = entry_call_all (entry);
   char name[MSG_NAME_MAX];
   guint i;
 
@@ -492,7 +522,9 @@
       struct entry_call *call = g_ptr_array_index (calls, i);
 
       pthread_mutex_lock (&call->lock);
-      if (!call->ended && call->runner_peer == peer)
+      if (call->claim != NULL && call->runner_peer == peer)
+        entry_claim_lost (call);
+      else if (!call->ended && call->runner_peer == peer)
         {
           cancel_attempt (call);
           entry_call_attempt_ended (call, MSG_OUTCOME_UNKNOWN, "run", name,
--- a/src/entry_fleet.c
+++ b/src/entry_fleet.c
@@ -52,6 +52,7 @@
   GPtrArray *by_index; /* link of the newest ref with this index, or null */
   GHashTable *by_peer;
   gint64 refreshed_us;
+  int listed; /* the platform's list has been read */
   char
       list_error[ERR_TEXT_MAX]; /* logged last; empty when the list is valid */
 };
@@ -230,6 +231,7 @@
     tokens = call->prompt->len / ENTRY_TOKEN_BYTES + 1 - choice->cached;
   link->attempts++;
   out->peer = link->peer;
+  g_strlcpy (out->name, runner->name, sizeof out->name);
   out->incarnation = runner->incarnation;
   out->window = runner->window;
   out->first_us = choice->first_us;
@@ -240,8 +242,8 @@
 
 void
 entry_fleet_get_supply (struct entry *entry, const char *service,
-                    const struct entry_call *call,
-                    struct entry_fleet_supply *out)
+                        const struct entry_call *call,
+                        struct entry_fleet_supply *out)
 {
   struct entry_call brief
       = { .service = (char *)service, .deadline_us = G_MAXINT64 };
@@ -407,6 +409,46 @@
   return known;
 }
 
+int
+entry_fleet_settled (struct entry *entry)
+{
+  struct entry_fleet *fleet = entry->fleet;
+  gint64 now = g_get_monotonic_time ();
+  int settled;
+  guint i;
+
+  pthread_mutex_lock (&entry->lock);
+  settled = fleet->listed;
+  for (i = 0; i < fleet->links->len && settled; i++)
+    {
+      const struct link *link = g_ptr_array_index (fleet->links, i);
+
+      settled = link->peer == 0 || link->reported_us != 0
+                || now >= link->ask_until_us;
+    }
+  pthread_mutex_unlock (&entry->lock);
+  return settled;
+}
+
+uint64_t
+entry_fleet_peer (struct entry *entry, const char *name)
+{
+  GPtrArray *links = entry->fleet->links;
+  uint64_t peer = 0;
+  guint i;
+
+  pthread_mutex_lock (&entry->lock);
+  for (i = 0; i < links->len && peer == 0; i++)
+    {
+      const struct link *link = g_ptr_array_index (links, i);
+
+      if (strcmp (link->name, name) == 0)
+        peer = link->peer;
+    }
+  pthread_mutex_unlock (&entry->lock);
+  return peer;
+}
+
 void
 entry_fleet_withhold (struct entry *entry, const struct cfg_snapshot *snap)
 {
@@ -706,6 +748,7 @@
   if (fleet_list (entry->fleet->fleet, vms, n, &err) == 0)
     {
       refresh (entry, g_get_monotonic_time ());
+      entry->fleet->listed = 1;
       entry->fleet->list_error[0] = '\0';
     }
   else if (strcmp (entry->fleet->list_error, err.text) != 0)
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -154,6 +154,8 @@
   else
     response = MHD_create_response_from_buffer (
         call->answer->len, call->answer->str, MHD_RESPMEM_MUST_COPY);
+  if (call->recorded)
+    MHD_add_response_header (response, "X-Recorded", "true");
   if (call->answer_type[0] != '\0')
     MHD_add_response_header (response, "Content-Type", call->answer_type);
   return send_response (call->connection, call->status, response);
@@ -359,8 +361,13 @@
 static void
 refuse_unready (struct entry_call *call)
 {
+  /* Without the routes it is not known whether the call may be repeated, and
+     an earlier request under the same key may have run.  */
+  int keyed = request_header (call, "Idempotency-Key") != NULL;
+
   pthread_mutex_lock (&call->lock);
-  entry_call_fail (call, MHD_HTTP_SERVICE_UNAVAILABLE, ENTRY_OUTCOME_NOT_RUN,
+  entry_call_fail (call, MHD_HTTP_SERVICE_UNAVAILABLE,
+                   keyed ? ENTRY_OUTCOME_UNKNOWN : ENTRY_OUTCOME_NOT_RUN,
                    ERR_LIMIT, "config", NULL, "no configuration yet");
   pthread_mutex_unlock (&call->lock);
 }
@@ -393,7 +400,8 @@
   cfg_snapshot_unref (snap);
   if (rc != 0)
     return;
-  if (!entry_fleet_knows (call->entry, call->service))
+  if (!entry_fleet_knows (call->entry, call->service)
+      && entry_fleet_settled (call->entry))
     {
       reject (call, MHD_HTTP_NOT_FOUND, "route", "no such model or service");
       return;
@@ -416,6 +424,8 @@
         state = "draining\n";
       else if (!entry_config_ready (entry))
         state = "no configuration yet\n";
+      else if (!entry_fleet_settled (entry))
+        state = "starting\n";
       else
         ready = 1;
       return send_response (connection,
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -97,7 +97,7 @@
   if (entry_config_open (entry, err) != 0)
     return -1;
   entry->kv = kv_http_open (entry->settings.kv, KV_TIMEOUT_S, err);
-  if (entry->kv == NULL)
+  if (entry->kv == NULL || entry_claim_open (entry, err) != 0)
     return -1;
   snprintf (identity, sizeof identity, "%.64s/%016llx", entry->settings.name,
             (unsigned long long)entry->incarnation);
@@ -157,6 +157,7 @@
   entry_susp_close (entry);
   net_close (entry->net);
   entry_control_close (entry);
+  entry_claim_close (entry);
   entry_config_close (entry);
   kv_http_close (entry->kv);
   entry_trace_close (entry);
--- a/src/entry_net.c
+++ b/src/entry_net.c
@@ -151,7 +151,7 @@
         [MSG_REPORT] = on_report,     [MSG_HEAD] = on_head,
         [MSG_DATA] = on_data,         [MSG_END] = on_end,
         [MSG_ORDERED] = on_ordered,   [MSG_CFG_GET] = on_cfg_get,
-        [MSG_CFG_DATA] = on_cfg_data,
+        [MSG_CFG_DATA] = on_cfg_data, [MSG_VOIDED] = entry_claim_voided,
       };
 
 static void
