--- a/src/agent.h
+++ b/src/agent.h
@@ -92,6 +92,7 @@
   struct agent_settings settings;
   struct net *net;
   struct kv *kv;
+  int lock_fd; /* keeps a second agent from starting */
   GThreadPool *workers;
   uint64_t incarnation;
   struct agent_orders *orders;
--- a/src/agent_main.c
+++ b/src/agent_main.c
@@ -11,7 +11,6 @@
 #include "cfg_sync.h"
 #include "daemon.h"
 #include "goldcresthatch/log.h"
-#include "http.h"
 
 enum
 {
@@ -44,13 +43,6 @@
           .max = 600000),
 };
 
-static const struct daemon_program program = {
-  .name = "goldcresthatch-agent",
-  .summary = "Sole access point to the runner of an endpoint VM.",
-  .members = members,
-  .member_count = G_N_ELEMENTS (members),
-};
-
 /* Binds ADDRESS without SO_REUSEADDR's sharing, so that the kernel refuses a
    second agent on the VM even while the first is stopped.  */
 static int
@@ -80,8 +72,13 @@
 }
 
 static int
-agent_open (struct agent *agent, const struct net_keys *keys, struct err *err)
+agent_open (void *ctx, const struct net_keys *keys, struct err *err)
 {
+  struct agent *agent = ctx;
+
+  agent->lock_fd = bind_lock (agent->settings.lock, err);
+  if (agent->lock_fd < 0)
+    return -1;
   randombytes_buf (&agent->incarnation, sizeof agent->incarnation);
   agent->runs = run_new (agent->incarnation, agent->settings.window_ms * 1000,
                          g_get_monotonic_time ());
@@ -105,7 +102,12 @@
     return -1;
   if (pthread_create (&agent->probe, NULL, agent_probe_main, agent) != 0)
     return err_set (err, ERR_LIMIT, "thread", NULL, "cannot start a thread");
-  return agent_order_start (agent, err);
+  if (agent_order_start (agent, err) != 0)
+    return -1;
+  log_write (LOG_LEVEL_INFO, NULL, "start", agent->settings.listen,
+             "agent %s serves %s", agent->settings.name,
+             agent->settings.service);
+  return 0;
 }
 
 static unsigned
@@ -122,8 +124,9 @@
 /* Takes no new work and waits for the jobs in progress, until the limit or a
    second signal.  Returns the number of jobs cut.  */
 static unsigned
-agent_drain (struct agent *agent)
+agent_drain (void *ctx)
 {
+  struct agent *agent = ctx;
   gint64 limit = g_get_monotonic_time ()
                  + agent->settings.drain_limit_s * G_USEC_PER_SEC;
 
@@ -138,8 +141,9 @@
 }
 
 static void
-agent_close (struct agent *agent)
+agent_close (void *ctx)
 {
+  struct agent *agent = ctx;
   g_atomic_int_set (&agent->stopping, 1);
   pthread_join (agent->probe, NULL);
   agent_order_stop (agent);
@@ -152,61 +156,25 @@
   g_hash_table_destroy (agent->jobs);
   g_hash_table_destroy (agent->peers);
   run_free (agent->runs);
+  close (agent->lock_fd);
 }
 
+static const struct daemon_program program = {
+  .name = "goldcresthatch-agent",
+  .summary = "Sole access point to the runner of an endpoint VM.",
+  .members = members,
+  .member_count = G_N_ELEMENTS (members),
+  .log_level = offsetof (struct agent_settings, log_level),
+  .keys = offsetof (struct agent_settings, keys),
+  .open = agent_open,
+  .drain = agent_drain,
+  .close = agent_close,
+};
+
 int
 main (int argc, char **argv)
 {
   static struct agent agent;
-  enum log_level level = LOG_LEVEL_INFO;
-  struct net_keys *keys = NULL;
-  struct err err;
-  unsigned cut;
-  int lock_fd;
-  int rc = EXIT_FAILURE;
-
-  switch (daemon_start (&program, argc, argv, &agent.settings))
-    {
-    case DAEMON_RUN:
-      break;
-    case DAEMON_DONE:
-      return EXIT_SUCCESS;
-    case DAEMON_FAILED:
-      return EXIT_FAILURE;
-    case DAEMON_USAGE:
-      return 2;
-    }
-  log_level_parse (agent.settings.log_level, &level);
-  if (log_open (program.name, level) != 0 || sodium_init () < 0
-      || http_init () != 0)
-    return EXIT_FAILURE;
-  if (daemon_read_keys (agent.settings.keys, &keys) != 0)
-    return EXIT_FAILURE;
-  daemon_block_signals ();
-  lock_fd = bind_lock (agent.settings.lock, &err);
-  if (lock_fd < 0)
-    goto fail;
-  if (agent_open (&agent, keys, &err) != 0)
-    goto fail_lock;
-  log_write (LOG_LEVEL_INFO, NULL, "start", agent.settings.listen,
-             "agent %s serves %s", agent.settings.name,
-             agent.settings.service);
-  daemon_wait_signal (-1);
-  cut = agent_drain (&agent);
-  if (cut > 0)
-    {
-      log_write (LOG_LEVEL_ERROR, NULL, "stop", NULL,
-                 "%u calls or orders were cut", cut);
-      _exit (EXIT_FAILURE);
-    }
-  agent_close (&agent);
-  log_write (LOG_LEVEL_INFO, NULL, "stop", NULL, "stopped, nothing was cut");
-  rc = EXIT_SUCCESS;
-fail_lock:
-  close (lock_fd);
-fail:
-  if (rc != EXIT_SUCCESS)
-    log_err (LOG_LEVEL_ERROR, NULL, &err);
-  log_close ();
-  return rc;
+
+  return daemon_run (&program, argc, argv, &agent.settings, &agent);
 }
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -2,12 +2,31 @@
 
 #include <glib.h>
 #include <signal.h>
+#include <sodium.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <time.h>
+#include <unistd.h>
 
-enum daemon_start
-daemon_start (const struct daemon_program *program, int argc, char **argv,
-              void *out)
+#include "goldcresthatch/log.h"
+#include "http.h"
+
+enum start
+{
+  START_RUN,    /* go on with the settings that were read */
+  START_DONE,   /* --check or --version */
+  START_FAILED, /* bad settings */
+  START_USAGE   /* bad command line */
+};
+
+enum
+{
+  EXIT_USAGE = 2
+};
+
+static enum start
+read_command_line (const struct daemon_program *program, int argc, char **argv,
+                   void *out)
 {
   char *file = NULL;
   gboolean check = FALSE;
@@ -24,7 +43,7 @@
   GOptionContext *options = g_option_context_new (NULL);
   GString *errors = g_string_new (NULL);
   GError *error = NULL;
-  enum daemon_start start = DAEMON_USAGE;
+  enum start start = START_USAGE;
 
   g_option_context_set_summary (options, program->summary);
   g_option_context_add_main_entries (options, entries, NULL);
@@ -37,7 +56,7 @@
   if (version)
     {
       printf ("%s %s\n", program->name, GOLDCRESTHATCH_VERSION);
-      start = DAEMON_DONE;
+      start = START_DONE;
       goto out;
     }
   if (file == NULL || argc > 1)
@@ -46,12 +65,12 @@
                program->name);
       goto out;
     }
-  start = check ? DAEMON_DONE : DAEMON_RUN;
+  start = check ? START_DONE : START_RUN;
   if (set_read (file, program->members, program->member_count, out, errors)
       != 0)
     {
       fputs (errors->str, stderr);
-      start = DAEMON_FAILED;
+      start = START_FAILED;
     }
   else if (check)
     printf ("%s: settings are valid\n", file);
@@ -62,8 +81,10 @@
   return start;
 }
 
-int
-daemon_read_keys (const char *file, struct net_keys **keys)
+/* Reads the keys in FILE, unless its name is empty, into *KEYS, which lives as
+   long as the process.  */
+static int
+read_keys (const char *file, struct net_keys **keys)
 {
   GString *errors;
   int rc;
@@ -87,8 +108,9 @@
   sigaddset (set, SIGINT);
 }
 
-void
-daemon_block_signals (void)
+/* Blocks the signals in this thread and those that it starts later.  */
+static void
+block_signals (void)
 {
   sigset_t set;
 
@@ -110,3 +132,57 @@
     return sigwait (&set, &got) == 0;
   return sigtimedwait (&set, NULL, &limit) > 0;
 }
+
+/* Starts what both daemons need before they open.  */
+static int
+prepare (const struct daemon_program *program, const char *settings,
+         struct net_keys **keys)
+{
+  enum log_level level = LOG_LEVEL_INFO;
+
+  log_level_parse (settings + program->log_level, &level);
+  if (log_open (program->name, level) != 0 || sodium_init () < 0
+      || http_init () != 0)
+    return -1;
+  if (read_keys (settings + program->keys, keys) != 0)
+    return -1;
+  block_signals ();
+  return 0;
+}
+
+int
+daemon_run (const struct daemon_program *program, int argc, char **argv,
+            void *settings, void *ctx)
+{
+  static const int statuses[] = { [START_DONE] = EXIT_SUCCESS,
+                                  [START_FAILED] = EXIT_FAILURE,
+                                  [START_USAGE] = EXIT_USAGE };
+  enum start start = read_command_line (program, argc, argv, settings);
+  struct net_keys *keys = NULL;
+  struct err err = { 0 };
+  unsigned cut;
+
+  if (start != START_RUN)
+    return statuses[start];
+  if (prepare (program, settings, &keys) != 0)
+    return EXIT_FAILURE;
+  if (program->open (ctx, keys, &err) != 0)
+    {
+      /* Threads may run already, so nothing is freed.  */
+      log_err (LOG_LEVEL_ERROR, NULL, &err);
+      _exit (EXIT_FAILURE);
+    }
+  daemon_wait_signal (-1);
+  cut = program->drain (ctx);
+  if (cut > 0)
+    {
+      log_write (LOG_LEVEL_ERROR, NULL, "stop", NULL,
+                 "%u calls or orders were cut", cut);
+      _exit (EXIT_FAILURE);
+    }
+  program->close (ctx);
+  log_write (LOG_LEVEL_INFO, NULL, "stop", NULL, "stopped, nothing was cut");
+  log_close ();
+  g_free (keys);
+  return EXIT_SUCCESS;
+}
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -2,8 +2,8 @@
 #define DAEMON_H
 
 /*
- * What both daemons share: the command line, the settings file and the wait
- * for a signal.
+ * What both daemons share: the command line, the settings file, the wait for a
+ * signal and the graceful shutdown.
  */
 
 #include <stddef.h>
@@ -19,27 +19,24 @@
   const char *summary;
   const struct set_member *members;
   size_t member_count;
-};
+  size_t log_level; /* offset of this member in the settings */
+  size_t keys;      /* offset of this member in the settings */
 
-enum daemon_start
-{
-  DAEMON_RUN,    /* go on with the settings that were read */
-  DAEMON_DONE,   /* --check or --version: exit 0 */
-  DAEMON_FAILED, /* bad settings: exit 1 */
-  DAEMON_USAGE   /* bad command line: exit 2 */
-};
+  /* Starts the process; a failure ends it.  KEYS may be null.  */
+  int (*open) (void *ctx, const struct net_keys *keys, struct err *err);
 
-/* Reads the command line and the settings file into OUT.  */
-enum daemon_start daemon_start (const struct daemon_program *program, int argc,
-                                char **argv, void *out);
+  /* Takes no new work and waits for the work in progress, until the limit of
+     the settings or a second signal.  Returns what was cut.  */
+  unsigned (*drain) (void *ctx);
 
-/* Reads the keys in FILE, unless its name is empty, into *KEYS, which lives as
-   long as the process.  Returns 0, or -1 after printing the errors.  */
-int daemon_read_keys (const char *file, struct net_keys **keys);
+  void (*close) (void *ctx);
+};
 
-/* Blocks SIGTERM and SIGINT in the calling thread and those that it starts
-   later, and ignores SIGPIPE.  */
-void daemon_block_signals (void);
+/* Runs PROGRAM until SIGTERM or SIGINT: reads the command line and the file of
+   settings into SETTINGS, opens, drains and closes.  Returns the exit
+   status.  */
+int daemon_run (const struct daemon_program *program, int argc, char **argv,
+                void *settings, void *ctx);
 
 /* Waits for SIGTERM or SIGINT, at most TIMEOUT_MS unless negative.  Returns
    nonzero when a signal came.  */
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -6,7 +6,6 @@
 #include "daemon.h"
 #include "entry.h"
 #include "goldcresthatch/log.h"
-#include "http.h"
 
 enum
 {
@@ -43,13 +42,6 @@
   MEMBER (keys, SET_TEXT),
 };
 
-static const struct daemon_program program = {
-  .name = "goldcresthatch-entry",
-  .summary = "Entry: callers' interface of the serving system.",
-  .members = members,
-  .member_count = G_N_ELEMENTS (members),
-};
-
 static void *
 tick_main (void *arg)
 {
@@ -80,8 +72,9 @@
 }
 
 static int
-entry_open (struct entry *entry, const struct net_keys *keys, struct err *err)
+entry_open (void *ctx, const struct net_keys *keys, struct err *err)
 {
+  struct entry *entry = ctx;
   char identity[SET_TEXT_MAX + 32];
 
   randombytes_buf (&entry->incarnation, sizeof entry->incarnation);
@@ -112,7 +105,11 @@
     return err_set (err, ERR_LIMIT, "thread", NULL, "cannot start a thread");
   if (entry_control_start (entry, err) != 0)
     return -1;
-  return entry_http_open (entry, err);
+  if (entry_http_open (entry, err) != 0)
+    return -1;
+  log_write (LOG_LEVEL_INFO, NULL, "start", entry->settings.listen, "entry %s",
+             entry->settings.name);
+  return 0;
 }
 
 static unsigned
@@ -129,8 +126,9 @@
 /* Takes no new connections and waits for the calls in progress, until the
    limit or a second signal.  Returns the number of calls cut.  */
 static unsigned
-entry_drain (struct entry *entry)
+entry_drain (void *ctx)
 {
+  struct entry *entry = ctx;
   gint64 limit = g_get_monotonic_time ()
                  + entry->settings.drain_limit_s * G_USEC_PER_SEC;
   int fd;
@@ -146,8 +144,9 @@
 }
 
 static void
-entry_close (struct entry *entry)
+entry_close (void *ctx)
 {
+  struct entry *entry = ctx;
   entry_http_close (entry);
   g_atomic_int_set (&entry->stopping, 1);
   pthread_join (entry->ticker, NULL);
@@ -167,50 +166,22 @@
   entry_fleet_close (entry);
 }
 
+static const struct daemon_program program = {
+  .name = "goldcresthatch-entry",
+  .summary = "Entry: callers' interface of the serving system.",
+  .members = members,
+  .member_count = G_N_ELEMENTS (members),
+  .log_level = offsetof (struct entry_settings, log_level),
+  .keys = offsetof (struct entry_settings, keys),
+  .open = entry_open,
+  .drain = entry_drain,
+  .close = entry_close,
+};
+
 int
 main (int argc, char **argv)
 {
   static struct entry entry;
-  enum log_level level = LOG_LEVEL_INFO;
-  struct net_keys *keys = NULL;
-  struct err err;
-  unsigned cut;
 
-  switch (daemon_start (&program, argc, argv, &entry.settings))
-    {
-    case DAEMON_RUN:
-      break;
-    case DAEMON_DONE:
-      return EXIT_SUCCESS;
-    case DAEMON_FAILED:
-      return EXIT_FAILURE;
-    case DAEMON_USAGE:
-      return 2;
-    }
-  log_level_parse (entry.settings.log_level, &level);
-  if (log_open (program.name, level) != 0 || sodium_init () < 0
-      || http_init () != 0)
-    return EXIT_FAILURE;
-  if (daemon_read_keys (entry.settings.keys, &keys) != 0)
-    return EXIT_FAILURE;
-  daemon_block_signals ();
-  if (entry_open (&entry, keys, &err) != 0)
-    {
-      log_err (LOG_LEVEL_ERROR, NULL, &err);
-      _exit (EXIT_FAILURE);
-    }
-  log_write (LOG_LEVEL_INFO, NULL, "start", entry.settings.listen, "entry %s",
-             entry.settings.name);
-  daemon_wait_signal (-1);
-  cut = entry_drain (&entry);
-  if (cut > 0)
-    {
-      log_write (LOG_LEVEL_ERROR, NULL, "stop", NULL, "%u calls were cut",
-                 cut);
-      _exit (EXIT_FAILURE);
-    }
-  entry_close (&entry);
-  log_write (LOG_LEVEL_INFO, NULL, "stop", NULL, "stopped, nothing was cut");
-  log_close ();
-  return EXIT_SUCCESS;
+  return daemon_run (&program, argc, argv, &entry.settings, &entry);
 }
