--- a/src/entry.h
+++ b/src/entry.h
@@ -227,9 +227,12 @@
 void entry_call_head (struct entry_call *call, unsigned status,
                       struct msg_str content_type);
 
-/* The answer is whole; the call's lock is held.  */
+/* The answer of the current attempt is whole; the call's lock is held.  */
 void entry_call_finish (struct entry_call *call);
 
+/* Gives the caller the answer, and ends the call; its lock is held.  */
+void entry_call_answered (struct entry_call *call);
+
 /* The attempt ended without a whole answer; the call's lock is held.  */
 void entry_call_attempt_ended (struct entry_call *call,
                                enum msg_outcome outcome, const char *step,
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -276,27 +276,35 @@
   call->runner_peer = 0;
 }
 
+void
+entry_call_answered (struct entry_call *call)
+{
+  call->head = 1;
+  call->ended = 1;
+  entry_trace_done (call, NULL);
+  entry_warn_answered (call);
+  ctr_add (CTR_ANSWERED, 1);
+  entry_call_wake (call);
+}
+
 void
 entry_call_finish (struct entry_call *call)
 {
+  struct entry *entry = call->entry;
+
   if (call->runner_peer != 0)
-    entry_fleet_release (call->entry, call->runner_peer, call, NULL);
+    entry_fleet_release (entry, call->runner_peer, call, NULL);
   if (call->claim != NULL)
     {
       entry_claim_ended (call, MSG_OUTCOME_DONE);
       return;
     }
   call->runner_peer = 0;
-  pthread_mutex_lock (&call->entry->lock);
-  entry_susp_release (call->entry, call, 1);
-  pthread_mutex_unlock (&call->entry->lock);
-  entry_admit_answered (call->entry, call);
-  call->head = 1;
-  call->ended = 1;
-  entry_trace_done (call, NULL);
-  entry_warn_answered (call);
-  ctr_add (CTR_ANSWERED, 1);
-  entry_call_wake (call);
+  pthread_mutex_lock (&entry->lock);
+  entry_susp_release (entry, call, 1);
+  pthread_mutex_unlock (&entry->lock);
+  entry_admit_answered (entry, call);
+  entry_call_answered (call);
 }
 
 void
--- a/src/entry_claim.c
+++ b/src/entry_claim.c
@@ -385,10 +385,7 @@
               result->size, (unsigned long long)result->digest);
         }
     }
-  call->head = 1;
-  call->ended = 1;
-  ctr_add (CTR_ANSWERED, 1);
-  entry_call_wake (call);
+  entry_call_answered (call);
 }
 
 static void
--- a/src/entry_fleet.c
+++ b/src/entry_fleet.c
@@ -745,10 +745,11 @@
                          : FLEET_VM_LIVE;
     }
   pthread_mutex_lock (&entry->lock);
+  /* An empty list is refused below, yet a site may have no endpoint VM.  */
+  entry->fleet->listed = 1;
   if (fleet_list (entry->fleet->fleet, vms, n, &err) == 0)
     {
       refresh (entry, g_get_monotonic_time ());
-      entry->fleet->listed = 1;
       entry->fleet->list_error[0] = '\0';
     }
   else if (strcmp (entry->fleet->list_error, err.text) != 0)
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -47,8 +47,9 @@
 {
   local name
   for name in "${!PIDS[@]}"; do
-    [ "$name" = load ] || kill -0 "${PIDS[$name]}" 2> /dev/null \
-      || die "$name has ended"
+    [ "$name" = load ] || kill -0 "${PIDS[$name]}" 2> /dev/null && continue
+    wait "${PIDS[$name]}"
+    die "$name has ended with status $?"
   done
 }
 
