Generate key files of agents and entries with goldcresthatchctl

Operators had no means of making the key files that the setting "keys" names. `goldcresthatchctl keys DIRECTORY ENTRY...` makes a whole set at once, because the agents' file lists the entries' public keys and each entry's file holds the agents'.

The table of commands now names its members, as a command with a varying number of arguments adds one.

--- a/src/ctl.h
+++ b/src/ctl.h
@@ -37,6 +37,7 @@
   char *operator_name;
   char *credential_file;
   char *new_credential_file;
+  char *agent_file; /* existing keys of the agents; null to generate them */
 };
 
 /* Prints "goldcresthatchctl: ERR" and returns CTL_FAILED.  */
@@ -73,6 +74,9 @@
 int ctl_drain (struct ctl *ctl);
 int ctl_undrain (struct ctl *ctl);
 
+/* ctl_keys.c */
+int ctl_keys (struct ctl *ctl);
+
 /* ctl_pages.c */
 int ctl_warnings (struct ctl *ctl);
 int ctl_trace (struct ctl *ctl);
--- a/src/ctl_main.c
+++ b/src/ctl_main.c
@@ -29,27 +29,68 @@
 {
   const char *word;
   const char *second; /* null for a command of one word */
-  int args;
-  int needs_kv;
-  int needs_peers;
+  int args;           /* least number when MORE_ARGS is set */
+  bool more_args;
+  bool needs_kv;
+  bool needs_peers;
   int (*run) (struct ctl *ctl);
   const char *usage;
 } commands[] = {
-  { "config", "check", 2, 0, 0, ctl_config_check,
-    "config check FILE SECTION" },
-  { "config", "get", 1, 1, 0, ctl_config_get, "config get SECTION" },
-  { "config", "set", 2, 1, 1, ctl_config_set,
-    "config set SECTION FILE --base REVISION --operator NAME "
-    "--credential-file FILE [--new-credential-file FILE]" },
-  { "config", "history", 1, 1, 0, ctl_config_history,
-    "config history SECTION" },
-  { "status", NULL, 0, 0, 1, ctl_status, "status" },
-  { "drain", NULL, 1, 1, 1, ctl_drain,
-    "drain RUNNER --operator NAME --credential-file FILE" },
-  { "undrain", NULL, 1, 1, 1, ctl_undrain,
-    "undrain RUNNER --operator NAME --credential-file FILE" },
-  { "warnings", NULL, 0, 0, 1, ctl_warnings, "warnings" },
-  { "trace", NULL, 1, 0, 1, ctl_trace, "trace ID" },
+  { .word = "config",
+    .second = "check",
+    .args = 2,
+    .run = ctl_config_check,
+    .usage = "config check FILE SECTION" },
+  { .word = "config",
+    .second = "get",
+    .args = 1,
+    .needs_kv = true,
+    .run = ctl_config_get,
+    .usage = "config get SECTION" },
+  { .word = "config",
+    .second = "set",
+    .args = 2,
+    .needs_kv = true,
+    .needs_peers = true,
+    .run = ctl_config_set,
+    .usage = "config set SECTION FILE --base REVISION --operator NAME "
+             "--credential-file FILE [--new-credential-file FILE]" },
+  { .word = "config",
+    .second = "history",
+    .args = 1,
+    .needs_kv = true,
+    .run = ctl_config_history,
+    .usage = "config history SECTION" },
+  { .word = "status",
+    .needs_peers = true,
+    .run = ctl_status,
+    .usage = "status" },
+  { .word = "drain",
+    .args = 1,
+    .needs_kv = true,
+    .needs_peers = true,
+    .run = ctl_drain,
+    .usage = "drain RUNNER --operator NAME --credential-file FILE" },
+  { .word = "undrain",
+    .args = 1,
+    .needs_kv = true,
+    .needs_peers = true,
+    .run = ctl_undrain,
+    .usage = "undrain RUNNER --operator NAME --credential-file FILE" },
+  { .word = "warnings",
+    .needs_peers = true,
+    .run = ctl_warnings,
+    .usage = "warnings" },
+  { .word = "trace",
+    .args = 1,
+    .needs_peers = true,
+    .run = ctl_trace,
+    .usage = "trace ID" },
+  { .word = "keys",
+    .args = 2,
+    .more_args = true,
+    .run = ctl_keys,
+    .usage = "keys DIRECTORY ENTRY... [--agent-file FILE]" },
 };
 
 static const struct command *
@@ -138,7 +179,8 @@
   words = command->second != NULL ? 3 : 2;
   ctl->args = argv + words;
   ctl->arg_count = argc - words;
-  if (ctl->arg_count != command->args)
+  if (ctl->arg_count < command->args
+      || (ctl->arg_count > command->args && !command->more_args))
     return ctl_usage ("usage: goldcresthatchctl %s", command->usage);
   if (command->needs_kv && ctl->settings.kv[0] == '\0')
     return ctl_usage ("%s needs --settings or --kv", command->word);
@@ -168,9 +210,20 @@
 }
 
 static void
-add_edit_group (GOptionContext *context, struct ctl *ctl)
+add_group (GOptionContext *context, const char *name, const char *title,
+           const char *help, const GOptionEntry *entries)
 {
-  const GOptionEntry entries[] = {
+  GOptionGroup *group = g_option_group_new (name, title, help, NULL, NULL);
+
+  g_option_group_add_entries (group, entries);
+  g_option_context_add_group (context, group);
+}
+
+/* Adds the options that only some commands take.  */
+static void
+add_command_groups (GOptionContext *context, struct ctl *ctl)
+{
+  const GOptionEntry edit[] = {
     { "base", 0, 0, G_OPTION_ARG_INT64, &ctl->base,
       "Section revision that the edit is based on", "REVISION" },
     { "operator", 0, 0, G_OPTION_ARG_STRING, &ctl->operator_name,
@@ -181,11 +234,16 @@
       &ctl->new_credential_file, "Credential that replaces it", "FILE" },
     { NULL, 0, 0, 0, NULL, NULL, NULL },
   };
-  GOptionGroup *group = g_option_group_new (
-      "edit", "Options of edits:", "Show the options of edits", NULL, NULL);
+  const GOptionEntry keys[] = {
+    { "agent-file", 0, 0, G_OPTION_ARG_FILENAME, &ctl->agent_file,
+      "Keep the agents' key pair and the entries admitted by it", "FILE" },
+    { NULL, 0, 0, 0, NULL, NULL, NULL },
+  };
 
-  g_option_group_add_entries (group, entries);
-  g_option_context_add_group (context, group);
+  add_group (context, "edit", "Options of edits:", "Show the options of edits",
+             edit);
+  add_group (context, "keys", "Options of keys:", "Show the options of keys",
+             keys);
 }
 
 int
@@ -214,7 +272,7 @@
 
   signal (SIGPIPE, SIG_IGN);
   g_option_context_add_main_entries (context, entries, NULL);
-  add_edit_group (context, &ctl);
+  add_command_groups (context, &ctl);
   g_option_context_set_description (context, description);
   if (!g_option_context_parse (context, &argc, &argv, &error))
     {
@@ -238,6 +296,7 @@
   g_free (ctl.operator_name);
   g_free (ctl.credential_file);
   g_free (ctl.new_credential_file);
+  g_free (ctl.agent_file);
   g_free (description);
   g_option_context_free (context);
   return rc;
