Share the readers of JSON members in the operators' command

`config history` names an unknown operator instead of printing "(null)", and `undrain` of a runner in use says "is not drained".

--- a/src/ctl.h
+++ b/src/ctl.h
@@ -44,6 +44,10 @@
 int ctl_fail (const struct err *err);
 int ctl_usage (const char *fmt, ...) __attribute__ ((format (printf, 1, 2)));
 
+/* ctl_json.c */
+/* Return the member NAME of OBJECT, "" or 0 when it is absent.  */
+const char *ctl_text (struct json_object *object, const char *name);
+long long ctl_number (struct json_object *object, const char *name);
 /* Prints ROOT on one line and releases it.  */
 void ctl_print_json (struct json_object *root);
 
--- a/src/ctl_config.c
+++ b/src/ctl_config.c
@@ -106,12 +106,27 @@
   return rc == 0 ? CTL_OK : ctl_fail (&err);
 }
 
+static void
+print_section_json (const struct cfg_doc *doc, enum cfg_section id,
+                    struct json_object *body)
+{
+  struct json_object *root = json_object_new_object ();
+
+  json_object_object_add (root, "section",
+                          json_object_new_string (cfg_section_name (id)));
+  json_object_object_add (root, "revision",
+                          json_object_new_uint64 (cfg_revision (doc, id)));
+  json_object_object_add (root, "generation",
+                          json_object_new_uint64 (cfg_generation (doc)));
+  json_object_object_add (root, "body", json_object_get (body));
+  ctl_print_json (root);
+}
+
 /* The text form is a body with a comment, which `config set` accepts.  */
 int
 ctl_config_get (struct ctl *ctl)
 {
   int id = section_argument (ctl->args[0]);
-  struct json_object *root;
   struct json_object *body;
   struct cfg_doc *doc;
   struct err err;
@@ -125,17 +140,7 @@
   text = cfg_body (doc, id);
   body = json_tokener_parse (text);
   if (ctl->json)
-    {
-      root = json_object_new_object ();
-      json_object_object_add (root, "section",
-                              json_object_new_string (ctl->args[0]));
-      json_object_object_add (root, "revision",
-                              json_object_new_uint64 (cfg_revision (doc, id)));
-      json_object_object_add (root, "generation",
-                              json_object_new_uint64 (cfg_generation (doc)));
-      json_object_object_add (root, "body", json_object_get (body));
-      ctl_print_json (root);
-    }
+    print_section_json (doc, id, body);
   else
     printf ("// section %s, revision %llu, of generation %llu\n%s\n",
             ctl->args[0], (unsigned long long)cfg_revision (doc, id),
@@ -147,6 +152,26 @@
   return CTL_OK;
 }
 
+/* Prints one past body; that before the first edit has no time and no
+   operator.  */
+static void
+print_past_body (struct json_object *item)
+{
+  gint64 time_us = ctl_number (item, "time_us");
+  GDateTime *time = g_date_time_new_from_unix_utc (time_us / G_USEC_PER_SEC);
+  char *when = g_date_time_format (time, "%FT%TZ");
+  const char *operator_name = ctl_text (item, "operator");
+
+  printf ("revision %lld, generation %lld, %s, %s: %s\n",
+          ctl_number (item, "revision"), ctl_number (item, "generation"),
+          time_us > 0 ? when : "unknown time",
+          operator_name[0] != '\0' ? operator_name : "unknown operator",
+          json_object_to_json_string_ext (
+              json_object_object_get (item, "body"), JSON_C_TO_STRING_PLAIN));
+  g_free (when);
+  g_date_time_unref (time);
+}
+
 int
 ctl_config_history (struct ctl *ctl)
 {
@@ -163,30 +188,11 @@
     return ctl_fail (&err);
   text = cfg_history (doc, id);
   list = json_tokener_parse (text);
-  for (size_t i = 0; !ctl->json && i < json_object_array_length (list); i++)
-    {
-      struct json_object *item = json_object_array_get_idx (list, i);
-      gint64 time_us
-          = json_object_get_int64 (json_object_object_get (item, "time_us"));
-      GDateTime *time
-          = g_date_time_new_from_unix_utc (time_us / G_USEC_PER_SEC);
-      char *when = g_date_time_format (time, "%FT%TZ");
-
-      printf (
-          "revision %lld, generation %lld, %s, %s: %s\n",
-          (long long)json_object_get_int64 (
-              json_object_object_get (item, "revision")),
-          (long long)json_object_get_int64 (
-              json_object_object_get (item, "generation")),
-          time_us > 0 ? when : "unknown time",
-          json_object_get_string (json_object_object_get (item, "operator")),
-          json_object_to_json_string_ext (
-              json_object_object_get (item, "body"), JSON_C_TO_STRING_PLAIN));
-      g_free (when);
-      g_date_time_unref (time);
-    }
   if (ctl->json)
     puts (text);
+  else
+    for (size_t i = 0; i < json_object_array_length (list); i++)
+      print_past_body (json_object_array_get_idx (list, i));
   json_object_put (list);
   g_free (text);
   cfg_free (doc);
--- a/src/ctl_fleet.c
+++ b/src/ctl_fleet.c
@@ -8,32 +8,17 @@
   EDIT_TRIES = 16 /* edits of the fleet section that may win meanwhile */
 };
 
-static const char *
-text_of (struct json_object *object, const char *name)
-{
-  const char *text
-      = json_object_get_string (json_object_object_get (object, name));
-
-  return text != NULL ? text : "";
-}
-
-static long long
-number_of (struct json_object *object, const char *name)
-{
-  return json_object_get_int64 (json_object_object_get (object, name));
-}
-
 static void
 print_status (const char *peer, struct json_object *answer)
 {
   struct json_object *runners = json_object_object_get (answer, "runners");
 
   printf ("%s %s: generation %lld, %s, %lld calls in progress\n", peer,
-          text_of (answer, "entry"), number_of (answer, "generation"),
+          ctl_text (answer, "entry"), ctl_number (answer, "generation"),
           json_object_get_boolean (json_object_object_get (answer, "ready"))
               ? "ready"
               : "not ready",
-          number_of (answer, "calls"));
+          ctl_number (answer, "calls"));
   if (!json_object_is_type (runners, json_type_array))
     return;
   for (size_t i = 0; i < json_object_array_length (runners); i++)
@@ -42,10 +27,10 @@
 
       printf ("  %-16s %-16s %-9s %lld running, %lld queued of %lld, "
               "generation %lld\n",
-              text_of (runner, "name"), text_of (runner, "service"),
-              text_of (runner, "state"), number_of (runner, "running"),
-              number_of (runner, "queued"), number_of (runner, "capacity"),
-              number_of (runner, "generation"));
+              ctl_text (runner, "name"), ctl_text (runner, "service"),
+              ctl_text (runner, "state"), ctl_number (runner, "running"),
+              ctl_number (runner, "queued"), ctl_number (runner, "capacity"),
+              ctl_number (runner, "generation"));
     }
 }
 
@@ -90,7 +75,7 @@
   if (!json_object_is_type (runners, json_type_array))
     return;
   for (size_t i = 0; i < json_object_array_length (runners); i++)
-    if (strcmp (text_of (json_object_array_get_idx (runners, i), "name"),
+    if (strcmp (ctl_text (json_object_array_get_idx (runners, i), "name"),
                 search->name)
         == 0)
       search->found = true;
@@ -142,7 +127,7 @@
       if (ctl->json)
         puts ("{\"changed\":false}");
       else
-        printf ("%s is %s already\n", name, drain ? "drained" : "not drained");
+        printf ("%s is %s\n", name, drain ? "drained already" : "not drained");
       *status = CTL_OK;
       return false;
     }
--- a/src/ctl_main.c
+++ b/src/ctl_main.c
@@ -125,13 +125,6 @@
   return CTL_FAILED;
 }
 
-void
-ctl_print_json (struct json_object *root)
-{
-  puts (json_object_to_json_string_ext (root, JSON_C_TO_STRING_PLAIN));
-  json_object_put (root);
-}
-
 /* Takes the addresses from the settings file and the command line.  Returns 0,
    or the exit status.  */
 static int
--- a/src/ctl_pages.c
+++ b/src/ctl_pages.c
@@ -111,15 +111,6 @@
   json_object_put (object);
 }
 
-static const char *
-span_text (struct json_object *span, const char *name)
-{
-  const char *text
-      = json_object_get_string (json_object_object_get (span, name));
-
-  return text != NULL ? text : "";
-}
-
 /* Appends the spans of VALUE, at any depth of OTLP's lists, to OUT.  */
 static void
 find_spans (struct json_object *value, GPtrArray *out, int depth)
@@ -134,8 +125,8 @@
   if (json_object_object_get (value, "spanId") != NULL)
     {
       for (guint i = 0; i < out->len; i++)
-        if (strcmp (span_text (g_ptr_array_index (out, i), "spanId"),
-                    span_text (value, "spanId"))
+        if (strcmp (ctl_text (g_ptr_array_index (out, i), "spanId"),
+                    ctl_text (value, "spanId"))
             == 0)
           return;
       g_ptr_array_add (out, json_object_get (value));
@@ -158,10 +149,10 @@
 static bool
 has_parent (const GPtrArray *spans, struct json_object *span)
 {
-  const char *parent = span_text (span, "parentSpanId");
+  const char *parent = ctl_text (span, "parentSpanId");
 
   for (guint i = 0; i < spans->len; i++)
-    if (strcmp (span_text (g_ptr_array_index (spans, i), "spanId"), parent)
+    if (strcmp (ctl_text (g_ptr_array_index (spans, i), "spanId"), parent)
         == 0)
       return true;
   return false;
@@ -171,15 +162,15 @@
 print_span (const GPtrArray *spans, struct json_object *span, int depth)
 {
   long long start_ns
-      = g_ascii_strtoll (span_text (span, "startTimeUnixNano"), NULL, 10);
+      = g_ascii_strtoll (ctl_text (span, "startTimeUnixNano"), NULL, 10);
   long long end_ns
-      = g_ascii_strtoll (span_text (span, "endTimeUnixNano"), NULL, 10);
+      = g_ascii_strtoll (ctl_text (span, "endTimeUnixNano"), NULL, 10);
 
-  printf ("%*s%s %.3f ms\n", depth * INDENT, "", span_text (span, "name"),
+  printf ("%*s%s %.3f ms\n", depth * INDENT, "", ctl_text (span, "name"),
           (double)(end_ns - start_ns) / 1e6);
   for (guint i = 0; i < spans->len && depth < DEPTH_MAX; i++)
-    if (strcmp (span_text (g_ptr_array_index (spans, i), "parentSpanId"),
-                span_text (span, "spanId"))
+    if (strcmp (ctl_text (g_ptr_array_index (spans, i), "parentSpanId"),
+                ctl_text (span, "spanId"))
         == 0)
       print_span (spans, g_ptr_array_index (spans, i), depth + 1);
 }
