Log the end of a warning without its old evidence

The evidence is that of the last report that the condition held, so a cleared warning was logged as "no-runner cleared: 0 of 1 known runners take work".

--- a/src/entry_warn.c
+++ b/src/entry_warn.c
@@ -267,10 +267,16 @@
 static void
 log_change (void *ctx, const struct warn_entry *change)
 {
+  const char *kind = warn_info (change->kind)->name;
+
   (void)ctx;
-  log_write (LOG_LEVEL_WARN, NULL, "warning", change->subject, "%s %s: %s",
-             warn_info (change->kind)->name,
-             change->raised ? "raised" : "cleared", change->evidence);
+  /* The evidence is that of the last report that the condition held.  */
+  if (change->raised)
+    log_write (LOG_LEVEL_WARN, NULL, "warning", change->subject,
+               "%s raised: %s", kind, change->evidence);
+  else
+    log_write (LOG_LEVEL_WARN, NULL, "warning", change->subject, "%s cleared",
+               kind);
 }
 
 void
