Name the resources of a trace and look up admin pages in one place

In entry_trace.c a JSON object was called "entry" beside struct entry, and in entry_admin.c the search for a page stood twice. The unit tests and the scripted run trace pass.

--- a/src/entry_admin.c
+++ b/src/entry_admin.c
@@ -169,7 +169,7 @@
   return rc;
 }
 
-static const struct
+static const struct page
 {
   const char *url;
   enum MHD_Result (*answer) (struct entry *, struct MHD_Connection *);
@@ -179,21 +179,26 @@
   { "/admin/trace", trace_page },   { "/admin/warnings", warnings_page },
 };
 
-bool
-entry_admin_serves (const char *url)
+static const struct page *
+find_page (const char *url)
 {
   for (size_t i = 0; i < G_N_ELEMENTS (pages); i++)
     if (strcmp (pages[i].url, url) == 0)
-      return true;
-  return false;
+      return &pages[i];
+  return NULL;
+}
+
+bool
+entry_admin_serves (const char *url)
+{
+  return find_page (url) != NULL;
 }
 
 enum MHD_Result
 entry_admin_page (struct entry *entry, struct MHD_Connection *connection,
                   const char *url)
 {
-  for (size_t i = 0; i < G_N_ELEMENTS (pages); i++)
-    if (strcmp (pages[i].url, url) == 0)
-      return pages[i].answer (entry, connection);
-  return MHD_NO;
+  const struct page *page = find_page (url);
+
+  return page != NULL ? page->answer (entry, connection) : MHD_NO;
 }
--- a/src/entry_trace.c
+++ b/src/entry_trace.c
@@ -156,25 +156,26 @@
   span_finish (call->entry->rings->own, &trace->request, now, err);
 }
 
-/* Returns the array of spans in the resource ENTRY of an OTLP document.  */
+/* Returns the spans of RESOURCE, an element of OTLP's resourceSpans.  */
 static struct json_object *
-spans_of (struct json_object *entry)
+spans_of (struct json_object *resource)
 {
-  struct json_object *scopes = json_object_object_get (entry, "scopeSpans");
+  struct json_object *scopes = json_object_object_get (resource, "scopeSpans");
 
   return json_object_object_get (json_object_array_get_idx (scopes, 0),
                                  "spans");
 }
 
-/* Names the agent of SPAN as the instance of the resource ENTRY.  */
+/* Names the agent of SPAN as the instance of RESOURCE.  */
 static void
-name_instance (struct json_object *entry, struct json_object *span)
+name_instance (struct json_object *resource, struct json_object *span)
 {
   struct json_object *attrs = json_object_object_get (span, "attributes");
   struct json_object *agent = json_object_array_get_idx (attrs, 0);
-  struct json_object *resource = json_object_object_get (entry, "resource");
+  struct json_object *described
+      = json_object_object_get (resource, "resource");
   struct json_object *instance = json_object_array_get_idx (
-      json_object_object_get (resource, "attributes"), 1);
+      json_object_object_get (described, "attributes"), 1);
 
   json_object_object_add (
       instance, "value",
@@ -186,9 +187,9 @@
 static void
 append_agents (struct json_object *out, struct json_object *agents)
 {
-  struct json_object *entry = json_object_array_get_idx (
+  struct json_object *resource = json_object_array_get_idx (
       json_object_object_get (agents, "resourceSpans"), 0);
-  struct json_object *spans = spans_of (entry);
+  struct json_object *spans = spans_of (resource);
   size_t i;
 
   for (i = 0; i < json_object_array_length (spans); i++)
@@ -197,7 +198,7 @@
       struct json_object *copy = NULL;
       size_t n;
 
-      json_object_deep_copy (entry, &copy, NULL);
+      json_object_deep_copy (resource, &copy, NULL);
       n = json_object_array_length (spans_of (copy));
       json_object_array_del_idx (spans_of (copy), 0, n);
       json_object_array_add (spans_of (copy), json_object_get (span));
