--- a/src/ctl.h
+++ b/src/ctl.h
@@ -37,12 +37,17 @@
   char *operator_name;
   char *credential_file;
   char *new_credential_file;
+  char *agent_file; /* existing keys of the agents; null to generate them */
 };
 
 /* Prints "goldcresthatchctl: ERR" and returns CTL_FAILED.  */
 int ctl_fail (const struct err *err);
 int ctl_usage (const char *fmt, ...) __attribute__ ((format (printf, 1, 2)));
 
+/* ctl_json.c */
+/* Return the member NAME of OBJECT, "" or 0 when it is absent.  */
+const char *ctl_text (struct json_object *object, const char *name);
+long long ctl_number (struct json_object *object, const char *name);
 /* Prints ROOT on one line and releases it.  */
 void ctl_print_json (struct json_object *root);
 
@@ -73,6 +78,9 @@
 int ctl_drain (struct ctl *ctl);
 int ctl_undrain (struct ctl *ctl);
 
+/* ctl_keys.c */
+int ctl_keys (struct ctl *ctl);
+
 /* ctl_pages.c */
 int ctl_warnings (struct ctl *ctl);
 int ctl_trace (struct ctl *ctl);
