Limit the entries that poll a shard's authority

Every entry polled the key of every shard each 3 to 4 s, whatever its zone. 380 entries and 13 zones make about 1,400 reads/s of the service's 2,000.

Entries of the shard's zone keep the short poll, which slows with the length of config_peers (3 s up to 20 peers, 9.6 s at 64). Other entries poll at twice that and 1 s more for each place in a rendezvous order of config_peers; an entry that isn't listed polls every 120 s. An entry of another zone acquires the key only after it was absent longer than any poll in the zone, so the zone's entries come first and a zone without entries still gets a holder.

--- a/include/goldcresthatch/auth.h
+++ b/include/goldcresthatch/auth.h
@@ -15,6 +15,12 @@
  *   A lease is certain for AUTH_LEASE_US from the moment before its grant or
  *   renewal was sent, by the clock of the holder.
  *
+ *   Candidates need not know each other.  auth_stand_set() gives the entries
+ * of the shard's own zone the shortest poll; every other entry polls more
+ *   slowly, by its place in an order that all processes compute alike from
+ *   config_peers, and acquires the key only after it was absent long enough
+ *   for an entry of the zone to acquire it first.
+ *
  * UNITS
  *   Times are microseconds of a monotonic clock.
  */
@@ -30,7 +36,14 @@
   AUTH_LEASE_US = 10 * 1000 * 1000,
   AUTH_RENEW_US = 3 * 1000 * 1000,
   AUTH_RETRY_US = 1000 * 1000,    /* after a failed call of the service */
-  AUTH_POLL_US = 3 * 1000 * 1000, /* between the reads of a follower */
+  AUTH_POLL_US = 3 * 1000 * 1000, /* least time between a follower's reads */
+  /* Polls in the own zone slow down beyond 20 peers, so that the reads of a
+     large fleet stay far below the rate of the service.  */
+  AUTH_POLL_PEER_US = 150 * 1000,   /* by peer listed */
+  AUTH_POLL_PLACE_US = 1000 * 1000, /* by place, in another zone */
+  /* Bounds the time without a holder when only an unlisted entry of another
+     zone is left.  */
+  AUTH_POLL_LAST_US = 120 * 1000 * 1000,
   /* An order that leaves the holder is read back against the key by the agent
      within 1 s; the rest covers delivery and clock drift.  */
   AUTH_MARGIN_US = 4 * 1000 * 1000,
@@ -113,11 +126,25 @@
   uint64_t lease;
   uint64_t token; /* fencing token, 0 unless waiting or holder */
   struct msg_id write_id;
+  int64_t poll_us; /* between the reads of a follower */
+  int64_t wait_us; /* time for which the key must be absent */
+  int vacant;      /* the last read found the key absent */
+  int64_t vacant_us;
 };
 
-/* Makes AUTH a follower for the entry HOLDER.  */
+/* Makes AUTH a follower for the entry HOLDER, which stands like an entry of
+   the shard's zone.  */
 void auth_init (struct auth *auth, const char *holder, uint64_t incarnation);
 
+/* Returns the place of the entry SELF among the COUNT addresses PEERS in the
+   order for the shard ZONE, or COUNT when it isn't listed.  */
+size_t auth_place (const char *zone, const char *self,
+                   const char *const *peers, size_t count);
+
+/* Sets how AUTH stands for its shard: HOME is nonzero in the shard's zone,
+   PLACE is by auth_place() among COUNT peers.  */
+void auth_stand_set (struct auth *auth, int home, size_t place, size_t count);
+
 /* Applies EVENT and fills in the action to carry out.  */
 void auth_handle (struct auth *auth, const struct auth_event *event,
                   struct auth_action *action);
--- a/src/auth.c
+++ b/src/auth.c
@@ -11,6 +11,7 @@
   memset (auth, 0, sizeof *auth);
   snprintf (auth->holder, sizeof auth->holder, "%s", holder);
   auth->incarnation = incarnation;
+  auth->poll_us = AUTH_POLL_US;
 }
 
 uint64_t
@@ -74,15 +75,23 @@
     }
   if (ev->kind != AUTH_EV_READ)
     return;
-  if (ev->rc == 0)
+  if (ev->rc != 0)
     {
-      auth->state = AUTH_ACQUIRING;
-      begin (auth, AUTH_DO_GRANT, ev->now_us, act);
+      /* The spread keeps the followers of a shard from reading in step.  */
+      auth->vacant = 0;
+      auth->next_us = ev->now_us + auth->poll_us
+                      + (int64_t)(ev->draw.lo % (uint64_t)(auth->poll_us / 3));
       return;
     }
-  /* The spread keeps the followers of a shard from reading in step.  */
-  auth->next_us
-      = ev->now_us + AUTH_POLL_US + (int64_t)(ev->draw.lo % AUTH_RETRY_US);
+  if (!auth->vacant)
+    auth->vacant_us = ev->now_us;
+  auth->vacant = 1;
+  auth->next_us = auth->vacant_us + auth->wait_us;
+  if (ev->now_us < auth->next_us)
+    return;
+  auth->vacant = 0;
+  auth->state = AUTH_ACQUIRING;
+  begin (auth, AUTH_DO_GRANT, ev->now_us, act);
 }
 
 static void
--- /dev/null
+++ b/src/auth_stand.c
@@ -0,0 +1,52 @@
+#include <string.h>
+#include <xxhash.h>
+
+#include "goldcresthatch/auth.h"
+
+/* Rendezvous hashing gives each shard an order of its own, so that the loss of
+   one zone doesn't move all its work to one entry.  */
+static uint64_t
+weight (const char *zone, const char *peer)
+{
+  return XXH3_64bits_withSeed (peer, strlen (peer),
+                               XXH3_64bits (zone, strlen (zone)));
+}
+
+size_t
+auth_place (const char *zone, const char *self, const char *const *peers,
+            size_t count)
+{
+  uint64_t own = weight (zone, self);
+  size_t place = 0;
+  int listed = 0;
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    {
+      if (strcmp (peers[i], self) == 0)
+        listed = 1;
+      else if (weight (zone, peers[i]) > own)
+        place++;
+    }
+  return listed ? place : count;
+}
+
+void
+auth_stand_set (struct auth *auth, int home, size_t place, size_t count)
+{
+  int64_t home_us = (int64_t)count * AUTH_POLL_PEER_US;
+
+  if (home_us < AUTH_POLL_US)
+    home_us = AUTH_POLL_US;
+  if (home)
+    {
+      auth->poll_us = home_us;
+      auth->wait_us = 0;
+      return;
+    }
+  auth->poll_us = 2 * home_us + (int64_t)place * AUTH_POLL_PLACE_US;
+  if (count > 0 && place >= count)
+    auth->poll_us = AUTH_POLL_LAST_US;
+  /* Longer than any poll in the zone with its spread of a third.  */
+  auth->wait_us = home_us + home_us / 3 + AUTH_RETRY_US;
+}
--- a/src/entry_control.c
+++ b/src/entry_control.c
@@ -18,6 +18,22 @@
   snprintf (key, size, "authority/%s", shard->zone);
 }
 
+/* Sets how this entry stands for SHARD, by its settings alone.  */
+static void
+stand (struct entry_control *control, struct control_shard *shard)
+{
+  const struct entry_settings *settings = &control->entry->settings;
+  const char *peers[SET_LIST_MAX];
+  size_t count = settings->config_peers.count;
+  size_t i;
+
+  for (i = 0; i < count; i++)
+    peers[i] = settings->config_peers.items[i];
+  auth_stand_set (&shard->auth, strcmp (settings->zone, shard->zone) == 0,
+                  auth_place (shard->zone, settings->admin, peers, count),
+                  count);
+}
+
 /* Adds the shard ZONE unless it is known; the lock is held.  */
 static void
 know_shard (struct entry_control *control, const char *zone)
@@ -37,6 +53,7 @@
                                         control_plan_free);
   auth_init (&shard->auth, control->entry->settings.name,
              control->entry->incarnation);
+  stand (control, shard);
   g_ptr_array_add (control->shards, shard);
 }
 
--- a/tests/unit_auth.cc
+++ b/tests/unit_auth.cc
@@ -128,3 +128,63 @@
     EXPECT_EQ (auth_record_decode (bad, strlen (bad), &got, &err), -1) << bad;
 }
 }
+
+// Guards against a fleet whose entries all poll every shard, and against a
+// rule by which two processes see different orders.
+TEST (AuthStand, PollsLessOftenAwayFromTheZone)
+{
+  const char *peers[]
+      = { "127.0.2.1:8001", "127.0.2.2:8001", "127.0.2.3:8001" };
+  const char *turned[] = { peers[2], peers[0], peers[1] };
+  unsigned places = 0;
+  struct auth home = {}, first = {}, last = {}, unlisted = {};
+
+  for (auto peer : peers)
+    {
+      size_t place = auth_place ("zone-1", peer, peers, 3);
+      EXPECT_EQ (place, auth_place ("zone-1", peer, turned, 3));
+      places |= 1u << place;
+    }
+  EXPECT_EQ (places, 7u);
+  EXPECT_EQ (auth_place ("zone-1", "127.0.2.9:8001", peers, 3), 3u);
+  auth_stand_set (&home, 1, 2, 64);
+  auth_stand_set (&first, 0, 0, 64);
+  auth_stand_set (&last, 0, 63, 64);
+  auth_stand_set (&unlisted, 0, 64, 64);
+  EXPECT_LT (home.poll_us, first.poll_us);
+  EXPECT_LT (first.poll_us, last.poll_us);
+  EXPECT_LT (last.poll_us, unlisted.poll_us);
+  EXPECT_EQ (home.wait_us, 0);
+  EXPECT_GT (first.wait_us, home.poll_us);
+  auth_stand_set (&first, 0, 0, 0);
+  EXPECT_LT (first.poll_us, AUTH_POLL_LAST_US);
+}
+
+// Guards against an entry of another zone that takes a shard while entries of
+// the zone are there, and against a shard that gets no holder when none is.
+TEST (AuthStand, StandsAwayOnlyAfterALongVacancy)
+{
+  struct auth a;
+  struct auth_action act;
+  int64_t now = 0;
+  auto read = [&] (int rc) {
+    struct auth_event ev = {};
+    ev.now_us = now;
+    auth_handle (&a, &ev, &act);
+    EXPECT_EQ (act.kind, AUTH_DO_READ);
+    ev.kind = AUTH_EV_READ;
+    ev.op = act.op;
+    ev.rc = rc;
+    auth_handle (&a, &ev, &act);
+    now = a.next_us;
+    return act.kind;
+  };
+
+  auth_init (&a, "entry-1", 7);
+  auth_stand_set (&a, 0, 0, 3);
+  EXPECT_EQ (read (0), AUTH_DO_NOTHING);
+  EXPECT_EQ (now, a.wait_us);
+  EXPECT_EQ (read (1), AUTH_DO_NOTHING);
+  EXPECT_EQ (read (0), AUTH_DO_NOTHING);
+  EXPECT_EQ (read (0), AUTH_DO_GRANT);
+}
