Poll the configuration without its value when it is unchanged

Each poll read the whole document and dropped it when its revision was known. A watch that does not wait answers "not modified" instead, so an unchanged document is no longer transferred. The number of reads stays the same.

--- a/src/cfg_sync.c
+++ b/src/cfg_sync.c
@@ -174,6 +174,17 @@
   return doc != NULL ? 0 : -1;
 }
 
+/* Reads the value unless it is still the one last parsed.  The document of a
+   large site has hundreds of kilobytes, and a watch that does not wait answers
+   without the value.  */
+static int
+read_service (struct cfg_sync *sync, struct kv_value *value, struct err *err)
+{
+  if (sync->polled_revision == 0)
+    return kv_get (sync->kv, CFG_KEY, value, err);
+  return kv_watch (sync->kv, CFG_KEY, sync->polled_revision, 0, value, err);
+}
+
 /* Reads the service.  Returns 0 when its document, or the absence of one, is
    known; -1 when the service did not answer or holds an invalid document.  */
 static int
@@ -182,15 +193,10 @@
   struct kv_value value = { NULL, 0, 0 };
   struct cfg_doc *doc;
   struct err err;
-  int rc = kv_get (sync->kv, CFG_KEY, &value, &err);
+  int rc = read_service (sync, &value, &err);
 
   if (rc <= 0)
     return rc;
-  if (value.revision == sync->polled_revision)
-    {
-      kv_value_free (&value);
-      return 0;
-    }
   doc = cfg_parse (value.data, value.size, CFG_KEY, NULL, &err);
   if (doc == NULL)
     {
--- a/tests/unit_cfg_sync.cc
+++ b/tests/unit_cfg_sync.cc
@@ -34,10 +34,15 @@
   std::string text; // empty while the service is down
   uint64_t revision = 0;
   unsigned reads = 0;
+  unsigned values = 0; // answers with the value
   struct kv_ops ops = {};
   struct kv kv = { &ops, this };
 
-  source () { ops.get = get; }
+  source ()
+  {
+    ops.get = get;
+    ops.watch = watch;
+  }
 
   void
   put (const std::string &value)
@@ -68,8 +73,28 @@
     out->data = strdup (self->text.c_str ());
     out->size = self->text.size ();
     out->revision = self->revision;
+    self->values++;
     return 1;
   }
+
+  // For a wait of 0 ms.
+  static int
+  watch (void *ctx, const char *key, uint64_t after, unsigned,
+         struct kv_value *out, struct err *err)
+  {
+    auto *self = static_cast<source *> (ctx);
+
+    {
+      std::lock_guard<std::mutex> hold (self->lock);
+
+      if (!self->text.empty () && self->revision <= after)
+        {
+          self->reads++;
+          return 0;
+        }
+    }
+    return get (ctx, key, out, err);
+  }
 };
 
 size_t
@@ -203,3 +228,24 @@
   reader.join ();
   EXPECT_FALSE (reverted);
 }
+
+// Guards against polls that transfer the whole document although it is
+// unchanged, and against a change that such polls miss.
+TEST (CfgSync, PollsWithoutTheValueWhenItIsUnchanged)
+{
+  source service;
+  process reader;
+
+  service.put (document (1));
+  reader.start (
+      net_open_entry ("entry", nullptr, &test_net_ops, reader.sync, nullptr),
+      &service.kv);
+  EXPECT_TRUE (eventually ([&] { return service.read_count () >= 2; }));
+  {
+    std::lock_guard<std::mutex> hold (service.lock);
+    EXPECT_EQ (service.values, 1u);
+  }
+  service.put (document (2));
+  EXPECT_TRUE (
+      eventually ([&] { return cfg_sync_generation (reader.sync) == 2; }));
+}
