Add a stand-in for a network path, and times of orders

The engine stand-in logs when each order began and ended and how many requests ran when it began, so that a run can check drains and changes that overlap. It stops counting a request before it sends the last bytes: an order may follow the answer before the connection is closed.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 LDFLAGS = $(SAN_FLAGS) -pthread
 
 PROGRAMS = goldcresthatch-entry goldcresthatch-agent goldcresthatchctl
-STANDINS = standin-kv standin-runner standin-service load-client fuzz-frames
+STANDINS = standin-kv standin-runner standin-service load-client fuzz-frames \
+	standin-link
 MAIN_goldcresthatch-entry = entry_main
 MAIN_goldcresthatch-agent = agent_main
 MAIN_goldcresthatchctl = ctl_main
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -1,7 +1,8 @@
 # Shell library of the scripted runs: starts the processes of one site on
 # addresses of its own, and waits for conditions.  A script sets NET to a
 # number from 1 to 254 that no other script uses; its addresses are
-# 127.NET.0.x to 127.NET.2.x.  AGENT_EXTRA and ENTRY_EXTRA add settings.
+# 127.NET.0.x to 127.NET.2.x.  AGENT_EXTRA and ENTRY_EXTRA add settings,
+# and ENTRY_KV replaces the key-value service's address in the entry's.
 
 BUILD=${BUILD:-build}
 WORK=$(mktemp -d)
@@ -132,7 +133,7 @@
   // Settings of the entry on entry VM $1.
   "name": "entry$1", "zone": "zone-$((($1 - 1) % 3 + 1))",
   "listen": "127.$NET.2.$1:8000", "admin": "127.$NET.2.$1:8001",
-  "kv": "$KV",
+  "kv": "${ENTRY_KV:-$KV}",
   "config_peers": [$peers]${ENTRY_EXTRA:+, $ENTRY_EXTRA}
 }
 EOS
@@ -218,3 +219,39 @@
   unset "PIDS[load]"
   jq -c 'del(.resent, .on_time)' "$WORK/load.json"
 }
+
+# Ends a load that was started with more requests than it will get to, and
+# prints its counts without the number of requests.
+end_load ()			# LEAST-REQUESTS
+{
+  kill -TERM "${PIDS[load]}"
+  wait "${PIDS[load]}" || die "load client"
+  unset "PIDS[load]"
+  [ "$(jq .requests "$WORK/load.json")" -ge "$1" ] || die "load too small"
+  jq -c '.all_whole = (.answered_whole == .requests)
+    | del(.resent, .on_time, .requests, .answered_whole)' "$WORK/load.json"
+}
+
+# Starts a link that forwards LISTEN to TO; its commands go to CONTROL.
+start_link ()			# NAME LISTEN TO CONTROL
+{
+  start "$1" standin-link --listen "$2" --to "$3" --control "$4"
+  wait_for "$1" http_ok "$4/test/stats"
+}
+
+set_link ()			# CONTROL ARGUMENTS, such as kind=delay&ms=50
+{
+  curl -sf -X POST "http://$1/test/link?$2" > /dev/null || die "set_link $2"
+}
+
+# Succeeds when entry ENTRY shows runner I in STATE.
+runner_is ()			# ENTRY I STATE
+{
+  [ "$(curl -s -m 5 "http://127.$NET.2.$1:8001/admin/status" \
+    | jq -r ".runners[] | select(.name == \"vm$2\") | .state")" = "$3" ]
+}
+
+engine_state ()			# I MEMBER
+{
+  curl -s -m 5 "http://127.$NET.1.$1:7100/state" | jq ".$2"
+}
--- a/tests/standin_runner.c
+++ b/tests/standin_runner.c
@@ -3,7 +3,9 @@
    whole, from token X-Resume-From on.  POST /cancel?id=ID stops a request; GET
    /health and /load report; POST /orders carries out an order (JSON with
    token, role, model, version), GET /state shows the state and the order in
-   progress, and GET /test/log lists every order that was applied.  With
+   progress, and GET /test/log lists every order that was applied, with the
+   times of the change on the machine's monotonic clock and the number of
+   requests in progress when it began.  With
    --ignore-token an order with an old fencing token is applied all the same.
 
    POST /test/hold?on=1 keeps orders in progress until on=0 or a crash.
@@ -35,6 +37,7 @@
 static guint64 crash_epoch;
 static gint64 down_until_us;
 static int running;
+static int started;           /* requests since the start of the process */
 static GHashTable *cancelled; /* request ids */
 static guint64 fence;
 static char *role;
@@ -52,7 +55,8 @@
   unsigned max_tokens;
   unsigned next;
   guint64 epoch;
-  int stage; /* 0 tokens, 1 closing events, 2 done */
+  int finished; /* no longer in RUNNING */
+  int stage;    /* 0 tokens, 1 closing events, 2 done */
 };
 
 static int
@@ -108,14 +112,25 @@
                       "content");
 }
 
+/* Stops counting GENERATION, before its last bytes are sent: an order that
+   follows the answer must not find it running.  */
 static void
-generation_free (void *cls)
+finish (struct generation *generation)
 {
-  struct generation *generation = cls;
-
+  if (generation->finished)
+    return;
+  generation->finished = 1;
   g_mutex_lock (&lock);
   running--;
   g_mutex_unlock (&lock);
+}
+
+static void
+generation_free (void *cls)
+{
+  struct generation *generation = cls;
+
+  finish (generation);
   g_free (generation->id);
   g_free (generation->prompt);
   g_free (generation);
@@ -134,6 +149,7 @@
   if (generation->stage == 1)
     {
       generation->stage = 2;
+      finish (generation);
       return snprintf (buf, max,
                        "data: {\"choices\":[{\"index\":0,\"delta\":{},"
                        "\"finish_reason\":\"stop\"}],\"usage\":{"
@@ -172,6 +188,7 @@
   enum MHD_Result rc = MHD_NO;
 
   g_usleep ((gulong)token_us * generation->max_tokens);
+  finish (generation);
   if (!is_cut (generation))
     rc = standin_send (request->connection, MHD_HTTP_OK, text);
   g_free (text);
@@ -223,6 +240,7 @@
   kills = crash_text != NULL && strstr (generation->prompt, crash_text);
   g_mutex_lock (&lock);
   running++;
+  started++;
   generation->epoch = crash_epoch;
   if (kills)
     crash ();
@@ -261,6 +279,7 @@
   json_object_object_add (root, "conflicting",
                           json_object_new_int (orders_conflicting));
   json_object_object_add (root, "running", json_object_new_int (running));
+  json_object_object_add (root, "started", json_object_new_int (started));
   return root;
 }
 
@@ -278,6 +297,16 @@
   json_object_array_add (order_log, json_object_get (order));
 }
 
+static void
+add_times (struct json_object *order, gint64 began_us)
+{
+  if (order == NULL)
+    return;
+  json_object_object_add (order, "began_us", json_object_new_int64 (began_us));
+  json_object_object_add (order, "ended_us",
+                          json_object_new_int64 (g_get_monotonic_time ()));
+}
+
 static int
 is_held (guint64 epoch)
 {
@@ -307,6 +336,7 @@
   struct json_object *value;
   guint64 token = 0;
   guint64 epoch;
+  gint64 began_us;
   int refused;
   int lost;
 
@@ -320,6 +350,9 @@
       orders_in_progress++;
     }
   epoch = crash_epoch;
+  began_us = g_get_monotonic_time ();
+  if (order != NULL)
+    json_object_object_add (order, "running", json_object_new_int (running));
   g_mutex_unlock (&lock);
   if (refused)
     {
@@ -335,6 +368,7 @@
   if (!lost)
     {
       orders_in_progress--;
+      add_times (order, began_us);
       apply_order (order, token);
     }
   g_mutex_unlock (&lock);
