--- a/tests/load_client.c
+++ b/tests/load_client.c
@@ -1,7 +1,8 @@
 /* Sends a mixed load of chats and bookings to entries, checks that each answer
    is whole and belongs to its request, and prints one JSON line of counts.  A
    booking is sent as {"booking":KEY,...} with the Idempotency-Key KEY, and its
-   answer must contain KEY.  */
+   answer must contain KEY.  SIGTERM ends the load: requests that were begun
+   are finished and counted.  */
 
 #include <glib.h>
 #include <json-c/json.h>
@@ -9,6 +10,7 @@
 #include <neon/ne_request.h>
 #include <neon/ne_session.h>
 #include <neon/ne_socket.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -59,6 +61,7 @@
 static int threads = 8;
 static int deadline_ms;
 static gdouble rate;
+static gboolean resend;
 static gchar *booking_path;
 static gchar *transcript_path;
 
@@ -73,6 +76,9 @@
     "Deadline of each request", "N" },
   { "booking-path", 0, 0, G_OPTION_ARG_STRING, &booking_path,
     "Path of bookings", "PATH" },
+  { "resend", 0, 0, G_OPTION_ARG_NONE, &resend,
+    "Also send chats that were not run, and bookings with Retry-After, again",
+    NULL },
   { "transcript", 0, 0, G_OPTION_ARG_FILENAME, &transcript_path,
     "Kind, key and outcome of each request", "FILE" },
   { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
@@ -103,6 +109,7 @@
 {
   int status;
   char outcome[16]; /* header X-Outcome */
+  int retry_after;  /* whether the header Retry-After is present */
   GString *body;
 };
 
@@ -192,6 +199,7 @@
 
   answer->status = 0;
   answer->outcome[0] = '\0';
+  answer->retry_after = 0;
   g_string_truncate (answer->body, 0);
   add_headers (req, rq, until);
   ne_set_request_body_buffer (req, rq->body->str, rq->body->len);
@@ -204,6 +212,7 @@
   outcome = ne_get_response_header (req, "X-Outcome");
   if (outcome != NULL)
     g_strlcpy (answer->outcome, outcome, sizeof answer->outcome);
+  answer->retry_after = ne_get_response_header (req, "Retry-After") != NULL;
   while ((n = ne_read_response_block (req, block, sizeof block)) > 0)
     g_string_append_len (answer->body, block, n);
   if (n == 0 && ne_end_request (req) == NE_OK)
@@ -300,7 +309,7 @@
 static enum outcome
 perform (ne_session **sessions, const struct request *rq, gint64 until)
 {
-  struct answer answer = { 0, "", g_string_new (NULL) };
+  struct answer answer = { .body = g_string_new (NULL) };
   enum outcome outcome = NOT_RUN;
   enum reply reply;
   int broken = 0;
@@ -313,7 +322,10 @@
                          rq, until, &answer);
       outcome = judge (rq, &answer, reply);
       again = rq->booking ? reply != REPLY_WHOLE || outcome == NOT_RUN
-                          : reply == REPLY_NO_CONNECTION;
+                          : reply == REPLY_NO_CONNECTION
+                                || (resend && outcome == NOT_RUN);
+      /* A resend under the same key is always safe.  */
+      again |= resend && rq->booking && answer.retry_after;
       broken |= reply == REPLY_BROKEN;
       if (!again || g_get_monotonic_time () >= until)
         break;
@@ -418,6 +430,24 @@
   return rc;
 }
 
+static void
+end_load (int signal_number)
+{
+  (void)signal_number;
+  g_atomic_int_set (&next_request, G_MAXINT / 2);
+}
+
+static unsigned long
+requests_done (void)
+{
+  unsigned long sum = 0;
+  int i;
+
+  for (i = 0; i < OUTCOME_MAX; i++)
+    sum += counts[i];
+  return sum;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -432,6 +462,7 @@
       perror (transcript_path);
       return 2;
     }
+  signal (SIGTERM, end_load);
   ne_sock_init ();
   run_id = g_random_int ();
   started = g_get_monotonic_time ();
@@ -441,7 +472,7 @@
   for (i = 0; i < threads && workers[i] != NULL; i++)
     g_thread_join (workers[i]);
   g_free (workers);
-  printf ("{\"requests\":%d,\"on_time\":%lu,\"resent\":%lu", chats + bookings,
+  printf ("{\"requests\":%lu,\"on_time\":%lu,\"resent\":%lu", requests_done (),
           on_time, resent);
   for (i = 0; i < OUTCOME_MAX; i++)
     printf (",\"%s\":%lu", outcome_names[i], counts[i]);
