Answer new requests with 503 while an entry drains

Cause: the drain took the listening socket out of the event loop and left it open, so connections waited in the backlog until the process ended, and requests on kept-alive connections were still started.

Change: the entry listens until the drain has ended and answers new requests with 503, not-run, Retry-After and Connection: close. Answers that begin during the drain close their connection as well. A non-idempotent call with a key gets the outcome unknown, because an earlier call under the key may have run. drain_notice_ms (2000) is the least time of a drain: without it an idle entry would be gone before the load balancer's next health check.

Listening on was preferred to closing the socket at once: a load balancer sends requests until its health check fails, and each gets a definite answer instead of a refused connection or a reset.

--- a/src/entry.h
+++ b/src/entry.h
@@ -48,6 +48,7 @@
   char log_level[SET_TEXT_MAX];
   char role_planning[SET_TEXT_MAX]; /* "on" or "off" */
   int64_t drain_limit_s;
+  int64_t drain_notice_ms; /* least time that a graceful shutdown listens */
   int64_t deadline_ms; /* of a request that names none */
   int64_t workers;
   int64_t prefill_us;       /* of an engine, for a token of the prompt */
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -15,7 +15,8 @@
   CHUNK_BYTES = 16 << 10,
   DEADLINE_MAX_MS = 3600 * 1000,
   PRIORITY_MAX = 9,
-  OUTPUT_TOKENS = 256 /* expected of a request without max_tokens */
+  DRAIN_RETRY_AFTER_S = 1, /* by a new connection, which another entry takes */
+  OUTPUT_TOKENS = 256      /* expected of a request without max_tokens */
 };
 
 static const char *const outcome_names[ENTRY_OUTCOME_MAX] = {
@@ -69,7 +70,7 @@
 
 static enum MHD_Result
 send_failure (struct MHD_Connection *connection,
-              const struct entry_failure *failure)
+              const struct entry_failure *failure, int closing)
 {
   char *text = failure_json (failure);
   struct MHD_Response *response = text_response ("application/json", text);
@@ -83,6 +84,8 @@
       MHD_add_response_header (response, "Retry-After", seconds);
     }
   g_free (text);
+  if (closing)
+    MHD_add_response_header (response, "Connection", "close");
   return send_response (connection, failure->status, response);
 }
 
@@ -143,10 +146,12 @@
 static enum MHD_Result
 send_answer (struct entry_call *call)
 {
+  /* A kept-alive connection would bring the next request here.  */
+  int closing = g_atomic_int_get (&call->entry->draining);
   struct MHD_Response *response;
 
   if (call->failed && !(call->stream && call->answer->len > 0))
-    return send_failure (call->connection, &call->failure);
+    return send_failure (call->connection, &call->failure, closing);
   if (call->stream)
     response = MHD_create_response_from_callback (
         MHD_SIZE_UNKNOWN, CHUNK_BYTES, read_answer, entry_call_ref (call),
@@ -156,6 +161,8 @@
         call->answer->len, call->answer->str, MHD_RESPMEM_MUST_COPY);
   if (call->answer_type[0] != '\0')
     MHD_add_response_header (response, "Content-Type", call->answer_type);
+  if (closing)
+    MHD_add_response_header (response, "Connection", "close");
   return send_response (call->connection, call->status, response);
 }
 
@@ -365,6 +372,22 @@
   pthread_mutex_unlock (&call->lock);
 }
 
+/* Refuses a call that arrives during a graceful shutdown.  Nothing was run for
+   it, but an earlier call under the caller's key may have run.  */
+static void
+refuse_draining (struct entry_call *call)
+{
+  int may_be_resend = call->at_most_once && call->key[0] != '\0';
+
+  pthread_mutex_lock (&call->lock);
+  entry_call_fail (call, MHD_HTTP_SERVICE_UNAVAILABLE,
+                   may_be_resend ? ENTRY_OUTCOME_UNKNOWN
+                                 : ENTRY_OUTCOME_NOT_RUN,
+                   ERR_LIMIT, "drain", NULL, "the entry is shutting down");
+  call->failure.retry_after_s = DRAIN_RETRY_AFTER_S;
+  pthread_mutex_unlock (&call->lock);
+}
+
 static void
 begin (struct entry_call *call)
 {
@@ -398,6 +421,11 @@
       reject (call, MHD_HTTP_NOT_FOUND, "route", "no such model or service");
       return;
     }
+  if (g_atomic_int_get (&call->entry->draining))
+    {
+      refuse_draining (call);
+      return;
+    }
   entry_call_start (call);
 }
 
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -31,6 +31,7 @@
           .words = "error|warn|info|debug"),
   MEMBER (role_planning, SET_TEXT, .text = "on", .words = "on|off"),
   MEMBER (drain_limit_s, SET_NUMBER, .number = 60, .min = 1, .max = 3600),
+  MEMBER (drain_notice_ms, SET_NUMBER, .number = 2000, .min = 0, .max = 60000),
   MEMBER (deadline_ms, SET_NUMBER, .number = 60000, .min = 1, .max = 3600000),
   MEMBER (workers, SET_NUMBER, .number = 16, .min = 1, .max = 256),
   MEMBER (prefill_us, SET_NUMBER, .number = 20, .min = 0, .max = 100000),
@@ -126,21 +127,28 @@
   return left;
 }
 
-/* Takes no new connections and waits for the calls in progress, until the
-   limit or a second signal.  Returns the number of calls cut.  */
+/* Waits for the calls in progress, until the limit or a second signal, and
+   answers new requests with 503 meanwhile.  It listens for the whole of the
+   notice even without calls, because a load balancer sends callers here until
+   its next health check; a connection that nobody accepts would give them no
+   answer.  Returns the number of calls cut.  */
 static unsigned
 entry_drain (struct entry *entry)
 {
-  gint64 limit = g_get_monotonic_time ()
-                 + entry->settings.drain_limit_s * G_USEC_PER_SEC;
-  int fd;
+  gint64 now = g_get_monotonic_time ();
+  gint64 notice = now + entry->settings.drain_notice_ms * 1000;
+  gint64 limit = now + entry->settings.drain_limit_s * G_USEC_PER_SEC;
+  MHD_socket fd;
 
   g_atomic_int_set (&entry->draining, 1);
+  while (now < limit && (now < notice || calls_left (entry) > 0))
+    {
+      if (daemon_wait_signal (DRAIN_POLL_MS))
+        break;
+      now = g_get_monotonic_time ();
+    }
   fd = MHD_quiesce_daemon (entry->callers);
-  while (calls_left (entry) > 0 && g_get_monotonic_time () < limit)
-    if (daemon_wait_signal (DRAIN_POLL_MS))
-      break;
-  if (fd >= 0)
+  if (fd != MHD_INVALID_SOCKET)
     close (fd);
   return calls_left (entry);
 }
