--- a/src/entry.h
+++ b/src/entry.h
@@ -49,7 +49,7 @@
   char role_planning[SET_TEXT_MAX]; /* "on" or "off" */
   int64_t drain_limit_s;
   int64_t drain_notice_ms; /* least time that a graceful shutdown listens */
-  int64_t deadline_ms; /* of a request that names none */
+  int64_t deadline_ms;     /* of a request that names none */
   int64_t workers;
   int64_t prefill_us;       /* of an engine, for a token of the prompt */
   int64_t step_us;          /* of an engine, for a token of one answer */
@@ -255,8 +255,8 @@
 /* Fills in what SERVICE can take, for CALL or, when it is null, for a short
    request; the entry's lock is held.  */
 void entry_fleet_get_supply (struct entry *entry, const char *service,
-                         const struct entry_call *call,
-                         struct entry_fleet_supply *out);
+                             const struct entry_call *call,
+                             struct entry_fleet_supply *out);
 
 /* Keeps new work from PEER, whose endpoint crashed or whose connection broke,
    until its next report that the endpoint is up.  */
--- a/src/entry_fleet.c
+++ b/src/entry_fleet.c
@@ -240,8 +240,8 @@
 
 void
 entry_fleet_get_supply (struct entry *entry, const char *service,
-                    const struct entry_call *call,
-                    struct entry_fleet_supply *out)
+                        const struct entry_call *call,
+                        struct entry_fleet_supply *out)
 {
   struct entry_call brief
       = { .service = (char *)service, .deadline_us = G_MAXINT64 };
