--- a/tests/standin_link.c
+++ b/tests/standin_link.c
@@ -122,7 +122,7 @@
   int ms;
 
   while ((now = kind_of (pair, &ms)) == KIND_SILENT)
-    g_usleep (POLL_MS * 1000);
+    g_usleep (POLL_MS * 1000UL);
   if (now == KIND_DELAY && is_block && ms > 0)
     {
       g_usleep ((gulong)g_random_int_range (0, ms + 1) * 1000);
@@ -256,7 +256,7 @@
       if (caller >= 0)
         open_pair (caller);
       else if (errno != EINTR && errno != ECONNABORTED)
-        g_usleep (POLL_MS * 1000);
+        g_usleep (POLL_MS * 1000UL);
     }
   return NULL;
 }
