Give the first customers of the examples the highest priority

entry_admit.c takes the level of a customer's priority as X-Priority, where 0 is the highest. The examples gave families and clerks level 7 and the others level 3, so all were in the lowest class, behind requests of customers that the document does not name. They now have levels 0 and 1. The unit test that reads the example expects the new level, and that of a second customer as well, as 0 alone would also be that of a level that is not read.

--- a/tests/unit_cfg.cc
+++ b/tests/unit_cfg.cc
@@ -221,7 +221,8 @@
       cfg_route_find (snap, "POST", "/bookings/7", &service)->idempotent);
   EXPECT_STREQ (service->name, "bookings");
   EXPECT_EQ (cfg_route_find (snap, "POST", "/bookings7", &service), nullptr);
-  EXPECT_EQ (cfg_customer_find (snap, "public-desk")->priority->level, 7u);
+  EXPECT_EQ (cfg_customer_find (snap, "public-desk")->priority->level, 0u);
+  EXPECT_EQ (cfg_customer_find (snap, "housing-office")->priority->level, 1u);
   EXPECT_FALSE (cfg_runner_find (snap, "service-3")->may_drain);
   EXPECT_EQ (cfg_model_find (snap, "listings-chat")->adapter_count, 2u);
   EXPECT_EQ (snap->runner_count, 14u);
