--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -405,8 +405,8 @@
   for (i = 0; i < RUNNERS; i++)
     {
       struct runner *runner = &sim->runners[i];
-      struct msg_report r = { .agent = msg_str (runner->name),
-                              .service = msg_str ("model"),
+      struct msg_report r = { .agent = msg_text (runner->name),
+                              .service = msg_text ("model"),
                               .incarnation = 1,
                               .endpoint_up = 1,
                               .capacity = CAPACITY };
