--- a/Makefile
+++ b/Makefile
@@ -94,6 +94,11 @@
 $(BUILD)/diff-tests: $(DIFF_SRC:tests/%.cc=$(BUILD)/cc-%.o) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lrapidcheck -lgtest_main -lgtest $(PKG_LIBS)
 
+$(BUILD)/bench_policy: $(BUILD)/bench-bench_policy.o \
+	$(patsubst bench/%.c,$(BUILD)/bench-%.o,$(wildcard bench/policy_*.c)) \
+	$(LIB)
+	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
 $(BUILD)/bench_%: $(BUILD)/bench-bench_%.o $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
--- /dev/null
+++ b/bench/policy_model.h
@@ -0,0 +1,228 @@
+#ifndef POLICY_MODEL_H
+#define POLICY_MODEL_H
+
+/* Structures of the policy benchmark: parameters, traces, the runner model and
+   the result of one run.  Times are in microseconds of virtual time.  */
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "goldcresthatch/fleet.h"
+#include "goldcresthatch/lim.h"
+#include "goldcresthatch/retry.h"
+#include "goldcresthatch/role.h"
+#include "goldcresthatch/route.h"
+
+#define SECOND_US INT64_C (1000000)
+#define FIRST_LIMIT_US INT64_C (1900000) /* target of design section 1 */
+#define GAP_LIMIT_US INT64_C (74000)     /* target of design section 1 */
+#define NEVER INT64_MAX
+
+enum
+{
+  SITES = 2,
+  RUNNERS_MAX = 16,
+  ENTRIES = 3,
+  ZONES = 3,
+  CUSTOMERS = 60,
+  PIECES_MAX = 16,
+  SHARED_PIECES = 4, /* pieces that a customer's long prompts share */
+  BUCKET_S = 10,     /* of the series over time */
+  BUCKETS = 144,
+  BURST_FROM_S = 400,
+  BURST_UNTIL_S = 700,
+  PERMIL = 1000,
+  PERCENT = 100
+};
+
+struct params
+{
+  int64_t prefill_us_per_token;
+  int64_t chunk_tokens;
+  int64_t step_us;
+  int64_t step_us_per_request;
+  int64_t mixed_permil;
+  int64_t capacity;
+  int64_t cache_pieces;
+  int64_t role_change_us;
+  int64_t crash_down_us;
+  int64_t kv_bytes_per_token;
+  int64_t kv_bytes_per_us;
+};
+
+struct site
+{
+  char name[32];
+  int64_t runners;
+  int64_t prefill_runners;
+  int64_t decode_runners;
+  int64_t zone_us;
+  int64_t role_change_cost_s;
+  int64_t load_permil;
+};
+
+struct setup
+{
+  struct params params;
+  struct site sites[SITES];
+};
+
+enum trace_mix
+{
+  MIX_STEADY,
+  MIX_NOISY, /* the share and the rate change at random each 10 s */
+  MIX_SWING,
+  MIX_DAY
+};
+
+struct trace_kind
+{
+  const char *name;
+  enum trace_mix mix;
+  int64_t lag_us; /* of load reports */
+  int burst;
+  int cache_gaps;
+  int withdraw;
+  int crash;
+  int hot;
+};
+
+struct request
+{
+  int64_t at_us;
+  int64_t sent_us;
+  int64_t predicted_us; /* time to the first token when it was sent */
+  int64_t first_us;     /* 0 before the first token */
+  int64_t token_us;     /* of the last token */
+  int64_t ready_us;     /* KV cache moved to the decode runner */
+  uint64_t prefix[PIECES_MAX];
+  size_t n_prefix;
+  uint64_t prompt;
+  uint64_t output;
+  uint64_t left; /* prompt tokens to prefill */
+  uint64_t done; /* output tokens */
+  uint64_t slow; /* gaps above GAP_LIMIT_US */
+  int cache_used;
+  int customer;
+  int entry;
+  int runner;
+  int refused;
+  int ended;
+  unsigned attempts;
+  struct fleet_work work;
+};
+
+struct trace
+{
+  struct request *requests;
+  size_t n;
+  int64_t length_us;
+};
+
+/* One row of a table: which parts of the policy run.  */
+struct variant
+{
+  const char *name;
+  int baseline; /* 1: least load of the last report; 2: least outstanding */
+  int prefix;
+  int own;
+  int admission;
+  int roles;
+  int asked;      /* demand of role planning: asked for, not served */
+  int all_both;   /* every runner starts with role both */
+  int other_cost; /* role_change_cost_s of the other site */
+};
+
+struct result
+{
+  double goodput;
+  double worst; /* least goodput of a minute */
+  double others;
+  double bound;
+  double cached;
+  double burst; /* good requests in the burst over the capacity in it */
+  unsigned changes;
+  unsigned per_runner; /* most changes of one runner */
+  unsigned refused;
+  double series[BUCKETS]; /* goodput by time of arrival */
+  unsigned changes_at[BUCKETS];
+};
+
+struct runner
+{
+  char name[16];
+  char zone[16];
+  GQueue waiting; /* struct request; the head is in prefill */
+  GQueue joining; /* prefilled elsewhere */
+  GPtrArray *batch;
+  GHashTable *cache; /* hash -> link in ages */
+  GQueue ages;       /* hashes, newest first */
+  int64_t next_us;   /* end of the current iteration */
+  int64_t back_us;   /* end of a role change or an outage, or NEVER */
+  uint64_t chunk;    /* prompt tokens of the current iteration */
+  enum eng_role role;
+  enum eng_role target;
+  int draining;
+  int down;
+  int withdrawn;
+  uint64_t prompt_done;
+  uint64_t output_done;
+  uint64_t asked;  /* prompt tokens taken up */
+  uint64_t cached; /* of these found in the cache */
+};
+
+/* Called when a prompt is prefilled on a runner without decode, and at the end
+   of a request.  */
+struct runner_events
+{
+  void (*first_token) (void *ctx, struct request *request, int64_t now);
+  void (*move) (void *ctx, struct request *request, int64_t now);
+  void (*end) (void *ctx, struct request *request, int64_t now);
+  void *ctx;
+};
+
+extern const struct trace_kind trace_kinds[];
+extern const size_t n_trace_kinds;
+extern const struct variant variants[];
+extern const size_t n_variants;
+
+uint64_t next_random (uint64_t *state);
+double uniform (uint64_t *state);
+
+/* Reads FILE.  Returns 0, or -1 with a message on standard error.  */
+int setup_read (const char *file, struct setup *setup);
+
+/* Ideal capacity in requests/s of RUNNERS at SHARE of long prompts: full
+   batches, every shared piece cached, no time lost.  */
+double ideal_rate (const struct params *params, double runners, double share);
+double trace_share (const struct trace_kind *kind, int64_t now,
+                    uint64_t block_random);
+void trace_draw (struct trace *trace, const struct trace_kind *kind,
+                 const struct setup *setup, const struct site *site,
+                 uint64_t seed);
+/* Clairvoyant bound of TRACE as a share of its requests.  */
+double trace_bound (const struct trace *trace, const struct params *params,
+                    const struct site *site);
+
+void runner_init (struct runner *runner, int index, enum eng_role role);
+void runner_clear (struct runner *runner);
+void runner_flush (struct runner *runner);
+int runner_accepts (const struct runner *runner);
+int runner_idle (const struct runner *runner);
+uint64_t runner_running (const struct runner *runner);
+uint64_t runner_queued (const struct runner *runner);
+void runner_start (const struct params *params, struct runner *runner,
+                   int64_t now);
+void runner_end (const struct params *params, struct runner *runner,
+                 const struct runner_events *events, int64_t now);
+
+void sim_run (const struct setup *setup, const struct site *site,
+              const struct trace_kind *kind, const struct variant *variant,
+              uint64_t seed, struct result *result);
+
+void report_site (const struct site *site, const struct result *results,
+                  size_t seeds);
+int report_svg (const char *file, const struct result *baseline,
+                const struct result *policy);
+
+#endif
--- /dev/null
+++ b/bench/policy_sim.c
@@ -0,0 +1,384 @@
+#include "policy_sim.h"
+
+#include <string.h>
+
+enum
+{
+  TICK_US = 1000000, /* of planning and of changes to runners */
+  OVERTIME_S = 600,  /* after the last arrival */
+  WITHDRAW_S = 400,
+  WITHDRAWN = 2,
+  CRASH_S = 400,
+  CRASH_AGAIN_S = 600,
+  FLUSH_PERIOD_S = 120, /* of a cache, with gaps in its events */
+  MINUTE_BUCKETS = 60 / BUCKET_S,
+  SLOW_PERCENT = 5 /* token gaps that may be above the limit */
+};
+
+const struct variant variants[] = {
+  { .name = "baseline", .baseline = 1 },
+  { .name = "least-own", .baseline = 2, .own = 1 },
+  { .name = "all-both", .prefix = 1, .own = 1, .admission = 1, .all_both = 1 },
+  { .name = "no-prefix", .own = 1, .admission = 1, .roles = 1 },
+  { .name = "no-own", .prefix = 1, .admission = 1, .roles = 1 },
+  { .name = "no-admission", .prefix = 1, .own = 1, .roles = 1 },
+  { .name = "no-roles", .prefix = 1, .own = 1, .admission = 1 },
+  { .name = "asked",
+    .prefix = 1,
+    .own = 1,
+    .admission = 1,
+    .roles = 1,
+    .asked = 1 },
+  { .name = "other-cost",
+    .prefix = 1,
+    .own = 1,
+    .admission = 1,
+    .roles = 1,
+    .other_cost = 1 },
+  { .name = "policy", .prefix = 1, .own = 1, .admission = 1, .roles = 1 },
+};
+const size_t n_variants = G_N_ELEMENTS (variants);
+
+/* Spreads the roles of the site over its zones.  */
+static enum eng_role
+first_role (const struct sim *sim, int i)
+{
+  int64_t n = sim->site->runners;
+
+  if (sim->variant->all_both)
+    return ENG_ROLE_BOTH;
+  if (i < sim->site->prefill_runners)
+    return ENG_ROLE_PREFILL;
+  return i < n && i < sim->site->prefill_runners + sim->site->decode_runners
+             ? ENG_ROLE_DECODE
+             : ENG_ROLE_BOTH;
+}
+
+static void
+take_snapshot (struct sim *sim, int64_t now)
+{
+  struct snapshot *snapshot = g_new0 (struct snapshot, 1);
+  const GList *link;
+  int i;
+
+  snapshot->due_us = now + sim->kind->lag_us;
+  for (i = 0; i < sim->site->runners; i++)
+    {
+      struct runner *runner = &sim->runners[i];
+      struct msg_report *r = &snapshot->reports[i];
+
+      r->agent = msg_text (runner->name);
+      r->service = msg_text ("model");
+      r->incarnation = 1;
+      r->endpoint_up = !runner->down;
+      r->state = runner->draining ? MSG_AGENT_DRAINING : MSG_AGENT_SERVING;
+      r->role = runner->role;
+      r->capacity = (uint64_t)sim->params->capacity;
+      r->running = runner_running (runner);
+      r->queued = runner_queued (runner);
+      for (link = runner->waiting.head; link; link = link->next)
+        r->prompt_tokens += ((struct request *)link->data)->left;
+      snapshot->prompt_done[i] = runner->prompt_done;
+      snapshot->output_done[i] = runner->output_done;
+    }
+  g_queue_push_tail (&sim->snapshots, snapshot);
+}
+
+static void
+deliver (struct sim *sim, int64_t now)
+{
+  struct snapshot *snapshot = g_queue_pop_head (&sim->snapshots);
+  int i;
+  int e;
+
+  for (e = 0; e < ENTRIES; e++)
+    for (i = 0; i < sim->site->runners; i++)
+      fleet_report (sim->entries[e].fleet, &snapshot->reports[i], now, NULL);
+  sim->seen = *snapshot;
+  g_free (snapshot);
+}
+
+static void
+crash (struct sim *sim, struct runner *runner, int64_t now)
+{
+  GPtrArray *lost = g_ptr_array_new ();
+  guint i;
+
+  while (!g_queue_is_empty (&runner->waiting))
+    g_ptr_array_add (lost, g_queue_pop_head (&runner->waiting));
+  while (!g_queue_is_empty (&runner->joining))
+    g_ptr_array_add (lost, g_queue_pop_head (&runner->joining));
+  for (i = 0; i < runner->batch->len; i++)
+    g_ptr_array_add (lost, runner->batch->pdata[i]);
+  g_ptr_array_set_size (runner->batch, 0);
+  runner->chunk = 0;
+  runner->next_us = NEVER;
+  runner->down = 1;
+  runner->back_us = now + sim->params->crash_down_us;
+  runner_flush (runner);
+  for (i = 0; i < lost->len; i++)
+    {
+      struct request *request = lost->pdata[i];
+
+      fleet_ended (sim->entries[request->entry].fleet, &request->work, NULL);
+      entries_failed (sim, request, RETRY_CRASHED, now);
+    }
+  g_ptr_array_free (lost, 1);
+}
+
+static void
+withdraw (struct sim *sim)
+{
+  const char *names[WITHDRAWN];
+  int i;
+  int e;
+
+  for (i = 0; i < WITHDRAWN; i++)
+    {
+      struct runner *runner = &sim->runners[sim->site->runners - 1 - i];
+
+      runner->withdrawn = 1;
+      names[i] = runner->name;
+    }
+  for (e = 0; e < ENTRIES; e++)
+    fleet_withhold (sim->entries[e].fleet, names, WITHDRAWN);
+}
+
+/* Carries on the role change of RUNNER.  */
+static void
+change_role (const struct sim *sim, struct runner *runner, int64_t now)
+{
+  if (runner->draining && !runner->down && runner_idle (runner))
+    {
+      runner->down = 1;
+      runner->back_us = now + sim->params->role_change_us;
+      runner_flush (runner);
+    }
+  if (runner->down && now >= runner->back_us)
+    {
+      runner->down = 0;
+      runner->back_us = NEVER;
+      runner->role = runner->target;
+      runner->draining = 0;
+      runner->next_us = NEVER;
+    }
+}
+
+static void
+count_cached (struct sim *sim)
+{
+  int i;
+
+  sim->prompts = 1;
+  sim->cached = 0;
+  for (i = 0; i < sim->site->runners; i++)
+    {
+      sim->prompts += (double)sim->runners[i].asked;
+      sim->cached += (double)sim->runners[i].cached;
+    }
+}
+
+static void
+tick (struct sim *sim, int64_t now)
+{
+  int64_t s = now / SECOND_US;
+  int i;
+  int e;
+
+  if (sim->kind->withdraw && s == WITHDRAW_S)
+    withdraw (sim);
+  if (sim->kind->crash && (s == CRASH_S || s == CRASH_AGAIN_S))
+    crash (sim, &sim->runners[s == CRASH_S ? 0 : sim->site->runners - 1], now);
+  for (i = 0; i < sim->site->runners; i++)
+    {
+      change_role (sim, &sim->runners[i], now);
+      if (sim->kind->cache_gaps
+          && (s + INT64_C (10) * i) % FLUSH_PERIOD_S == 0)
+        runner_flush (&sim->runners[i]);
+    }
+  count_cached (sim);
+  if (sim->variant->roles)
+    roles_tick (sim, now);
+  for (e = 0; e < ENTRIES; e++)
+    {
+      fleet_tick (sim->entries[e].fleet, now);
+      route_refresh (sim->entries[e].route, sim->entries[e].fleet,
+                     sim->entries[e].zone);
+    }
+}
+
+static int
+is_good (const struct request *r)
+{
+  int64_t gaps = (int64_t)r->output - 1;
+
+  return r->ended && r->first_us - r->at_us <= FIRST_LIMIT_US
+         && r->token_us - r->first_us <= gaps * GAP_LIMIT_US
+         && (int64_t)r->slow * PERCENT <= gaps * SLOW_PERCENT;
+}
+
+static void
+measure_series (struct sim *sim, struct result *result)
+{
+  unsigned offered[BUCKETS] = { 0 };
+  unsigned good[BUCKETS] = { 0 };
+  size_t i;
+  int b;
+
+  for (i = 0; i < sim->trace.n; i++)
+    {
+      const struct request *r = &sim->trace.requests[i];
+
+      b = (int)(r->at_us / (BUCKET_S * SECOND_US));
+      offered[b]++;
+      good[b] += (unsigned)is_good (r);
+    }
+  result->worst = 1;
+  for (b = 0; b < BUCKETS; b++)
+    {
+      unsigned n = 0;
+      unsigned g = 0;
+      int k;
+
+      result->series[b] = offered[b] ? (double)good[b] / offered[b] : 0;
+      result->changes_at[b] = sim->changes_at[b];
+      for (k = 0; k < MINUTE_BUCKETS && b + k < BUCKETS; k++)
+        {
+          n += offered[b + k];
+          g += good[b + k];
+        }
+      if (k == MINUTE_BUCKETS && offered[b + k - 1])
+        result->worst = MIN (result->worst, (double)g / n);
+    }
+}
+
+static void
+measure (struct sim *sim, struct result *result)
+{
+  double capacity = ideal_rate (sim->params, (double)sim->site->runners,
+                                trace_share (sim->kind, 0, 0))
+                    * (BURST_UNTIL_S - BURST_FROM_S);
+  size_t good = 0;
+  size_t others = 0;
+  size_t others_good = 0;
+  size_t burst = 0;
+  size_t i;
+
+  for (i = 0; i < sim->trace.n; i++)
+    {
+      const struct request *r = &sim->trace.requests[i];
+      int ok = is_good (r);
+
+      good += (size_t)ok;
+      result->refused += (unsigned)r->refused;
+      others += r->customer != 0;
+      others_good += r->customer != 0 && ok;
+      burst += ok && r->at_us >= BURST_FROM_S * SECOND_US
+               && r->at_us < BURST_UNTIL_S * SECOND_US;
+    }
+  result->goodput = (double)good / (double)MAX (sim->trace.n, 1);
+  result->others = (double)others_good / (double)MAX (others, 1);
+  result->burst = (double)burst / capacity;
+  result->changes = sim->changes;
+  for (i = 0; i < RUNNERS_MAX; i++)
+    result->per_runner = MAX (result->per_runner, sim->changes_of[i]);
+  result->cached = sim->cached / sim->prompts;
+  measure_series (sim, result);
+}
+
+/* Runs the next event; returns 0 after the last.  */
+static int
+step (struct sim *sim, size_t *next, int64_t *report_us, int64_t *tick_us)
+{
+  const struct snapshot *snapshot = g_queue_peek_head (&sim->snapshots);
+  struct request *retry = g_queue_peek_head (&sim->retries);
+  int64_t now
+      = *next < sim->trace.n ? sim->trace.requests[*next].at_us : NEVER;
+  struct runner *first = NULL;
+  int is_busy = *next < sim->trace.n || retry;
+  int i;
+
+  for (i = 0; i < ENTRIES; i++)
+    is_busy |= lim_queued (sim->entries[i].lim) > 0;
+  for (i = 0; i < sim->site->runners; i++)
+    {
+      is_busy |= !runner_idle (&sim->runners[i]);
+      if (sim->runners[i].next_us < now)
+        {
+          first = &sim->runners[i];
+          now = first->next_us;
+        }
+    }
+  if (!is_busy || *tick_us > sim->trace.length_us + OVERTIME_S * SECOND_US)
+    return 0;
+  if (*report_us <= now && *report_us <= *tick_us)
+    {
+      take_snapshot (sim, *report_us);
+      *report_us += FLEET_INTERVAL_US;
+      return 1;
+    }
+  if (snapshot && snapshot->due_us <= MIN (now, *tick_us))
+    {
+      now = snapshot->due_us;
+      deliver (sim, now);
+    }
+  else if (*tick_us <= now)
+    {
+      now = *tick_us;
+      tick (sim, now);
+      *tick_us += TICK_US;
+    }
+  else if (retry && retry->ready_us <= now)
+    {
+      g_queue_pop_head (&sim->retries);
+      entries_retry (sim, retry, retry->ready_us);
+    }
+  else if (first)
+    runner_end (sim->params, first, &sim->events, now);
+  else
+    entries_arrive (sim, &sim->trace.requests[(*next)++], now);
+  if (sim->variant->admission)
+    entries_drain (sim, now);
+  return 1;
+}
+
+void
+sim_run (const struct setup *setup, const struct site *site,
+         const struct trace_kind *kind, const struct variant *variant,
+         uint64_t seed, struct result *result)
+{
+  struct sim *sim = g_new0 (struct sim, 1);
+  const struct site *cost_of = site;
+  int64_t report_us = 0;
+  int64_t tick_us = 0;
+  size_t next = 0;
+  int i;
+
+  sim->params = &setup->params;
+  sim->site = site;
+  sim->kind = kind;
+  sim->variant = variant;
+  sim->random = seed;
+  sim->prompts = 1;
+  sim->events = (struct runner_events){ entries_first, entries_move,
+                                        entries_end, sim };
+  if (variant->other_cost)
+    cost_of = &setup->sites[site == &setup->sites[0]];
+  for (i = 0; i < site->runners; i++)
+    runner_init (&sim->runners[i], i, first_role (sim, i));
+  entries_init (sim);
+  roles_init (sim, (double)cost_of->role_change_cost_s);
+  trace_draw (&sim->trace, kind, setup, site, seed);
+  memset (result, 0, sizeof *result);
+  result->bound = trace_bound (&sim->trace, &setup->params, site);
+  while (step (sim, &next, &report_us, &tick_us))
+    ;
+  measure (sim, result);
+  for (i = 0; i < site->runners; i++)
+    runner_clear (&sim->runners[i]);
+  entries_clear (sim);
+  g_queue_clear_full (&sim->snapshots, g_free);
+  g_queue_clear (&sim->retries);
+  g_free (sim->trace.requests);
+  g_free (sim);
+}
--- /dev/null
+++ b/bench/policy_sim.h
@@ -0,0 +1,75 @@
+#ifndef POLICY_SIM_H
+#define POLICY_SIM_H
+
+/* State of one run, private to the event loop, the entries and the planning
+   of roles.  */
+
+#include "policy_model.h"
+
+struct entry
+{
+  char zone[16];
+  struct fleet *fleet;
+  struct route *route;
+  struct lim *lim;
+  struct retry_budget retries;
+};
+
+/* Authority of one zone's runners.  */
+struct shard
+{
+  struct role_stats stats;
+  struct role_planner planner;
+  double prompt; /* tokens seen by the last call */
+  double output;
+};
+
+/* Reports of all runners, on their way to the entries.  */
+struct snapshot
+{
+  int64_t due_us;
+  struct msg_report reports[RUNNERS_MAX];
+  uint64_t prompt_done[RUNNERS_MAX];
+  uint64_t output_done[RUNNERS_MAX];
+};
+
+struct sim
+{
+  const struct params *params;
+  const struct site *site;
+  const struct trace_kind *kind;
+  const struct variant *variant;
+  struct trace trace;
+  struct runner runners[RUNNERS_MAX];
+  struct entry entries[ENTRIES];
+  struct shard shards[ZONES];
+  struct snapshot seen; /* last reports that arrived */
+  GQueue snapshots;
+  GQueue retries; /* struct request by ready_us */
+  uint64_t random;
+  double prompts; /* tokens to prefill, and of these cached */
+  double cached;
+  double asked_prompt; /* tokens that callers asked for */
+  double asked_output;
+  unsigned changes;
+  unsigned changes_at[BUCKETS];
+  unsigned changes_of[RUNNERS_MAX];
+  struct runner_events events;
+};
+
+void entries_init (struct sim *sim);
+void entries_clear (struct sim *sim);
+void entries_arrive (struct sim *sim, struct request *request, int64_t now);
+void entries_drain (struct sim *sim, int64_t now);
+void entries_retry (struct sim *sim, struct request *request, int64_t now);
+/* The attempt of REQUEST ended with FAILURE.  */
+void entries_failed (struct sim *sim, struct request *request,
+                     enum retry_failure failure, int64_t now);
+void entries_first (void *sim, struct request *request, int64_t now);
+void entries_move (void *sim, struct request *request, int64_t now);
+void entries_end (void *sim, struct request *request, int64_t now);
+
+void roles_init (struct sim *sim, double cost_s);
+void roles_tick (struct sim *sim, int64_t now);
+
+#endif
--- /dev/null
+++ b/bench/policy_trace.c
@@ -0,0 +1,287 @@
+#include "policy_model.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+enum
+{
+  LENGTH_S = 1200,
+  HOT_FROM_S = 300,
+  HOT_UNTIL_S = 900,
+  HOT_PERMIL = 600, /* requests of the hot customer while it is hot */
+  NOISE_S = 10,
+  LONG_PROMPT = 5000,
+  LONG_SPREAD = 6000,
+  LONG_OUTPUT = 20,
+  LONG_OUTPUT_SPREAD = 60,
+  SHORT_PROMPT = 200,
+  SHORT_SPREAD = 800,
+  SHORT_OUTPUT = 150,
+  SHORT_OUTPUT_SPREAD = 400
+};
+
+/* Shares of long prompts.  The work of prefill is 22% of all work at the low
+   one and 71% at the high one, by ideal_rate's work per request.  */
+static const double share_low = 0.20;
+static const double share_high = 0.85;
+static const double share_mean = 0.50;
+static const double noise_share = 0.15;
+static const double noise_rate = 0.2;
+static const double burst_factor = 1.5;
+static const double hot_factor = 2.0;
+
+const struct trace_kind trace_kinds[] = {
+  { .name = "steady", .mix = MIX_STEADY },
+  { .name = "noisy", .mix = MIX_NOISY },
+  { .name = "swing", .mix = MIX_SWING },
+  { .name = "day", .mix = MIX_DAY },
+  { .name = "burst", .mix = MIX_STEADY, .burst = 1 },
+  { .name = "lag-1s", .mix = MIX_SWING, .lag_us = SECOND_US },
+  { .name = "lag-5s", .mix = MIX_SWING, .lag_us = 5 * SECOND_US },
+  { .name = "lag-15s", .mix = MIX_SWING, .lag_us = 15 * SECOND_US },
+  { .name = "cache-gaps", .mix = MIX_SWING, .cache_gaps = 1 },
+  { .name = "withdraw", .mix = MIX_SWING, .withdraw = 1 },
+  { .name = "crash", .mix = MIX_SWING, .crash = 1 },
+  { .name = "hot", .mix = MIX_STEADY, .hot = 1 },
+};
+const size_t n_trace_kinds = G_N_ELEMENTS (trace_kinds);
+
+uint64_t
+next_random (uint64_t *state)
+{
+  *state = *state * UINT64_C (6364136223846793005) + 1442695040888963407U;
+  return *state >> 16;
+}
+
+double
+uniform (uint64_t *state)
+{
+  return (double)(next_random (state) % 1000000 + 1) / 1000000;
+}
+
+/* Work of one output token in a full batch.  */
+static double
+token_us (const struct params *p)
+{
+  return (double)(p->step_us + (p->capacity - 1) * p->step_us_per_request)
+         / (double)p->capacity;
+}
+
+double
+ideal_rate (const struct params *p, double runners, double share)
+{
+  double long_tokens
+      = LONG_PROMPT + LONG_SPREAD / 2.0 - SHARED_PIECES * ROUTE_PIECE_TOKENS;
+  double short_tokens = SHORT_PROMPT + SHORT_SPREAD / 2.0;
+  double long_us = long_tokens * (double)p->prefill_us_per_token
+                   + (LONG_OUTPUT + LONG_OUTPUT_SPREAD / 2.0) * token_us (p);
+  double short_us
+      = short_tokens * (double)p->prefill_us_per_token
+        + (SHORT_OUTPUT + SHORT_OUTPUT_SPREAD / 2.0) * token_us (p);
+
+  return runners * (double)SECOND_US
+         / (share * long_us + (1 - share) * short_us);
+}
+
+/* Low until 240 s, high from 540 s to 700 s, low again from 1000 s.  */
+static double
+swing (double s)
+{
+  double up = CLAMP ((s - 240) / 300, 0, 1);
+  double down = CLAMP ((s - 700) / 300, 0, 1);
+
+  return share_low + (share_high - share_low) * (up - down);
+}
+
+double
+trace_share (const struct trace_kind *kind, int64_t now, uint64_t block_random)
+{
+  double s = (double)now / (double)SECOND_US;
+
+  switch (kind->mix)
+    {
+    case MIX_SWING:
+      return swing (s);
+    case MIX_DAY:
+      return (share_low + share_high) / 2
+             - (share_high - share_low) / 2 * cos (2 * G_PI * s / LENGTH_S);
+    case MIX_NOISY:
+      return share_mean + noise_share * (2 * uniform (&block_random) - 1);
+    default:
+      return share_mean;
+    }
+}
+
+static double
+rate_factor (const struct trace_kind *kind, double s, uint64_t block_random,
+             double load)
+{
+  if (kind->burst && s >= BURST_FROM_S && s < BURST_UNTIL_S)
+    return burst_factor;
+  if (kind->hot && s >= HOT_FROM_S && s < HOT_UNTIL_S)
+    return load * hot_factor;
+  if (kind->mix == MIX_NOISY)
+    {
+      next_random (&block_random);
+      return load * (1 + noise_rate * (2 * uniform (&block_random) - 1));
+    }
+  if (kind->mix == MIX_DAY)
+    return load * (0.8 + 0.2 * sin (4 * G_PI * s / LENGTH_S));
+  return load;
+}
+
+static void
+draw_request (struct request *r, const struct trace_kind *kind, int64_t now,
+              double share, uint64_t *random)
+{
+  int is_long = uniform (random) < share;
+  double skew = uniform (random);
+  int is_hot = kind->hot && now >= HOT_FROM_S * SECOND_US
+               && now < HOT_UNTIL_S * SECOND_US
+               && next_random (random) % PERMIL < HOT_PERMIL;
+  size_t i;
+
+  r->at_us = now;
+  r->customer = is_hot ? 0 : 1 + (int)(skew * skew * (CUSTOMERS - 2));
+  r->entry = (int)(next_random (random) % ENTRIES);
+  r->prompt = is_long ? LONG_PROMPT + next_random (random) % LONG_SPREAD
+                      : SHORT_PROMPT + next_random (random) % SHORT_SPREAD;
+  r->output = is_long
+                  ? LONG_OUTPUT + next_random (random) % LONG_OUTPUT_SPREAD
+                  : SHORT_OUTPUT + next_random (random) % SHORT_OUTPUT_SPREAD;
+  r->left = r->prompt;
+  r->n_prefix = r->prompt / ROUTE_PIECE_TOKENS;
+  for (i = 0; i < r->n_prefix; i++)
+    r->prefix[i] = i < SHARED_PIECES
+                       ? (uint64_t)r->customer * PIECES_MAX + i + 1
+                       : next_random (random) << 8;
+}
+
+void
+trace_draw (struct trace *trace, const struct trace_kind *kind,
+            const struct setup *setup, const struct site *site, uint64_t seed)
+{
+  GArray *requests = g_array_new (0, 1, sizeof (struct request));
+  double load = (double)site->load_permil / PERMIL;
+  uint64_t random = seed * UINT64_C (0x9e3779b97f4a7c15);
+  double now = 0;
+
+  for (;;)
+    {
+      struct request request = { 0 };
+      double s = now / (double)SECOND_US;
+      uint64_t block = seed * 7919 + (uint64_t)(s / NOISE_S) * 104729;
+      double share;
+      double rate;
+
+      next_random (&block);
+      next_random (&block);
+      share = trace_share (kind, (int64_t)now, block);
+      rate = ideal_rate (&setup->params, (double)site->runners, share)
+             * rate_factor (kind, s, block, load);
+      now -= log (uniform (&random)) / rate * (double)SECOND_US;
+      if (now >= (double)LENGTH_S * (double)SECOND_US)
+        break;
+      draw_request (&request, kind, (int64_t)now, share, &random);
+      g_array_append_val (requests, request);
+    }
+  trace->n = requests->len;
+  trace->length_us = LENGTH_S * SECOND_US;
+  trace->requests = (struct request *)g_array_free (requests, 0);
+}
+
+static int
+by_value (const void *a, const void *b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+
+  return (x > y) - (x < y);
+}
+
+/* Most requests of WORK, of N, that fit into SUPPLY.  */
+static size_t
+most_that_fit (double *work, size_t n, double supply)
+{
+  size_t i;
+
+  if (n)
+    qsort (work, n, sizeof *work, by_value);
+  for (i = 0; i < n && work[i] <= supply; i++)
+    supply -= work[i];
+  return i;
+}
+
+/* Prefill that no cache can save: pieces that no earlier request had.  */
+static double *
+least_prefill (const struct trace *trace, const struct params *p)
+{
+  GHashTable *seen = g_hash_table_new (g_int64_hash, g_int64_equal);
+  double *prefill = g_new (double, trace->n + 1);
+  size_t i;
+  size_t k;
+
+  for (i = 0; i < trace->n; i++)
+    {
+      const struct request *r = &trace->requests[i];
+      size_t held = 0;
+
+      while (held < r->n_prefix
+             && g_hash_table_contains (seen, &r->prefix[held]))
+        held++;
+      for (k = held; k < r->n_prefix; k++)
+        g_hash_table_add (seen, (gpointer)&r->prefix[k]);
+      prefill[i] = (double)(r->prompt - held * ROUTE_PIECE_TOKENS)
+                   * (double)p->prefill_us_per_token;
+    }
+  g_hash_table_destroy (seen);
+  return prefill;
+}
+
+/* Requests that arrive in a window must have their prefill and a part of their
+   tokens done shortly after it, which bounds their number.  */
+static size_t
+bound_with (const struct trace *trace, const double *prefill,
+            const struct params *p, const struct site *site, int64_t window)
+{
+  double *work = g_new (double, trace->n + 1);
+  size_t total = 0;
+  size_t i = 0;
+  int64_t from;
+
+  for (from = 0; from < trace->length_us; from += window)
+    {
+      int64_t until = from + window + FIRST_LIMIT_US;
+      size_t n = 0;
+
+      for (; i < trace->n && trace->requests[i].at_us < from + window; i++)
+        {
+          const struct request *r = &trace->requests[i];
+          int64_t due = (until - r->at_us - FIRST_LIMIT_US) / GAP_LIMIT_US;
+
+          work[n++]
+              = prefill[i]
+                + (double)MIN ((int64_t)r->output - 1, due) * token_us (p);
+        }
+      total += most_that_fit (
+          work, n, (double)(window + FIRST_LIMIT_US) * (double)site->runners);
+    }
+  g_free (work);
+  return total;
+}
+
+double
+trace_bound (const struct trace *trace, const struct params *p,
+             const struct site *site)
+{
+  static const int64_t windows_s[] = { 30, 60, 120, 300 };
+  double *prefill = least_prefill (trace, p);
+  size_t least = trace->n;
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (windows_s); i++)
+    least = MIN (
+        least, bound_with (trace, prefill, p, site, windows_s[i] * SECOND_US));
+  g_free (prefill);
+  return trace->n ? (double)least / (double)trace->n : 0;
+}
