--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -1,6 +1,7 @@
 /* Prints the goodput and the role changes of the routing, admission, retry and
    role policies beside baselines and a clairvoyant bound, in virtual time.
-   The tables depend on BENCH_SEED and bench/policy.json only.  */
+   The tables depend on BENCH_SEED and bench/policy.json only; BENCH_TRACE
+   runs one trace.  */
 
 #include "policy_model.h"
 
@@ -19,6 +20,7 @@
   const struct setup *setup;
   struct result *results; /* by site, trace, variant and seed */
   uint64_t seed;
+  const char *only; /* trace, or null for all */
 };
 
 static void
@@ -30,6 +32,8 @@
   size_t kind = at / SEEDS / n_variants % n_trace_kinds;
   size_t site = at / SEEDS / n_variants / n_trace_kinds;
 
+  if (work->only && strcmp (work->only, trace_kinds[kind].name) != 0)
+    return;
   sim_run (work->setup, &work->setup->sites[site], &trace_kinds[kind],
            &variants[variant], work->seed + at % SEEDS, &work->results[at]);
 }
@@ -44,7 +48,8 @@
   char *svg
       = g_build_filename (build ? build : "build", "policy-swing.svg", NULL);
   struct setup setup;
-  struct work work = { &setup, NULL, text ? strtoull (text, NULL, 10) : 1 };
+  struct work work = { &setup, NULL, text ? strtoull (text, NULL, 10) : 1,
+                       getenv ("BENCH_TRACE") };
   GThreadPool *pool;
   size_t i;
   int status;
@@ -63,7 +68,8 @@
           "ideal capacity, bound: goodput over the clairvoyant bound\n",
           SEEDS, (unsigned long long)work.seed, BURST_FROM_S, BURST_UNTIL_S);
   for (i = 0; i < SITES; i++)
-    report_site (&setup.sites[i], work.results + i * per_site, SEEDS);
+    report_site (&setup.sites[i], work.results + i * per_site, SEEDS,
+                 work.only);
   swing = work.results + SVG_TRACE * n_variants * SEEDS;
   status = report_svg (svg, swing, swing + (n_variants - 1) * SEEDS);
   g_free (work.results);
--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -140,10 +140,12 @@
   double others;
   double bound;
   double cached;
-  double burst; /* good requests in the burst over the capacity in it */
+  double refused; /* or failed */
+  double late;    /* answered, the first token late */
+  double slow;    /* answered, too many long token gaps */
+  double burst;   /* good requests in the burst over the capacity in it */
   unsigned changes;
-  unsigned per_runner; /* most changes of one runner */
-  unsigned refused;
+  unsigned per_runner;    /* most changes of one runner */
   double series[BUCKETS]; /* goodput by time of arrival */
   unsigned changes_at[BUCKETS];
 };
@@ -220,8 +222,9 @@
               const struct trace_kind *kind, const struct variant *variant,
               uint64_t seed, struct result *result);
 
+/* ONLY is the trace to print, or null for all.  */
 void report_site (const struct site *site, const struct result *results,
-                  size_t seeds);
+                  size_t seeds, const char *only);
 int report_svg (const char *file, const struct result *baseline,
                 const struct result *policy);
 
--- a/bench/policy_report.c
+++ b/bench/policy_report.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 static int
 by_goodput (const void *a, const void *b)
@@ -57,20 +58,20 @@
       per_runner = MAX (per_runner, r[i].per_runner);
     }
   qsort (r, seeds, sizeof *r, by_goodput);
-  printf (
-      "%-10s %-12s %7.1f %7.1f %7.1f %7.1f %7.1f %7.1f %7.1f %7.1f %4u %6u\n",
-      trace, name, MEDIAN (goodput), PERCENT * r[0].goodput, MEDIAN (worst),
-      MEDIAN (others), MEDIAN (burst), MEDIAN (cached),
-      PERCENT * median (r, seeds, G_STRUCT_OFFSET (struct result, goodput))
-          / MEDIAN (bound) * PERCENT,
-      changes / (double)seeds, most, per_runner);
+  printf ("%-10s %-12s %5.1f %5.1f %6.1f %6.1f %5.1f %6.1f %7.1f %5.1f %5.1f "
+          "%5.1f %7.1f %4u %6u\n",
+          trace, name, MEDIAN (goodput), PERCENT * r[0].goodput,
+          MEDIAN (worst), MEDIAN (others), MEDIAN (burst), MEDIAN (cached),
+          MEDIAN (refused), MEDIAN (late), MEDIAN (slow),
+          MEDIAN (goodput) / MEDIAN (bound) * PERCENT, changes / (double)seeds,
+          most, per_runner);
 #undef MEDIAN
   g_free (r);
 }
 
 void
 report_site (const struct site *site, const struct result *results,
-             size_t seeds)
+             size_t seeds, const char *only)
 {
   size_t k;
   size_t v;
@@ -78,18 +79,21 @@
   printf ("\n%s: %d runners, role_change_cost_s %d, load %d%% of the ideal\n",
           site->name, (int)site->runners, (int)site->role_change_cost_s,
           (int)site->load_permil * PERCENT / PERMIL);
-  printf ("%-10s %-12s %7s %7s %7s %7s %7s %7s %7s %7s %4s %6s\n", "trace",
-          "row", "good", "worst", "minute", "others", "burst", "cached",
-          "bound", "changes", "most", "runner");
+  printf ("%-10s %-12s %5s %5s %6s %6s %5s %6s %7s %5s %5s %5s %7s %4s %6s\n",
+          "trace", "row", "good", "worst", "minute", "others", "burst",
+          "cached", "refused", "late", "slow", "bound", "changes", "most",
+          "runner");
   for (k = 0; k < n_trace_kinds; k++)
     {
       const struct result *first = &results[k * n_variants * seeds];
 
+      if (only && strcmp (only, trace_kinds[k].name) != 0)
+        continue;
       for (v = 0; v < n_variants; v++)
         print_row (trace_kinds[k].name, variants[v].name, first + v * seeds,
                    seeds);
       printf (
-          "%-10s %-12s %7.1f\n", trace_kinds[k].name, "clairvoyant",
+          "%-10s %-12s %5.1f\n", trace_kinds[k].name, "clairvoyant",
           PERCENT
               * median (first, seeds, G_STRUCT_OFFSET (struct result, bound)));
     }
--- a/bench/policy_sim.c
+++ b/bench/policy_sim.c
@@ -270,7 +270,10 @@
       int ok = is_good (r);
 
       good += (size_t)ok;
-      result->refused += (unsigned)r->refused;
+      result->refused += !r->ended;
+      result->late += r->ended && r->first_us - r->at_us > FIRST_LIMIT_US;
+      result->slow
+          += r->ended && !ok && r->first_us - r->at_us <= FIRST_LIMIT_US;
       others += r->customer != 0;
       others_good += r->customer != 0 && ok;
       burst += ok && r->at_us >= BURST_FROM_S * SECOND_US
@@ -279,6 +282,9 @@
   result->goodput = (double)good / (double)MAX (sim->trace.n, 1);
   result->others = (double)others_good / (double)MAX (others, 1);
   result->burst = (double)burst / capacity;
+  result->refused /= (double)MAX (sim->trace.n, 1);
+  result->late /= (double)MAX (sim->trace.n, 1);
+  result->slow /= (double)MAX (sim->trace.n, 1);
   result->changes = sim->changes;
   for (i = 0; i < RUNNERS_MAX; i++)
     result->per_runner = MAX (result->per_runner, sim->changes_of[i]);
