Compare inputs of role planning and let decode move from mixed runners

A request prefilled on a runner with role both always decoded there, although role_plan assumes that decode runners take such work; the entry now chooses its decode runner. The planner takes the tokens asked for, as role.h says. New rows: served tokens as the controller counts them, planning that sees all zones, and the change cost of the other site.

--- a/bench/policy_entry.c
+++ b/bench/policy_entry.c
@@ -381,32 +381,39 @@
   return us + (strcmp (from->zone, to->zone) ? sim->site->zone_us : 0);
 }
 
-/* Moves a prefilled REQUEST with its KV cache to a decode runner.  */
-void
+/* Moves a prefilled REQUEST with its KV cache to a decode runner, unless it is
+   on one that is as good.  */
+int
 entries_move (void *ctx, struct request *request, int64_t now)
 {
   struct sim *sim = ctx;
+  int can_stay = sim->runners[request->runner].role != ENG_ROLE_PREFILL;
   struct fleet_ref refused[HOPS_MAX];
   size_t n;
 
-  end_work (sim, request);
   for (n = 0; n < HOPS_MAX; n++)
     {
       struct route_choice choice
           = choose (sim, request, ROUTE_PHASE_DECODE, refused, n, now);
       struct runner *to = &sim->runners[choice.ref.index];
 
-      if (!choice.ref.generation)
+      if (!choice.ref.generation
+          || (can_stay && (int)choice.ref.index == request->runner))
         break;
       refused[n] = choice.ref;
       if (!runner_accepts (to) || to->role == ENG_ROLE_PREFILL)
         continue;
+      end_work (sim, request);
       request->ready_us = now + transfer_us (sim, request, to);
       note_sent (sim, request, choice.ref, 0);
       g_queue_push_tail (&to->joining, request);
       if (to->next_us == NEVER)
         runner_start (sim->params, to, now);
-      return;
+      return 1;
     }
+  if (can_stay)
+    return 0;
+  end_work (sim, request);
   entries_failed (sim, request, RETRY_NOT_RUN, now);
+  return 1;
 }
--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -130,6 +130,7 @@
   int roles;
   int asked;      /* demand of role planning: asked for, not served */
   int all_both;   /* every runner starts with role both */
+  int pooled;     /* role planning sees the runners of all zones */
   int other_cost; /* role_change_cost_s of the other site */
 };
 
@@ -173,12 +174,12 @@
   uint64_t cached; /* of these found in the cache */
 };
 
-/* Called when a prompt is prefilled on a runner without decode, and at the end
-   of a request.  */
+/* MOVE is called after a prefill and returns nonzero when the request leaves
+   the runner.  */
 struct runner_events
 {
   void (*first_token) (void *ctx, struct request *request, int64_t now);
-  void (*move) (void *ctx, struct request *request, int64_t now);
+  int (*move) (void *ctx, struct request *request, int64_t now);
   void (*end) (void *ctx, struct request *request, int64_t now);
   void *ctx;
 };
--- a/bench/policy_roles.c
+++ b/bench/policy_roles.c
@@ -30,7 +30,8 @@
   if (sim->variant->asked)
     {
       int n = ((int)sim->site->runners - zone + ZONES - 1) / ZONES;
-      double share = (double)n / (double)sim->site->runners;
+      double share
+          = sim->variant->pooled ? 1 : (double)n / (double)sim->site->runners;
 
       prompt = sim->asked_prompt * share;
       output = sim->asked_output * share;
@@ -47,10 +48,16 @@
   const struct params *p = sim->params;
   struct role_runner list[RUNNERS_MAX] = { 0 };
   struct role_change change;
+  int pooled = sim->variant->pooled;
   size_t n = 0;
   int i;
 
-  for (i = zone; i < sim->site->runners; i += ZONES)
+  /* Each holder plans in turn, so that it sees the others' changes in the
+     reports before it orders one itself.  */
+  if (pooled && now / FLEET_INTERVAL_US % ZONES != zone)
+    return;
+
+  for (i = pooled ? 0 : zone; i < sim->site->runners; i += pooled ? 1 : ZONES)
     {
       const struct runner *runner = &sim->runners[i];
       struct role_runner *r = &list[n++];
@@ -58,8 +65,10 @@
       r->handle = (uint32_t)i;
       r->role = runner->role;
       r->usable = runner_accepts (runner);
-      r->fixed = runner->withdrawn;
-      r->changing = runner->target != runner->role;
+      r->fixed = runner->withdrawn || i % ZONES != zone;
+      r->changing = i % ZONES == zone
+                        ? runner->target != runner->role
+                        : sim->seen.reports[i].state == MSG_AGENT_DRAINING;
       /* The daemons fit the rates to the prompts served, so cached pieces
          count as prefilled.  */
       r->prefill_rate = (double)SECOND_US / (double)p->prefill_us_per_token
--- a/bench/policy_runner.c
+++ b/bench/policy_runner.c
@@ -171,9 +171,7 @@
     }
   if (head->done >= head->output)
     events->end (events->ctx, head, now);
-  else if (runner->role == ENG_ROLE_PREFILL)
-    events->move (events->ctx, head, now);
-  else
+  else if (!events->move (events->ctx, head, now))
     g_ptr_array_add (runner->batch, head);
 }
 
--- a/bench/policy_sim.c
+++ b/bench/policy_sim.c
@@ -15,27 +15,22 @@
   SLOW_PERCENT = 5 /* token gaps that may be above the limit */
 };
 
+/* The policy plans roles from the tokens that callers ask for, as role.h says;
+   "served" plans from those of ended requests, as the controller does, and
+   "pooled" sees the runners of all zones, of which it may change its own.  */
 const struct variant variants[] = {
-  { .name = "baseline", .baseline = 1 },
-  { .name = "least-own", .baseline = 2, .own = 1 },
-  { .name = "all-both", .prefix = 1, .own = 1, .admission = 1, .all_both = 1 },
-  { .name = "no-prefix", .own = 1, .admission = 1, .roles = 1 },
-  { .name = "no-own", .prefix = 1, .admission = 1, .roles = 1 },
-  { .name = "no-admission", .prefix = 1, .own = 1, .roles = 1 },
-  { .name = "no-roles", .prefix = 1, .own = 1, .admission = 1 },
-  { .name = "asked",
-    .prefix = 1,
-    .own = 1,
-    .admission = 1,
-    .roles = 1,
-    .asked = 1 },
-  { .name = "other-cost",
-    .prefix = 1,
-    .own = 1,
-    .admission = 1,
-    .roles = 1,
-    .other_cost = 1 },
-  { .name = "policy", .prefix = 1, .own = 1, .admission = 1, .roles = 1 },
+  { "baseline", 1, 0, 0, 0, 0, 0, 0, 0, 0 },
+  { "least-own", 2, 0, 1, 0, 0, 0, 0, 0, 0 },
+  { "all-both", 0, 1, 1, 1, 0, 0, 1, 0, 0 },
+  { "no-prefix", 0, 0, 1, 1, 1, 1, 0, 0, 0 },
+  { "no-own", 0, 1, 0, 1, 1, 1, 0, 0, 0 },
+  { "no-admission", 0, 1, 1, 0, 1, 1, 0, 0, 0 },
+  { "no-roles", 0, 1, 1, 1, 0, 0, 0, 0, 0 },
+  { "served", 0, 1, 1, 1, 1, 0, 0, 0, 0 },
+  { "pooled", 0, 1, 1, 1, 1, 1, 0, 1, 0 },
+  { "pooled-other", 0, 1, 1, 1, 1, 1, 0, 1, 1 },
+  { "other-cost", 0, 1, 1, 1, 1, 1, 0, 0, 1 },
+  { "policy", 0, 1, 1, 1, 1, 1, 0, 0, 0 },
 };
 const size_t n_variants = G_N_ELEMENTS (variants);
 
--- a/bench/policy_sim.h
+++ b/bench/policy_sim.h
@@ -66,7 +66,7 @@
 void entries_failed (struct sim *sim, struct request *request,
                      enum retry_failure failure, int64_t now);
 void entries_first (void *sim, struct request *request, int64_t now);
-void entries_move (void *sim, struct request *request, int64_t now);
+int entries_move (void *sim, struct request *request, int64_t now);
 void entries_end (void *sim, struct request *request, int64_t now);
 
 void roles_init (struct sim *sim, double cost_s);
