--- a/tests/unit_role.cc
+++ b/tests/unit_role.cc
@@ -94,6 +94,7 @@
 TEST_F (Role, HoldsAndSettles)
 {
   start ("ppppdddd");
+  planner.settings.hold_s = 6;
   run (120, 20000, 2000);
   struct site hasty = *this;
   hasty.planner.settings.hold_s = 0;
