Print the targets of the policy beside what was measured

The highest steady goodput, over loads of 70%, 85% and 100% of the ideal, is the capacity that the overload target refers to.

--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -79,7 +79,8 @@
 {
   const char *name;
   enum trace_mix mix;
-  int64_t lag_us; /* of load reports */
+  int64_t lag_us;  /* of load reports */
+  int load_permil; /* in place of the site's, if above 0 */
   int burst;
   int cache_gaps;
   int withdraw;
@@ -223,6 +224,10 @@
               const struct trace_kind *kind, const struct variant *variant,
               uint64_t seed, struct result *result);
 
+/* Prints the targets beside what was measured, by the median seed.  */
+void report_targets (const struct site *site, const struct result *results,
+                     size_t seeds);
+
 /* ONLY is the trace to print, or null for all.  */
 void report_site (const struct site *site, const struct result *results,
                   size_t seeds, const char *only);
--- a/bench/policy_trace.c
+++ b/bench/policy_trace.c
@@ -32,6 +32,8 @@
 
 const struct trace_kind trace_kinds[] = {
   { .name = "steady", .mix = MIX_STEADY },
+  { .name = "load-85", .mix = MIX_STEADY, .load_permil = 850 },
+  { .name = "load-100", .mix = MIX_STEADY, .load_permil = 1000 },
   { .name = "noisy", .mix = MIX_NOISY },
   { .name = "swing", .mix = MIX_SWING },
   { .name = "day", .mix = MIX_DAY },
@@ -162,7 +164,9 @@
             const struct setup *setup, const struct site *site, uint64_t seed)
 {
   GArray *requests = g_array_new (0, 1, sizeof (struct request));
-  double load = (double)site->load_permil / PERMIL;
+  double load
+      = (double)(kind->load_permil ? kind->load_permil : site->load_permil)
+        / PERMIL;
   uint64_t random = seed * UINT64_C (0x9e3779b97f4a7c15);
   double now = 0;
 
