--- a/bench/policy_trace.c
+++ b/bench/policy_trace.c
@@ -20,8 +20,8 @@
   SHORT_OUTPUT_SPREAD = 400
 };
 
-/* Shares of long prompts.  The work of prefill is 22% of all work at the low
-   one and 71% at the high one, by ideal_rate's work per request.  */
+/* Shares of long prompts.  The work of prefill is 17% of all work at the low
+   one and 62% at the high one, by ideal_rate's work per request.  */
 static const double share_low = 0.20;
 static const double share_high = 0.85;
 static const double share_mean = 0.50;
