--- a/src/entry_claim.c
+++ b/src/entry_claim.c
@@ -1,4 +1,4 @@
-#include "entry.h"
+#include "entry_claim.h"
 
 #include <sodium.h>
 #include <stdio.h>
@@ -6,31 +6,15 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "goldcresthatch/call.h"
 #include "goldcresthatch/ctr.h"
 #include "goldcresthatch/log.h"
 
 enum
 {
-  /* A record is kept for at least 24 h: the lease is replaced once it is an
-     hour old, and no claim is made under an older one.  */
-  LEASE_TTL_MS = 25 * 3600 * 1000,
-  LEASE_REPLACE_S = 50 * 60,
-  LEASE_USE_S = 60 * 60,
-
   RETRY_MIN_MS = 150,
   RETRY_MAX_MS = 2000,
   ASK_FIRST_MS = 2000, /* after CALL, before the agent is asked by VOID */
   ASK_AGAIN_MS = 500,
-  /* How long a claim may stay unreadable before the caller is told.  */
-  OUTAGE_ANSWER_MS = 3000,
-
-  /* During an outage each operation holds a worker for the adapter's timeout.
-     After this many failures in a row, only one operation in each period is
-     tried, so that no queue builds up before the workers; the others wait for
-     OUTAGE_ANSWER_MS and then fail without an effect.  */
-  FAILURES_MAX = 8,
-  TRY_PERIOD_MS = 250,
 
   HASH_BYTES = 16,
   DRAWN_BYTES = 16,
@@ -41,274 +25,12 @@
   MS = 1000 /* microseconds */
 };
 
-struct entry_lease
-{
-  pthread_mutex_t lock;
-  uint64_t id; /* 0 before the first */
-  gint64 granted_us;
-  unsigned failures; /* of operations, in a row */
-  gint64 try_us;     /* time of the next operation after too many */
-};
-
-struct claim_task;
-
-struct entry_claim
-{
-  struct call call;
-  struct entry_runner runner; /* chosen for the own attempt */
-  int counted;                /* the attempt is counted on RUNNER */
-  int sent;                   /* CALL was given to the network */
-  int own_end;                /* END of the own attempt brought the result */
-  int busy;                   /* a key-value operation is in progress */
-  int answered;
-  int over;
-  int gone;                /* the caller has left */
-  unsigned retries;        /* pauses in a row */
-  gint64 retry_us;         /* time of CALL_EV_RETRY, or 0 */
-  gint64 ask_us;           /* time of CALL_EV_NO_ANSWER, or 0 */
-  gint64 trouble_us;       /* start of the pauses for the service, or 0 */
-  struct claim_task *held; /* operation to be tried at the next tick */
-  gint64 held_us;          /* when an operation was first held, or 0 */
-  char key[KV_KEY_MAX];
-};
-
-/* One key-value operation.  */
-struct claim_task
-{
-  struct entry_task task;
-  struct entry_call *call;
-  enum call_action_kind kind;
-  char *text; /* of a write */
-  uint64_t prev;
-};
-
-static void step (struct entry_call *call, const struct call_event *event);
-
 static void
 step_kind (struct entry_call *call, enum call_event_kind kind)
 {
   struct call_event event = { .kind = kind };
 
-  step (call, &event);
-}
-
-static void
-run_task (gpointer data, gpointer ctx)
-{
-  struct entry_task *task = data;
-
-  (void)ctx;
-  task->run (task);
-}
-
-int
-entry_claim_open (struct entry *entry, struct err *err)
-{
-  entry->workers = g_thread_pool_new (
-      run_task, entry, (gint)entry->settings.workers, FALSE, NULL);
-  if (entry->workers == NULL)
-    return err_set (err, ERR_LIMIT, "workers", NULL, "cannot start a thread");
-  entry->lease = g_new0 (struct entry_lease, 1);
-  pthread_mutex_init (&entry->lease->lock, NULL);
-  return 0;
-}
-
-void
-entry_claim_close (struct entry *entry)
-{
-  g_thread_pool_free (entry->workers, FALSE, TRUE);
-  pthread_mutex_destroy (&entry->lease->lock);
-  g_free (entry->lease);
-}
-
-/* Returns the lease for a record written now, or 0 when none can be had.  */
-static uint64_t
-current_lease (struct entry *entry, struct err *err)
-{
-  struct entry_lease *lease = entry->lease;
-  gint64 now = g_get_monotonic_time ();
-  uint64_t granted;
-  uint64_t id;
-  gint64 age_s;
-
-  pthread_mutex_lock (&lease->lock);
-  id = lease->id;
-  age_s = (now - lease->granted_us) / G_USEC_PER_SEC;
-  pthread_mutex_unlock (&lease->lock);
-  if (id != 0 && age_s < LEASE_REPLACE_S)
-    return id;
-  if (kv_lease_grant (entry->kv, LEASE_TTL_MS, &granted, err) != 0)
-    return id != 0 && age_s < LEASE_USE_S ? id : 0;
-  pthread_mutex_lock (&lease->lock);
-  lease->id = granted;
-  lease->granted_us = now;
-  pthread_mutex_unlock (&lease->lock);
-  return granted;
-}
-
-/* Whether an operation may be sent to the service now.  */
-static int
-may_try (struct entry_lease *lease)
-{
-  gint64 now = g_get_monotonic_time ();
-  int may = 1;
-
-  pthread_mutex_lock (&lease->lock);
-  if (lease->failures >= FAILURES_MAX)
-    {
-      may = now >= lease->try_us;
-      if (may)
-        lease->try_us = now + (gint64)TRY_PERIOD_MS * MS;
-    }
-  pthread_mutex_unlock (&lease->lock);
-  return may;
-}
-
-static void
-note_result (struct entry_lease *lease, int failed)
-{
-  pthread_mutex_lock (&lease->lock);
-  lease->failures = failed ? lease->failures + 1 : 0;
-  pthread_mutex_unlock (&lease->lock);
-}
-
-static void
-write_record (struct claim_task *task, struct call_event *event,
-              struct err *err)
-{
-  struct entry_call *call = task->call;
-  uint64_t lease = current_lease (call->entry, err);
-  int rc;
-
-  event->kind = CALL_EV_WRITE_REFUSED;
-  if (lease == 0 || task->text == NULL)
-    return;
-  rc = kv_cas (call->entry->kv, call->claim->key, task->prev, task->text,
-               strlen (task->text), lease, &event->revision, err);
-  if (rc == 1)
-    event->kind = CALL_EV_WRITE_DONE;
-  else if (rc == 0)
-    event->kind = CALL_EV_WRITE_CONFLICT;
-  else if (err->code != ERR_REFUSED)
-    event->kind = CALL_EV_WRITE_LOST;
-}
-
-static void
-read_record (struct claim_task *task, struct call_event *event,
-             struct call_record *record, struct err *err)
-{
-  struct kv_value value = { 0 };
-  int rc = kv_get (task->call->entry->kv, task->call->claim->key, &value, err);
-
-  event->kind = rc == 0 ? CALL_EV_READ_ABSENT : CALL_EV_READ_FAILED;
-  if (rc != 1)
-    return;
-  event->kind = CALL_EV_READ_BAD;
-  event->revision = value.revision;
-  if (call_record_decode (value.data, value.size, record, err) == 0)
-    {
-      event->kind = CALL_EV_READ_DONE;
-      event->record = record;
-    }
-  kv_value_free (&value);
-}
-
-static int
-is_trouble (enum call_event_kind kind)
-{
-  return kind == CALL_EV_WRITE_LOST || kind == CALL_EV_WRITE_REFUSED
-         || kind == CALL_EV_READ_FAILED || kind == CALL_EV_READ_BAD;
-}
-
-/* Keeps a task for the next tick while the service is down, unless the caller
-   has waited long enough.  Returns nonzero when it is kept.  */
-static int
-hold_task (struct claim_task *task)
-{
-  struct entry_call *call = task->call;
-  struct entry_claim *claim = call->claim;
-  gint64 now = g_get_monotonic_time ();
-  int hold;
-
-  pthread_mutex_lock (&call->lock);
-  if (claim->held_us == 0)
-    claim->held_us = now;
-  hold = !claim->answered && now < call->deadline_us
-         && now - claim->held_us < (gint64)OUTAGE_ANSWER_MS * MS;
-  if (hold)
-    claim->held = task;
-  pthread_mutex_unlock (&call->lock);
-  return hold;
-}
-
-/* Runs the operation, or fails it without an effect unless TRY is set.  */
-static void
-carry_out (struct claim_task *task, int try, struct call_event *event,
-           struct call_record *record, struct err *err)
-{
-  struct entry *entry = task->call->entry;
-  int write = task->kind == CALL_ACT_WRITE;
-
-  if (!try)
-    {
-      event->kind = write ? CALL_EV_WRITE_REFUSED : CALL_EV_READ_FAILED;
-      err_set (err, ERR_REFUSED, "kv", entry->settings.kv,
-               "the service has failed and is not asked now");
-      return;
-    }
-  if (write)
-    write_record (task, event, err);
-  else
-    read_record (task, event, record, err);
-  note_result (entry->lease,
-               is_trouble (event->kind) && event->kind != CALL_EV_READ_BAD);
-}
-
-/* Worker: carries out one operation and goes on with the call.  */
-static void
-run_claim_task (struct entry_task *base)
-{
-  struct claim_task *task = (struct claim_task *)base;
-  struct entry_call *call = task->call;
-  struct call_record record = { 0 };
-  struct call_event event = { 0 };
-  struct err err = { 0 };
-  int try = may_try (call->entry->lease);
-
-  if (!try && hold_task (task))
-    return;
-  carry_out (task, try, &event, &record, &err);
-  if (is_trouble (event.kind))
-    log_err (LOG_LEVEL_INFO, call->traceparent, &err);
-  pthread_mutex_lock (&call->lock);
-  call->claim->busy = 0;
-  if (!is_trouble (event.kind))
-    call->claim->trouble_us = 0;
-  else if (call->claim->trouble_us == 0)
-    call->claim->trouble_us = g_get_monotonic_time ();
-  step (call, &event);
-  pthread_mutex_unlock (&call->lock);
-  call_record_clear (&record);
-  free (task->text);
-  g_free (task);
-  entry_call_unref (call);
-}
-
-static void
-push_task (struct entry_call *call, const struct call_action *action)
-{
-  struct claim_task *task = g_new0 (struct claim_task, 1);
-  struct err err;
-
-  task->task.run = run_claim_task;
-  task->call = entry_call_ref (call);
-  task->kind = action->kind;
-  task->prev = action->prev;
-  if (action->kind == CALL_ACT_WRITE
-      && call_record_encode (action->record, &task->text, &err) != 0)
-    log_err (LOG_LEVEL_ERROR, call->traceparent, &err);
-  call->claim->busy = 1;
-  g_thread_pool_push (call->entry->workers, task, NULL);
+  entry_claim_step (call, &event);
 }
 
 static void
@@ -472,8 +194,8 @@
   pthread_mutex_unlock (&entry->lock);
 }
 
-static void
-step (struct entry_call *call, const struct call_event *event)
+void
+entry_claim_step (struct entry_call *call, const struct call_event *event)
 {
   struct entry_claim *claim = call->claim;
   struct call_action action;
@@ -492,7 +214,7 @@
       return;
     case CALL_ACT_WRITE:
     case CALL_ACT_READ:
-      push_task (call, &action);
+      entry_claim_push (call, &action);
       return;
     case CALL_ACT_SEND:
       send_call (call);
@@ -603,7 +325,7 @@
   /* The run table may know what the messages have lost.  */
   if (outcome == MSG_OUTCOME_UNKNOWN)
     event.kind = CALL_EV_NO_ANSWER;
-  step (call, &event);
+  entry_claim_step (call, &event);
 }
 
 void
@@ -629,7 +351,7 @@
 
   return now_us >= call->deadline_us
          || (claim->call.state == CALL_ST_BACKOFF && claim->trouble_us != 0
-             && now_us - claim->trouble_us >= (gint64)OUTAGE_ANSWER_MS * MS);
+             && now_us - claim->trouble_us >= CLAIM_OUTAGE_ANSWER_US);
 }
 
 void
@@ -637,11 +359,7 @@
 {
   struct entry_claim *claim = call->claim;
 
-  if (claim->held != NULL)
-    {
-      g_thread_pool_push (call->entry->workers, claim->held, NULL);
-      claim->held = NULL;
-    }
+  entry_claim_try_held (call);
   if (claim->busy || claim->over)
     return;
   if (!claim->answered && is_late (call, now_us))
@@ -683,7 +401,7 @@
 
       pthread_mutex_lock (&call->lock);
       if (call->claim != NULL && !call->claim->busy && !call->claim->over)
-        step (call, &event);
+        entry_claim_step (call, &event);
       pthread_mutex_unlock (&call->lock);
     }
   g_free (result.body);
--- /dev/null
+++ b/src/entry_claim_kv.c
@@ -0,0 +1,272 @@
+#include "entry_claim.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "goldcresthatch/ctr.h"
+#include "goldcresthatch/log.h"
+
+enum
+{
+  /* A record is kept for at least 24 h: the lease is replaced before it is an
+     hour old, and no claim is made under an older one.  */
+  LEASE_TTL_MS = 25 * 3600 * 1000,
+  LEASE_REPLACE_S = 50 * 60,
+  LEASE_USE_S = 60 * 60,
+
+  /* During an outage each operation holds a worker for the adapter's timeout.
+     After this many failures in a row, only one operation in each period is
+     tried, so that no queue builds up before the workers; the others wait for
+     CLAIM_OUTAGE_ANSWER_US and then fail without an effect.  */
+  FAILURES_MAX = 8,
+  TRY_PERIOD_US = 250 * 1000
+};
+
+struct entry_lease
+{
+  pthread_mutex_t lock;
+  uint64_t id; /* 0 before the first */
+  gint64 granted_us;
+  unsigned failures; /* of operations, in a row */
+  gint64 try_us;     /* time of the next operation after too many */
+};
+
+/* One key-value operation.  */
+struct claim_task
+{
+  struct entry_task task;
+  struct entry_call *call;
+  enum call_action_kind kind;
+  char *text; /* of a write */
+  uint64_t prev;
+};
+
+static void
+run_task (gpointer data, gpointer ctx)
+{
+  struct entry_task *task = data;
+
+  (void)ctx;
+  task->run (task);
+}
+
+int
+entry_claim_open (struct entry *entry, struct err *err)
+{
+  entry->workers = g_thread_pool_new (
+      run_task, entry, (gint)entry->settings.workers, FALSE, NULL);
+  if (entry->workers == NULL)
+    return err_set (err, ERR_LIMIT, "workers", NULL, "cannot start a thread");
+  entry->lease = g_new0 (struct entry_lease, 1);
+  pthread_mutex_init (&entry->lease->lock, NULL);
+  return 0;
+}
+
+void
+entry_claim_close (struct entry *entry)
+{
+  g_thread_pool_free (entry->workers, FALSE, TRUE);
+  pthread_mutex_destroy (&entry->lease->lock);
+  g_free (entry->lease);
+}
+
+/* Returns the lease for a record written now, or 0 when none can be had.  */
+static uint64_t
+current_lease (struct entry *entry, struct err *err)
+{
+  struct entry_lease *lease = entry->lease;
+  gint64 now = g_get_monotonic_time ();
+  uint64_t granted;
+  uint64_t id;
+  gint64 age_s;
+
+  pthread_mutex_lock (&lease->lock);
+  id = lease->id;
+  age_s = (now - lease->granted_us) / G_USEC_PER_SEC;
+  pthread_mutex_unlock (&lease->lock);
+  if (id != 0 && age_s < LEASE_REPLACE_S)
+    return id;
+  if (kv_lease_grant (entry->kv, LEASE_TTL_MS, &granted, err) != 0)
+    return id != 0 && age_s < LEASE_USE_S ? id : 0;
+  pthread_mutex_lock (&lease->lock);
+  lease->id = granted;
+  lease->granted_us = now;
+  pthread_mutex_unlock (&lease->lock);
+  return granted;
+}
+
+/* Whether an operation may be sent to the service now.  */
+static int
+may_try (struct entry_lease *lease)
+{
+  gint64 now = g_get_monotonic_time ();
+  int may = 1;
+
+  pthread_mutex_lock (&lease->lock);
+  if (lease->failures >= FAILURES_MAX)
+    {
+      may = now >= lease->try_us;
+      if (may)
+        lease->try_us = now + TRY_PERIOD_US;
+    }
+  pthread_mutex_unlock (&lease->lock);
+  return may;
+}
+
+static void
+note_result (struct entry_lease *lease, int failed)
+{
+  pthread_mutex_lock (&lease->lock);
+  lease->failures = failed ? lease->failures + 1 : 0;
+  pthread_mutex_unlock (&lease->lock);
+}
+
+static void
+write_record (struct claim_task *task, struct call_event *event,
+              struct err *err)
+{
+  struct entry_call *call = task->call;
+  uint64_t lease = current_lease (call->entry, err);
+  int rc;
+
+  event->kind = CALL_EV_WRITE_REFUSED;
+  if (lease == 0 || task->text == NULL)
+    return;
+  rc = kv_cas (call->entry->kv, call->claim->key, task->prev, task->text,
+               strlen (task->text), lease, &event->revision, err);
+  if (rc == 1)
+    event->kind = CALL_EV_WRITE_DONE;
+  else if (rc == 0)
+    event->kind = CALL_EV_WRITE_CONFLICT;
+  else if (err->code != ERR_REFUSED)
+    event->kind = CALL_EV_WRITE_LOST;
+}
+
+static void
+read_record (struct claim_task *task, struct call_event *event,
+             struct call_record *record, struct err *err)
+{
+  struct kv_value value = { 0 };
+  int rc = kv_get (task->call->entry->kv, task->call->claim->key, &value, err);
+
+  event->kind = rc == 0 ? CALL_EV_READ_ABSENT : CALL_EV_READ_FAILED;
+  if (rc != 1)
+    return;
+  event->kind = CALL_EV_READ_BAD;
+  event->revision = value.revision;
+  if (call_record_decode (value.data, value.size, record, err) == 0)
+    {
+      event->kind = CALL_EV_READ_DONE;
+      event->record = record;
+    }
+  kv_value_free (&value);
+}
+
+static int
+is_trouble (enum call_event_kind kind)
+{
+  return kind == CALL_EV_WRITE_LOST || kind == CALL_EV_WRITE_REFUSED
+         || kind == CALL_EV_READ_FAILED || kind == CALL_EV_READ_BAD;
+}
+
+/* Keeps a task for the next tick while the service is down, unless the caller
+   has waited long enough.  Returns nonzero when it is kept.  */
+static int
+hold_task (struct claim_task *task)
+{
+  struct entry_call *call = task->call;
+  struct entry_claim *claim = call->claim;
+  gint64 now = g_get_monotonic_time ();
+  int hold;
+
+  pthread_mutex_lock (&call->lock);
+  if (claim->held_us == 0)
+    claim->held_us = now;
+  hold = !claim->answered && now < call->deadline_us
+         && now - claim->held_us < CLAIM_OUTAGE_ANSWER_US;
+  if (hold)
+    claim->held = task;
+  pthread_mutex_unlock (&call->lock);
+  return hold;
+}
+
+/* Runs the operation, or fails it without an effect unless TRY is set.  */
+static void
+carry_out (struct claim_task *task, int try, struct call_event *event,
+           struct call_record *record, struct err *err)
+{
+  struct entry *entry = task->call->entry;
+  int write = task->kind == CALL_ACT_WRITE;
+
+  if (!try)
+    {
+      event->kind = write ? CALL_EV_WRITE_REFUSED : CALL_EV_READ_FAILED;
+      err_set (err, ERR_REFUSED, "kv", entry->settings.kv,
+               "the service has failed and is not asked now");
+      return;
+    }
+  if (write)
+    write_record (task, event, err);
+  else
+    read_record (task, event, record, err);
+  note_result (entry->lease,
+               is_trouble (event->kind) && event->kind != CALL_EV_READ_BAD);
+}
+
+/* Worker: carries out one operation and goes on with the call.  */
+static void
+run_claim_task (struct entry_task *base)
+{
+  struct claim_task *task = (struct claim_task *)base;
+  struct entry_call *call = task->call;
+  struct call_record record = { 0 };
+  struct call_event event = { 0 };
+  struct err err = { 0 };
+  int try = may_try (call->entry->lease);
+
+  if (!try && hold_task (task))
+    return;
+  carry_out (task, try, &event, &record, &err);
+  if (is_trouble (event.kind))
+    log_err (LOG_LEVEL_INFO, call->traceparent, &err);
+  pthread_mutex_lock (&call->lock);
+  call->claim->busy = 0;
+  if (!is_trouble (event.kind))
+    call->claim->trouble_us = 0;
+  else if (call->claim->trouble_us == 0)
+    call->claim->trouble_us = g_get_monotonic_time ();
+  entry_claim_step (call, &event);
+  pthread_mutex_unlock (&call->lock);
+  call_record_clear (&record);
+  free (task->text);
+  g_free (task);
+  entry_call_unref (call);
+}
+
+void
+entry_claim_push (struct entry_call *call, const struct call_action *action)
+{
+  struct claim_task *task = g_new0 (struct claim_task, 1);
+  struct err err;
+
+  task->task.run = run_claim_task;
+  task->call = entry_call_ref (call);
+  task->kind = action->kind;
+  task->prev = action->prev;
+  if (action->kind == CALL_ACT_WRITE
+      && call_record_encode (action->record, &task->text, &err) != 0)
+    log_err (LOG_LEVEL_ERROR, call->traceparent, &err);
+  call->claim->busy = 1;
+  g_thread_pool_push (call->entry->workers, task, NULL);
+}
+
+void
+entry_claim_try_held (struct entry_call *call)
+{
+  struct entry_claim *claim = call->claim;
+
+  if (claim->held == NULL)
+    return;
+  g_thread_pool_push (call->entry->workers, claim->held, NULL);
+  claim->held = NULL;
+}
