--- /dev/null
+++ b/src/entry_fleet_links.c
@@ -0,0 +1,278 @@
+#include "entry_fleet.h"
+
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "goldcresthatch/log.h"
+
+enum
+{
+  /* The list is read whole: a shorter period would take more of the control
+     budget than it gains against a list that lags by seconds itself.  */
+  LIST_PERIOD_US = 2 * G_USEC_PER_SEC,
+  REFRESH_PERIOD_US = 500 * 1000, /* of the subsets */
+  /* Time from a connection's start in which a report is asked for by a HELLO
+     on each tick, since a HELLO to a peer not yet connected is dropped.  */
+  ASK_US = 5 * G_USEC_PER_SEC,
+  /* A runner whose connection was closed for lack of a report is tried again
+     after this time, unless the subset has room for it at once.  */
+  CONTACT_AGAIN_US = 30 * G_USEC_PER_SEC
+};
+
+struct link *
+entry_fleet_link (struct entry *entry, struct fleet_ref ref)
+{
+  GPtrArray *links = entry->fleet->by_index;
+  struct link *link;
+
+  if (ref.index >= links->len)
+    return NULL;
+  link = g_ptr_array_index (links, ref.index);
+  return link != NULL && link->ref.generation == ref.generation ? link : NULL;
+}
+
+void
+entry_fleet_refresh_route (struct entry *entry)
+{
+  route_refresh (entry->fleet->route, entry->fleet->fleet,
+                 entry->settings.zone);
+}
+
+void
+entry_fleet_ask (struct link *link, gint64 now)
+{
+  link->ask_until_us = now + ASK_US;
+}
+
+/* Sends HELLO to every runner, or only to those whose report is awaited; the
+   entry's lock is held.  */
+static void
+hello (struct entry *entry, int all, gint64 now)
+{
+  GPtrArray *links = entry->fleet->links;
+  struct msg msg = { .type = MSG_HELLO };
+  guint i;
+
+  msg.u.hello.entry = msg_text (entry->settings.name);
+  msg.u.hello.incarnation = entry->incarnation;
+  msg.u.hello.cfg_generation = entry_config_generation (entry);
+  for (i = 0; i < links->len; i++)
+    {
+      struct link *link = g_ptr_array_index (links, i);
+
+      if (link->peer != 0 && (all || now < link->ask_until_us))
+        net_send (entry->net, link->peer, &msg, NULL);
+    }
+}
+
+void
+entry_fleet_hello (struct entry *entry)
+{
+  pthread_mutex_lock (&entry->lock);
+  hello (entry, 1, g_get_monotonic_time ());
+  pthread_mutex_unlock (&entry->lock);
+}
+
+/* Makes a link for each runner listed; the entry's lock is held.  */
+static void
+add_links (struct entry *entry)
+{
+  struct fleet *fleet = entry->fleet->fleet;
+  size_t i;
+
+  if (entry->fleet->by_index->len < fleet_slots (fleet))
+    g_ptr_array_set_size (entry->fleet->by_index, (gint)fleet_slots (fleet));
+  for (i = 0; i < fleet_slots (fleet); i++)
+    {
+      const struct fleet_runner *runner = fleet_at (fleet, i);
+      struct link *link;
+
+      if (runner == NULL || entry_fleet_link (entry, runner->ref) != NULL)
+        continue;
+      link = g_new0 (struct link, 1);
+      link->ref = runner->ref;
+      g_strlcpy (link->name, runner->name, sizeof link->name);
+      g_strlcpy (link->address, runner->address, sizeof link->address);
+      link->closed_us = -(gint64)CONTACT_AGAIN_US;
+      g_ptr_array_add (entry->fleet->links, link);
+      g_ptr_array_index (entry->fleet->by_index, i) = link;
+    }
+}
+
+/* Whether RUNNER may turn out to be usable, so that it takes a place in the
+   subset before the ones that are known not to be.  */
+static int
+is_fit (void *ctx, const struct fleet_runner *runner)
+{
+  const struct link *link = entry_fleet_link (ctx, runner->ref);
+  gint64 now = g_get_monotonic_time ();
+
+  if (runner->usable)
+    return 1;
+  if (link == NULL)
+    return 0;
+  if (link->peer == 0)
+    return now - link->closed_us >= CONTACT_AGAIN_US;
+  return now - link->opened_us < FLEET_SILENCE_US;
+}
+
+static void
+close_link (struct entry *entry, struct link *link, gint64 now)
+{
+  net_disconnect (entry->net, link->peer);
+  g_hash_table_remove (entry->fleet->by_peer, &link->peer);
+  link->peer = 0;
+  link->closed_us = now;
+  fleet_unfollow (entry->fleet->fleet, link->ref);
+}
+
+static void
+drop_link (struct entry *entry, guint at)
+{
+  struct link *link = g_ptr_array_index (entry->fleet->links, at);
+
+  if (entry_fleet_link (entry, link->ref) == link)
+    g_ptr_array_index (entry->fleet->by_index, link->ref.index) = NULL;
+  g_ptr_array_remove_index_fast (entry->fleet->links, at);
+}
+
+/* Opens the links that are wanted, closes the others once they are idle, and
+   drops those of runners no longer listed.  */
+static void
+apply_links (struct entry *entry, gint64 now)
+{
+  GPtrArray *links = entry->fleet->links;
+  guint i = 0;
+
+  while (i < links->len)
+    {
+      struct link *link = g_ptr_array_index (links, i);
+      int listed = fleet_get (entry->fleet->fleet, link->ref) != NULL;
+
+      if (link->wanted && link->peer == 0)
+        {
+          link->peer = net_connect (entry->net, link->address);
+          g_hash_table_insert (entry->fleet->by_peer, &link->peer, link);
+          link->opened_us = now;
+          entry_fleet_ask (link, now);
+        }
+      else if (!link->wanted && link->peer != 0 && link->attempts == 0)
+        close_link (entry, link, now);
+      if (listed || link->peer != 0)
+        i++;
+      else
+        drop_link (entry, i);
+    }
+}
+
+/* Follows the list and the subsets; the entry's lock is held.  */
+static void
+refresh (struct entry *entry, gint64 now)
+{
+  struct entry_fleet *fleet = entry->fleet;
+  struct fleet_ref *refs
+      = g_new (struct fleet_ref, fleet_slots (fleet->fleet) + 1);
+  size_t n;
+  size_t i;
+  guint l;
+
+  fleet->refreshed_us = now;
+  add_links (entry);
+  for (l = 0; l < fleet->links->len; l++)
+    ((struct link *)g_ptr_array_index (fleet->links, l))->wanted = 0;
+  n = route_contacts (fleet->route, fleet->fleet, entry->settings.zone, is_fit,
+                      entry, refs);
+  for (i = 0; i < n; i++)
+    entry_fleet_link (entry, refs[i])->wanted = 1;
+  g_free (refs);
+  apply_links (entry, now);
+  entry_fleet_refresh_route (entry);
+}
+
+void
+entry_fleet_tick (struct entry *entry, gint64 now_us)
+{
+  pthread_mutex_lock (&entry->lock);
+  fleet_tick (entry->fleet->fleet, now_us);
+  if (now_us - entry->fleet->refreshed_us >= REFRESH_PERIOD_US)
+    refresh (entry, now_us);
+  hello (entry, 0, now_us);
+  pthread_mutex_unlock (&entry->lock);
+}
+
+static const char *
+text_member (struct json_object *object, const char *name)
+{
+  struct json_object *value;
+
+  if (!json_object_object_get_ex (object, name, &value)
+      || !json_object_is_type (value, json_type_string))
+    return "";
+  return json_object_get_string (value);
+}
+
+static void
+take_list (struct entry *entry, struct json_object *list)
+{
+  size_t n = json_object_array_length (list);
+  struct fleet_vm *vms = g_new0 (struct fleet_vm, n + 1);
+  struct err err;
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    {
+      struct json_object *vm = json_object_array_get_idx (list, i);
+
+      vms[i].name = text_member (vm, "name");
+      vms[i].address = text_member (vm, "address");
+      vms[i].zone = text_member (vm, "zone");
+      vms[i].state = strcmp (text_member (vm, "state"), "leaving") == 0
+                         ? FLEET_VM_LEAVING
+                         : FLEET_VM_LIVE;
+    }
+  pthread_mutex_lock (&entry->lock);
+  /* An empty list is refused below, yet a site may have no endpoint VM.  */
+  entry->fleet->listed = 1;
+  if (fleet_list (entry->fleet->fleet, vms, n, &err) == 0)
+    {
+      refresh (entry, g_get_monotonic_time ());
+      entry->fleet->list_error[0] = '\0';
+    }
+  else if (strcmp (entry->fleet->list_error, err.text) != 0)
+    {
+      g_strlcpy (entry->fleet->list_error, err.text, ERR_TEXT_MAX);
+      log_err (LOG_LEVEL_WARN, NULL, &err);
+    }
+  pthread_mutex_unlock (&entry->lock);
+  g_free (vms);
+}
+
+static void
+read_list (struct entry *entry)
+{
+  struct kv_value value = { 0 };
+  struct json_object *list;
+  struct err err;
+
+  if (kv_vms (entry->kv, &value, &err) != 1)
+    return;
+  list = json_tokener_parse (value.data);
+  if (json_object_is_type (list, json_type_array))
+    take_list (entry, list);
+  json_object_put (list);
+  kv_value_free (&value);
+}
+
+void *
+entry_fleet_main (void *arg)
+{
+  struct entry *entry = arg;
+
+  while (!g_atomic_int_get (&entry->stopping))
+    {
+      read_list (entry);
+      g_usleep (LIST_PERIOD_US);
+    }
+  return NULL;
+}
