--- a/src/entry.h
+++ b/src/entry.h
@@ -215,7 +215,9 @@
    held.  */
 void entry_call_admitted (struct entry_call *call);
 
-/* Ends CALL with a failure; the call's lock is held.  */
+/* Ends CALL with a failure; the call's lock is held.  "Not run" is answered as
+   unknown while a keyed call has made no claim, because an earlier request
+   under its key may have run.  */
 void entry_call_fail (struct entry_call *call, unsigned status,
                       enum entry_outcome outcome, enum err_code code,
                       const char *step, const char *peer, const char *fmt, ...)
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -379,17 +379,12 @@
   pthread_mutex_unlock (&call->lock);
 }
 
-/* Refuses a call that arrives during a graceful shutdown.  Nothing was run for
-   it, but an earlier call under the caller's key may have run.  */
+/* Refuses a call that arrives during a graceful shutdown.  */
 static void
 refuse_draining (struct entry_call *call)
 {
-  int may_be_resend = call->at_most_once && call->key[0] != '\0';
-
   pthread_mutex_lock (&call->lock);
-  entry_call_fail (call, MHD_HTTP_SERVICE_UNAVAILABLE,
-                   may_be_resend ? ENTRY_OUTCOME_UNKNOWN
-                                 : ENTRY_OUTCOME_NOT_RUN,
+  entry_call_fail (call, MHD_HTTP_SERVICE_UNAVAILABLE, ENTRY_OUTCOME_NOT_RUN,
                    ERR_LIMIT, "drain", NULL, "the entry is shutting down");
   call->failure.retry_after_s = DRAIN_RETRY_AFTER_S;
   pthread_mutex_unlock (&call->lock);
