Keep the entry's own waiting prompts when a lagging report arrives

Cause: a report that lags has not seen the prompts sent since, so each report made a loaded runner look idle. Change: the load's prompt tokens are at least those that this entry sent and that are not prefilled; requests were treated so already. The new expectation in unit_fleet fails without the change.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -17,9 +17,10 @@
   int in_use;
   int listed_leaving;
   int withheld;
-  int self_leaving; /* said by the incarnation held */
-  int reported;     /* since the last leaving state of the list */
-  int serving;      /* by the last report, with the endpoint up */
+  int self_leaving;           /* said by the incarnation held */
+  int reported;               /* since the last leaving state of the list */
+  int serving;                /* by the last report, with the endpoint up */
+  uint64_t own_prompt_tokens; /* sent by this entry and not yet prefilled */
   uint64_t old_incarnation;
   int64_t reported_us;
   int64_t fell_us; /* when silence was judged */
@@ -247,6 +248,7 @@
   slot->pub.window = 0;
   slot->self_leaving = 0;
   slot->pub.outstanding = 0;
+  slot->own_prompt_tokens = 0;
 }
 
 int
@@ -280,7 +282,9 @@
   /* Requests on their way to the agent are not in its count yet.  */
   slot->pub.load.requests
       = MAX (report->running + report->queued, slot->pub.outstanding);
-  slot->pub.load.prompt_tokens = report->prompt_tokens;
+  /* A report that lags has not seen the prompts sent since.  */
+  slot->pub.load.prompt_tokens
+      = MAX (report->prompt_tokens, slot->own_prompt_tokens);
   slot->pub.load.capacity = report->capacity;
   slot->serving
       = report->state == MSG_AGENT_SERVING && report->endpoint_up != 0;
@@ -390,6 +394,7 @@
   slot->pub.outstanding++;
   slot->pub.load.requests++;
   slot->pub.load.prompt_tokens += prompt_tokens;
+  slot->own_prompt_tokens += prompt_tokens;
   work.ref = ref;
   work.incarnation = slot->pub.incarnation;
   work.prompt_tokens = prompt_tokens;
@@ -410,8 +415,12 @@
   struct slot *slot = slot_of_work (fleet, work);
 
   if (slot)
-    slot->pub.load.prompt_tokens
-        -= MIN (slot->pub.load.prompt_tokens, work->prompt_tokens);
+    {
+      slot->pub.load.prompt_tokens
+          -= MIN (slot->pub.load.prompt_tokens, work->prompt_tokens);
+      slot->own_prompt_tokens
+          -= MIN (slot->own_prompt_tokens, work->prompt_tokens);
+    }
   work->prompt_tokens = 0;
 }
 
--- a/tests/unit_fleet.cc
+++ b/tests/unit_fleet.cc
@@ -213,6 +213,9 @@
     fleet_sent (fleet, at (1)->ref, 1);
   report (1, 1);
   EXPECT_EQ (at (1)->load.requests, 5u) << "one is on its way";
+  fleet_sent (fleet, at (1)->ref, 900);
+  report (1, 2);
+  EXPECT_EQ (at (1)->load.prompt_tokens, 905u) << "the report lags";
   fleet_first_token (fleet, &a);
   EXPECT_EQ (at (0)->load.prompt_tokens, 400u);
   struct msg_end end = {};
