--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -8,7 +8,7 @@
 PEERS=16
 . tests/lib.sh
 WINDOW_S=${WINDOW_S:-7}		# length of an idle measurement
-SECTIONS=${SECTIONS:-runners entries streams customers claims vms}
+SECTIONS=${SECTIONS:-runners entries streams customers claims ctl vms}
 SETTLE_S=${SETTLE_S:-4}		# connections and first reports
 CLK=$(getconf CLK_TCK)
 STANDINS=4			# runner stand-ins, shared by the agents
@@ -269,6 +269,41 @@
   done
 }
 
+# One status and one drain by the operators' command, which waits until the
+# change is in force at every peer.
+measure_ctl ()
+{
+  local peers i word before
+  site 4
+  printf '\n%-8s %-8s %12s %12s %10s %10s\n' "peers" "command" "processor ms" \
+    "elapsed s" "kv reads" "kv writes"
+  for peers in 2 4 8; do
+    for i in $(seq 2 $peers); do
+      [ -n "${PIDS[entry$i]:-}" ] || start_entry "$i"
+    done
+    for word in status drain undrain; do
+      before="$(kv_stat reads) $(kv_stat writes)"
+      local TIMEFORMAT='%U %S %R'
+      { time PEERS=$peers ctl_command $word >> "$WORK/ctl.log" 2>&1; } \
+        2> "$WORK/times"
+      # The idle reads and renewals of the site are part of the counts.
+      echo "$before $(kv_stat reads) $(kv_stat writes) $(cat "$WORK/times")" \
+        | awk -v peers="$peers" -v word="$word" '{
+          printf "%-8d %-8s %12.0f %12.2f %10d %10d\n", peers, word,
+            ($5 + $6) * 1000, $7, $3 - $1, $4 - $2 }'
+    done
+  done
+}
+
+ctl_command ()			# WORD
+{
+  if [ "$1" = status ]; then
+    ctl status
+  else
+    ctl "$1" vm2 --operator ops --credential-file <(echo secret)
+  fi
+}
+
 measure_vms ()
 {
   local count
