Count the wait for an agent's first report from the list of VMs

Cause: a connection that breaks again and again, as with a refused key, asked for a report anew each time, so an entry never became ready and never answered that a service does not exist. Change: the wait counts from the first sight of the VM in the list; readiness and the answer 404 use the same rule.

--- a/src/entry_fleet.c
+++ b/src/entry_fleet.c
@@ -335,7 +335,7 @@
          still being asked for.  */
       known = strcmp (runner->service, service) == 0
               || (runner->service[0] == '\0' && link != NULL
-                  && now < link->ask_until_us);
+                  && entry_fleet_awaited (link, now));
     }
   pthread_mutex_unlock (&entry->lock);
   return known;
@@ -352,12 +352,7 @@
   pthread_mutex_lock (&entry->lock);
   settled = fleet->listed;
   for (i = 0; i < fleet->links->len && settled; i++)
-    {
-      const struct link *link = g_ptr_array_index (fleet->links, i);
-
-      settled = link->peer == 0 || link->reported_us != 0
-                || now >= link->ask_until_us;
-    }
+    settled = !entry_fleet_awaited (g_ptr_array_index (fleet->links, i), now);
   pthread_mutex_unlock (&entry->lock);
   return settled;
 }
--- a/src/entry_fleet.h
+++ b/src/entry_fleet.h
@@ -21,6 +21,7 @@
   char address[MSG_NAME_MAX + 1];
   unsigned attempts; /* in progress */
   int wanted;        /* in the subset of its service */
+  gint64 listed_us;  /* first seen in the platform's list */
   gint64 opened_us;
   gint64 closed_us;
   gint64 reported_us;
@@ -51,6 +52,11 @@
 /* Asks for a report over LINK on each tick, for a while.  */
 void entry_fleet_ask (struct link *link, gint64 now);
 
+/* Whether the service of LINK's runner may become known soon.  The time counts
+   from the list, because a connection that breaks again and again starts anew
+   each time.  */
+int entry_fleet_awaited (const struct link *link, gint64 now);
+
 /* Computes the subsets again.  */
 void entry_fleet_refresh_route (struct entry *entry);
 
--- a/src/entry_fleet_links.c
+++ b/src/entry_fleet_links.c
@@ -45,6 +45,13 @@
   link->ask_until_us = now + ASK_US;
 }
 
+int
+entry_fleet_awaited (const struct link *link, gint64 now)
+{
+  return link->peer != 0 && link->reported_us == 0
+         && now - link->listed_us < ASK_US;
+}
+
 /* Sends HELLO to every runner, or only to those whose report is awaited; the
    entry's lock is held.  */
 static void
@@ -95,6 +102,7 @@
       g_strlcpy (link->name, runner->name, sizeof link->name);
       g_strlcpy (link->address, runner->address, sizeof link->address);
       link->closed_us = -(gint64)CONTACT_AGAIN_US;
+      link->listed_us = g_get_monotonic_time ();
       g_ptr_array_add (entry->fleet->links, link);
       g_ptr_array_index (entry->fleet->by_index, i) = link;
     }
