Free the keys when their file is refused

Cause: LeakSanitizer reported 2760 bytes in tests/scripts/curve.sh. Result: curve.sh passes with address and undefined sanitizers; the other 44 scripted runs passed with them before this change.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -169,7 +169,10 @@
   if (start != START_RUN)
     return statuses[start];
   if (prepare (program, settings, &keys) != 0)
-    return EXIT_FAILURE;
+    {
+      g_free (keys);
+      return EXIT_FAILURE;
+    }
   if (program->open (ctx, keys, &err) != 0)
     {
       /* Threads may run already, so nothing is freed.  */
