Turn an address into a socket address in one place

Cause: the agent's lock and the entry's listeners split "IP:PORT" with the same five lines, beside the check of that form in set.c. Change: set_address() in set.c serves both; no change of behaviour. Result: format and lint are clean; 164 unit tests and the runs path, resume, curve, callers, second_agent, settings_check and booking_kill_agent pass. The whole check was not run again after this change.

--- a/include/goldcresthatch/set.h
+++ b/include/goldcresthatch/set.h
@@ -12,6 +12,7 @@
  */
 
 #include <glib.h>
+#include <netinet/in.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -65,4 +66,7 @@
 /* Checks that S is "IP:PORT" with an IPv4 address.  Returns nonzero if so.  */
 int set_is_address (const char *s);
 
+/* Fills in SIN from S, for which set_is_address holds.  */
+void set_address (const char *s, struct sockaddr_in *sin);
+
 #endif
--- a/src/agent_main.c
+++ b/src/agent_main.c
@@ -48,16 +48,10 @@
 static int
 bind_lock (const char *address, struct err *err)
 {
-  struct sockaddr_in sin = { .sin_family = AF_INET };
-  char host[SET_TEXT_MAX];
-  char *colon;
+  struct sockaddr_in sin;
   int fd;
 
-  snprintf (host, sizeof host, "%s", address);
-  colon = strrchr (host, ':');
-  *colon = '\0';
-  inet_pton (AF_INET, host, &sin.sin_addr);
-  sin.sin_port = htons ((uint16_t)atoi (colon + 1));
+  set_address (address, &sin);
   fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (fd < 0 || bind (fd, (struct sockaddr *)&sin, sizeof sin) != 0
       || listen (fd, 1) != 0)
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -546,16 +546,10 @@
 start_daemon (struct entry *entry, const char *address, unsigned threads,
               MHD_AccessHandlerCallback handler, struct err *err)
 {
-  struct sockaddr_in sin = { .sin_family = AF_INET };
+  struct sockaddr_in sin;
   struct MHD_Daemon *daemon;
-  char host[SET_TEXT_MAX];
-  char *colon;
-
-  snprintf (host, sizeof host, "%s", address);
-  colon = strrchr (host, ':');
-  *colon = '\0';
-  inet_pton (AF_INET, host, &sin.sin_addr);
-  sin.sin_port = htons ((uint16_t)atoi (colon + 1));
+
+  set_address (address, &sin);
   daemon = MHD_start_daemon (
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
       handler, entry, MHD_OPTION_SOCK_ADDR, &sin, MHD_OPTION_THREAD_POOL_SIZE,
--- a/src/set.c
+++ b/src/set.c
@@ -81,6 +81,19 @@
          && *end == '\0' && port > 0 && port <= UINT16_MAX;
 }
 
+void
+set_address (const char *s, struct sockaddr_in *sin)
+{
+  const char *colon = strrchr (s, ':');
+  char host[INET_ADDRSTRLEN];
+
+  memset (sin, 0, sizeof *sin);
+  sin->sin_family = AF_INET;
+  snprintf (host, sizeof host, "%.*s", (int)(colon - s), s);
+  inet_pton (AF_INET, host, &sin->sin_addr);
+  sin->sin_port = htons ((uint16_t)atoi (colon + 1));
+}
+
 static int
 word_allowed (const char *words, const char *value)
 {
