--- a/Makefile
+++ b/Makefile
@@ -9,9 +9,9 @@
 comma := ,
 BUILD := build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
 PKGS = libmicrohttpd neon libzmq libsodium json-c liburcu liburcu-bp glib-2.0 log4c \
-	libxxhash msgpack
+	libxxhash msgpack libuv
 PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
-PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lm
+PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lm
 SAN_FLAGS := $(if $(SANITIZE),-fsanitize=$(SANITIZE) -fno-omit-frame-pointer)
 
 CPPFLAGS = -D_GNU_SOURCE -Iinclude -Isrc
@@ -31,6 +31,8 @@
 LIB_SRC = $(filter-out src/%_main.c,$(wildcard src/*.c))
 LIB_OBJ = $(LIB_SRC:src/%.c=$(BUILD)/%.o)
 LIB = $(BUILD)/libgoldcresthatch.a
+PLATFORM_SRC = $(wildcard platform/*.c)
+PLATFORM_OBJ = $(PLATFORM_SRC:platform/%.c=$(BUILD)/platform-%.o)
 UNIT_SRC = $(wildcard tests/unit_*.cc)
 DIFF_SRC = $(wildcard tests/diff_*.cc)
 BENCH_SRC = $(wildcard bench/bench_*.c)
@@ -40,11 +42,11 @@
 	$(wildcard src/$(MAIN_$(p)).c),$(BUILD)/$(p)))
 HAVE_STANDIN = $(foreach s,$(STANDINS),$(if \
 	$(wildcard tests/$(subst -,_,$(s)).c),$(BUILD)/$(s)))
-C_FILES = $(wildcard src/*.c src/*.h include/goldcresthatch/*.h tests/*.c \
+C_FILES = $(wildcard src/*.c src/*.h platform/*.c platform/*.h include/goldcresthatch/*.h tests/*.c \
 	tests/*.h bench/*.c bench/*.h)
 CC_FILES = $(wildcard tests/*.cc tests/*.hh)
 
-.PHONY: all deps programs tests check check-format check-lint demo bench \
+.PHONY: all deps programs platform tests check check-format check-lint demo bench \
 	bench-capacity check-tsan install clean
 .SECONDARY:
 
@@ -64,6 +66,16 @@
 $(BUILD)/%.o: src/%.c | $(BUILD)
 	$(CC) $(CPPFLAGS) $(PKG_CFLAGS) $(CFLAGS) -fPIC -MMD -c $< -o $@
 
+$(BUILD)/platform-%.o: platform/%.c | $(BUILD)
+	$(CC) $(CPPFLAGS) -Iplatform $(PKG_CFLAGS) $(CFLAGS) -MMD -c $< -o $@
+
+$(BUILD)/goldcresthatch-gateway: $(PLATFORM_OBJ) $(LIB)
+	$(CC) $(LDFLAGS) -Wl,--as-needed -o $@ $^ $(PKG_LIBS)
+
+# The programs that the platform runs; deploy/system.toml names them.
+platform:
+	$(MAKE) -s -j$$(nproc) BUILD=target target/goldcresthatch-gateway
+
 $(BUILD)/test-%.o: tests/%.c | $(BUILD)
 	$(CC) $(CPPFLAGS) $(PKG_CFLAGS) $(CFLAGS) -MMD -c $< -o $@
 
@@ -160,6 +172,6 @@
 	install -m 644 man/*.8 $(DESTDIR)$(PREFIX)/share/man/man8
 
 clean:
-	rm -rf build build-*
+	rm -rf build build-* target
 
 -include $(wildcard $(BUILD)/*.d)
--- a/include/goldcresthatch/tmr.h
+++ b/include/goldcresthatch/tmr.h
@@ -45,6 +45,9 @@
    0 when the timer had already ended.  */
 int tmr_cancel (struct tmr *tmr, uint64_t timer);
 
+/* Returns the time at which the first timer is due, or -1 without timers.  */
+int64_t tmr_next (struct tmr *tmr);
+
 /* Advances the virtual clock to TO and runs what is due on the way, each with
    the clock at its due time.  */
 void tmr_advance (struct tmr *tmr, int64_t to);
--- /dev/null
+++ b/src/gw.h
@@ -0,0 +1,105 @@
+#ifndef GW_H
+#define GW_H
+/*
+ * NAME
+ *   gw - the gateway: an entry that calls the runners itself
+ *
+ * DESCRIPTION
+ *   One thread and one event loop.  A platform is met through the tables of
+ *   functions in adp.h and stor.h.  Times are in microseconds of the timer
+ *   service unless a name says otherwise.
+ */
+#include <glib.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "adp.h"
+#include "goldcresthatch/auth.h"
+#include "goldcresthatch/role.h"
+#include "goldcresthatch/tab.h"
+#include "goldcresthatch/tmr.h"
+#include "gw_set.h"
+#include "hcli.h"
+#include "hsrv.h"
+#include "jlog.h"
+#include "memb.h"
+#include "outc.h"
+#include "plc.h"
+#include "rtab.h"
+#include "sbud.h"
+#include "stor.h"
+
+struct gw_sync;
+struct gw_stage;
+
+struct gw_counts
+{
+  uint64_t requests;
+  uint64_t answered;  /* a runner's answer was passed on whole */
+  uint64_t refused;   /* not run */
+  uint64_t failed;    /* 502, 504 or cut */
+  uint64_t left;      /* by the client */
+  uint64_t repeats;   /* sends after the first */
+  uint64_t prompts;   /* read apart */
+  uint64_t store_calls;
+};
+
+enum
+{
+  GW_BUCKETS = 16 /* of the latency histogram, by doubling from 1 ms */
+};
+
+struct gw
+{
+  uv_loop_t loop;
+  struct tmr *tmr;
+  struct gw_set set;
+  const struct adp_ops *adp;
+  const struct stor_ops *stor;
+  void *stor_ctx;
+  struct hcli *cli;
+  struct hsrv *front;
+  struct hsrv *ready;
+  struct hsrv *metrics;
+  struct rtab *table;
+  struct memb *memb;
+  struct plc *plc;
+  GHashTable *budgets; /* service -> struct sbud */
+  unsigned processes;  /* gateways that are registered, this one included */
+  struct gw_sync *sync;
+  struct gw_stage *stage;
+  uint64_t seed; /* of the random numbers */
+  int stopping;
+  size_t active; /* requests in progress */
+  struct gw_counts counts;
+  uint64_t latency[GW_BUCKETS];
+};
+
+int64_t gw_now (struct gw *gw);
+uint64_t gw_random (struct gw *gw);
+struct sbud *gw_budget (struct gw *gw, const char *service);
+
+/* gw_call.c: the life of a request */
+void gw_request (void *ctx, uint64_t conn, const struct hhead *head,
+                 const char *body, size_t size);
+void gw_left (void *ctx, uint64_t conn);
+void gw_call_init (struct gw *gw);
+
+/* gw_sync.c: configuration, runners and the other gateways, from the store */
+struct gw_sync *gw_sync_new (struct gw *gw);
+int gw_is_ready (const struct gw *gw);
+
+/* gw_stage.c: authority and the stages of the engines */
+struct gw_stage *gw_stage_new (struct gw *gw);
+/* Notes the tokens that a request asks for.  */
+void gw_stage_demand (struct gw *gw, const struct plc_prompt *prompt);
+
+/* gw_page.c: readiness and metrics */
+int gw_pages_open (struct gw *gw, struct err *err);
+
+/* gw_run.c */
+int gw_run (int argc, char **argv, const struct adp_ops *adp,
+            const struct stor_ops *stor,
+            void *(*stor_open) (struct hcli *cli, struct tmr *tmr,
+                                const char *address));
+#endif
--- /dev/null
+++ b/src/gw_call.c
@@ -0,0 +1,288 @@
+#include "gw_call.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Runners end a request at the deadline themselves; their answer is preferred
+   to ours.  */
+#define DEADLINE_SLACK_US INT64_C (50000)
+
+enum
+{
+  RETURN_MIN_MS = 100, /* a client that returns at once meets the same queue */
+  RETURN_MAX_MS = 2000,
+  RETURN_SPREAD_MS = 150, /* spreads those refused together */
+  NO_RUNNER_MS = 500      /* about the time in which a runner is back */
+};
+
+static GHashTable *by_conn; /* conn -> struct gw_call */
+
+void
+gw_call_init (struct gw *gw)
+{
+  (void)gw;
+  by_conn = g_hash_table_new (g_int64_hash, g_int64_equal);
+}
+
+int
+gw_call_idempotent (const struct gw_call *call)
+{
+  return call->route->kind == RTAB_IDEMPOTENT
+         || (call->route->kind == RTAB_STREAM && call->route->resumable);
+}
+
+void
+gw_call_end (struct gw_call *call)
+{
+  struct gw *gw = call->gw;
+
+  gw_send_cancel (call);
+  gw_send_free_memory (call);
+  g_hash_table_remove (by_conn, &call->conn);
+  tmr_cancel (gw->tmr, call->timer);
+  rtab_unref (call->table);
+  if (call->fields != NULL)
+    g_string_free (call->fields, TRUE);
+  if (call->data != NULL)
+    g_string_free (call->data, TRUE);
+  gw->active--;
+  g_free (call);
+}
+
+static void
+answer_failure (struct gw_call *call, int status, int64_t after_ms,
+                const char *why)
+{
+  struct gw *gw = call->gw;
+  GString *fields = g_string_new (NULL);
+
+  if (after_ms > 0)
+    gw->adp->retry_after_write (fields, after_ms);
+  jlog (status == 503 || status == 429 ? "refused" : "failed", call->in.id,
+        "\"status\":%d,\"why\":\"%s\",\"route\":\"%s\",\"version\":%"
+        G_GUINT64_FORMAT ",\"sends\":%u,\"age_ms\":%" G_GINT64_FORMAT
+        ",\"return_ms\":%" G_GINT64_FORMAT ",\"runner\":\"%s\"",
+        status, why, call->route->name, call->table->version, call->outc.sends,
+        (gw_now (gw) - call->arrived) / 1000, after_ms,
+        call->runner != NULL ? call->runner->entry.id : "");
+  if (status == 503)
+    gw->counts.refused++;
+  else
+    gw->counts.failed++;
+  hsrv_answer (gw->front, call->conn, status, fields->str, "", 0);
+  g_string_free (fields, TRUE);
+  gw_call_end (call);
+}
+
+void
+gw_call_refuse (struct gw_call *call, int64_t after_ms, const char *why)
+{
+  after_ms = CLAMP (after_ms, RETURN_MIN_MS, RETURN_MAX_MS)
+             + (int64_t)(gw_random (call->gw) % RETURN_SPREAD_MS);
+  answer_failure (call, 503, after_ms, why);
+}
+
+void
+gw_call_give_up (struct gw_call *call, int time_over, const char *why)
+{
+  int status = outc_status (&call->outc, time_over);
+
+  gw_send_cancel (call);
+  if (status == 0)
+    {
+      jlog ("cut", call->in.id,
+            "\"why\":\"%s\",\"route\":\"%s\",\"last_event\":%" G_GUINT64_FORMAT
+            ",\"runner\":\"%s\"",
+            why, call->route->name, call->last_event,
+            call->runner != NULL ? call->runner->entry.id : "");
+      call->gw->counts.failed++;
+      hsrv_abort (call->gw->front, call->conn);
+      gw_call_end (call);
+      return;
+    }
+  if (status == 503)
+    gw_call_refuse (call, RETURN_MIN_MS, why);
+  else
+    answer_failure (call, status, 0, why);
+}
+
+static void
+on_deadline (void *ctx, int64_t now)
+{
+  (void)now;
+  gw_call_give_up (ctx, 1, "deadline");
+}
+
+/* Returns nonzero when engines of the service read prompts apart.  */
+static int
+has_stage (const struct gw_call *call, enum memb_stage stage)
+{
+  const struct memb *memb = call->gw->memb;
+  int64_t now = gw_now (call->gw);
+  size_t i;
+
+  for (i = 0; i < memb_count (memb); i++)
+    {
+      const struct memb_runner *runner = memb_at (memb, i);
+      if (runner->entry.stage == stage && memb_usable (runner, now)
+          && strcmp (runner->entry.service, call->service_name) == 0)
+        return 1;
+    }
+  return 0;
+}
+
+static void
+place_generation (struct gw_call *call, struct plc_where *where)
+{
+  struct gw *gw = call->gw;
+  const struct plc_prompt *prompt = &call->in.prompt;
+  int64_t now = gw_now (gw);
+  double limit = (double)MIN (
+      call->deadline - now,
+      (int64_t)((double)call->route->target_ms * 1000 * gw->set.admit_factor)
+          - (now - call->arrived));
+  struct plc_choice choice;
+  enum adp_phase phase = ADP_WHOLE;
+
+  where->stage = has_stage (call, MEMB_STAGE_DECODE) ? MEMB_STAGE_DECODE
+                                                     : MEMB_STAGE_ANY;
+  if (call->memory[0] != '\0')
+    {
+      choice = plc_decode (gw->plc, gw->memb, where, NULL, now);
+      choice.unread = 0;
+    }
+  else if (prompt->tokens >= (uint32_t)gw->set.direct_tokens
+           && where->stage == MEMB_STAGE_DECODE && call->last_event == 0
+           && has_stage (call, MEMB_STAGE_PREFILL))
+    {
+      struct plc_choice decode
+          = plc_decode (gw->plc, gw->memb, where, NULL, now);
+      where->stage = MEMB_STAGE_PREFILL;
+      choice = plc_prefill (gw->plc, gw->memb, where, prompt, now);
+      choice.first_us += decode.first_us;
+      phase = ADP_PROMPT_ONLY;
+    }
+  else
+    {
+      choice = plc_decode (gw->plc, gw->memb, where, prompt, now);
+      choice.unread = prompt->tokens;
+    }
+  if (choice.runner == NULL)
+    gw_call_refuse (call, NO_RUNNER_MS, "no runner");
+  else if (call->memory[0] == '\0' && call->outc.sends == 0
+           && choice.first_us > limit)
+    gw_call_refuse (call, (int64_t)(choice.first_us - limit) / 1000, "late");
+  else if (gw_send (call, choice.runner, phase, choice.unread) != 0)
+    gw_call_refuse (call, NO_RUNNER_MS, "no connection");
+}
+
+void
+gw_call_place (struct gw_call *call)
+{
+  struct gw *gw = call->gw;
+  struct plc_where where
+      = { .service = call->service_name,
+          .zone = gw->set.zone,
+          .excluded = (const struct memb_runner *const *)call->excluded,
+          .n_excluded = call->n_excluded };
+  struct plc_choice choice;
+
+  if (call->service != NULL && call->service->is_engine)
+    {
+      place_generation (call, &where);
+      return;
+    }
+  choice = plc_call (gw->memb, &where, gw_random (gw), gw_now (gw));
+  if (choice.runner == NULL)
+    gw_call_refuse (call, NO_RUNNER_MS, "no runner");
+  else if (call->outc.sends == 0
+           && choice.first_us > (double)(call->deadline - gw_now (gw)))
+    gw_call_refuse (call, (int64_t)choice.wait_us / 1000, "late");
+  else if (gw_send (call, choice.runner, ADP_WHOLE, 0) != 0)
+    gw_call_refuse (call, NO_RUNNER_MS, "no connection");
+}
+
+/* Answers a request that is never sent on.  */
+static void
+answer_early (struct gw *gw, uint64_t conn, const char *id, int status,
+              const char *why)
+{
+  GString *fields = g_string_new (NULL);
+
+  if (status == 503)
+    gw->adp->retry_after_write (fields, NO_RUNNER_MS);
+  jlog ("refused", id, "\"status\":%d,\"why\":\"%s\",\"version\":%"
+        G_GUINT64_FORMAT,
+        status, why, gw->table != NULL ? gw->table->version : 0);
+  gw->counts.refused++;
+  hsrv_answer (gw->front, conn, status, fields->str, "", 0);
+  g_string_free (fields, TRUE);
+}
+
+void
+gw_request (void *ctx, uint64_t conn, const struct hhead *head,
+            const char *body, size_t size)
+{
+  struct gw *gw = ctx;
+  struct adp_request in;
+  const struct rtab_route *route;
+  struct gw_call *call;
+  int64_t budget_ms;
+
+  gw->counts.requests++;
+  if (gw->adp->request_read (head, &in) != 0 || in.id[0] == '\0')
+    {
+      answer_early (gw, conn, NULL, 400, "malformed");
+      return;
+    }
+  if (gw->table == NULL)
+    {
+      answer_early (gw, conn, in.id, 503, "no configuration yet");
+      return;
+    }
+  route = rtab_find (gw->table, hhead_get (head, "host"), head->target);
+  if (route == NULL)
+    {
+      answer_early (gw, conn, in.id, 404, "no route");
+      return;
+    }
+  call = g_new0 (struct gw_call, 1);
+  call->gw = gw;
+  call->conn = conn;
+  call->head = head;
+  call->body = body;
+  call->size = size;
+  call->in = in;
+  call->table = rtab_ref (gw->table);
+  call->route = route;
+  call->service_name = rtab_pick (route, XXH64 (in.id, strlen (in.id), 0));
+  call->service = rtab_service_find (gw->table, call->service_name);
+  call->arrived = gw_now (gw);
+  call->last_event = in.last_event;
+  budget_ms = in.budget_ms > 0 ? MIN (in.budget_ms, route->timeout_ms)
+                               : route->timeout_ms;
+  call->deadline = call->arrived + budget_ms * 1000;
+  call->timer = tmr_add (gw->tmr, budget_ms * 1000 + DEADLINE_SLACK_US, 0,
+                         on_deadline, call);
+  gw->active++;
+  g_hash_table_insert (by_conn, &call->conn, call);
+  if (in.has_prompt)
+    gw_stage_demand (gw, &in.prompt);
+  gw_call_place (call);
+}
+
+void
+gw_left (void *ctx, uint64_t conn)
+{
+  struct gw *gw = ctx;
+  struct gw_call *call = g_hash_table_lookup (by_conn, &conn);
+
+  if (call == NULL)
+    return;
+  gw->counts.left++;
+  jlog ("left", call->in.id,
+        "\"route\":\"%s\",\"sends\":%u,\"age_ms\":%" G_GINT64_FORMAT,
+        call->route->name, call->outc.sends,
+        (gw_now (gw) - call->arrived) / 1000);
+  gw_call_end (call);
+}
--- /dev/null
+++ b/src/gw_call.h
@@ -0,0 +1,62 @@
+#ifndef GW_CALL_H
+#define GW_CALL_H
+/*
+ * NAME
+ *   gw_call - one request of a client, from its arrival to the last byte
+ */
+#include "gw.h"
+
+enum
+{
+  GW_EXCLUDED_MAX = 4 /* runners that failed one request */
+};
+
+struct gw_call
+{
+  struct gw *gw;
+  uint64_t conn;
+  const struct hhead *head;
+  const char *body;
+  size_t size;
+  struct adp_request in;
+  struct rtab *table;
+  const struct rtab_route *route;
+  const struct rtab_service *service;
+  const char *service_name;
+  int64_t arrived;
+  int64_t deadline; /* of the client or the route, the earlier one */
+  uint64_t timer;
+  struct outc outc;
+  int sent_once; /* the budget knows of its first send */
+  /* The send in progress.  */
+  uint64_t call;
+  enum adp_phase phase;
+  struct memb_runner *runner;
+  double reading; /* prompt tokens noted at the runner */
+  int64_t sent;
+  struct adp_answer answer;
+  GString *fields; /* of the runner's answer */
+  GString *data;   /* of its body, as far as it wasn't passed on */
+  int streaming;
+  /* A prompt's memory that no runner has taken yet.  */
+  char memory[128]; /* "IP:PORT/HANDLE" or empty */
+  struct memb_runner *excluded[GW_EXCLUDED_MAX];
+  size_t n_excluded;
+  uint64_t last_event;
+};
+
+int gw_call_idempotent (const struct gw_call *call);
+/* Chooses a runner and sends, or refuses.  */
+void gw_call_place (struct gw_call *call);
+/* Ends the call with a failure of our own.  */
+void gw_call_give_up (struct gw_call *call, int time_over, const char *why);
+void gw_call_refuse (struct gw_call *call, int64_t after_ms, const char *why);
+void gw_call_end (struct gw_call *call);
+
+/* gw_send.c */
+int gw_send (struct gw_call *call, struct memb_runner *runner,
+             enum adp_phase phase, uint32_t unread);
+void gw_send_cancel (struct gw_call *call);
+/* Frees a prompt's memory that won't be taken.  */
+void gw_send_free_memory (struct gw_call *call);
+#endif
--- /dev/null
+++ b/src/gw_page.c
@@ -0,0 +1,105 @@
+/* Readiness and metrics.  */
+#include "gw.h"
+
+static void
+on_ready (void *ctx, uint64_t conn, const struct hhead *head, const char *body,
+          size_t size)
+{
+  struct gw *gw = ctx;
+  int status = 404;
+
+  (void)body;
+  (void)size;
+  if (gw->adp->is_ready_path (head->target))
+    status = gw_is_ready (gw) ? 200 : 503;
+  hsrv_answer (gw->ready, conn, status, NULL, "", 0);
+}
+
+static void
+ignore_left (void *ctx, uint64_t conn)
+{
+  (void)ctx;
+  (void)conn;
+}
+
+static void
+metrics_text (const struct gw *gw, GString *out)
+{
+  const struct
+  {
+    const char *name;
+    uint64_t value;
+  } rows[] = {
+    { "requests_total", gw->counts.requests },
+    { "answered_total", gw->counts.answered },
+    { "refused_total", gw->counts.refused },
+    { "failed_total", gw->counts.failed },
+    { "left_total", gw->counts.left },
+    { "repeats_total", gw->counts.repeats },
+    { "prompts_read_apart_total", gw->counts.prompts },
+    { "store_calls_total", gw->counts.store_calls },
+    { "active_requests", gw->active },
+    { "client_connections", hsrv_connections (gw->front) },
+    { "runners", memb_count (gw->memb) },
+    { "gateways", gw->processes },
+    { "config_version", gw->table != NULL ? gw->table->version : 0 },
+  };
+  uint64_t sum = 0;
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (rows); i++)
+    g_string_append_printf (out, "goldcresthatch_%s %" G_GUINT64_FORMAT "\n",
+                            rows[i].name, rows[i].value);
+  for (i = 0; i < GW_BUCKETS; i++)
+    {
+      sum += gw->latency[i];
+      if (i + 1 < GW_BUCKETS)
+        g_string_append_printf (
+            out,
+            "goldcresthatch_answer_seconds_bucket{le=\"%g\"} %" G_GUINT64_FORMAT
+            "\n",
+            (double)(UINT64_C (1) << i) / 1000, sum);
+    }
+  g_string_append_printf (
+      out,
+      "goldcresthatch_answer_seconds_bucket{le=\"+Inf\"} %" G_GUINT64_FORMAT
+      "\ngoldcresthatch_answer_seconds_count %" G_GUINT64_FORMAT "\n",
+      sum, sum);
+}
+
+static void
+on_metrics (void *ctx, uint64_t conn, const struct hhead *head,
+            const char *body, size_t size)
+{
+  struct gw *gw = ctx;
+  GString *out = g_string_new (NULL);
+
+  (void)body;
+  (void)size;
+  if (hspan_same (head->target, "/metrics"))
+    {
+      metrics_text (gw, out);
+      hsrv_answer (gw->metrics, conn, 200,
+                   "Content-Type: text/plain; version=0.0.4\r\n", out->str,
+                   out->len);
+    }
+  else
+    hsrv_answer (gw->metrics, conn, 404, NULL, "", 0);
+  g_string_free (out, TRUE);
+}
+
+int
+gw_pages_open (struct gw *gw, struct err *err)
+{
+  static const struct hsrv_ops ready = { on_ready, ignore_left };
+  static const struct hsrv_ops metrics = { on_metrics, ignore_left };
+
+  gw->ready = hsrv_new (&gw->loop, gw->set.listen_ready, &ready, gw, err);
+  if (gw->ready == NULL)
+    return -1;
+  if (gw->set.listen_metrics[0] == '\0')
+    return 0;
+  gw->metrics
+      = hsrv_new (&gw->loop, gw->set.listen_metrics, &metrics, gw, err);
+  return gw->metrics != NULL ? 0 : -1;
+}
--- /dev/null
+++ b/src/gw_run.c
@@ -0,0 +1,316 @@
+/* Command line, event loop, start and stop of the gateway.  */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "gw.h"
+
+enum
+{
+  FLUSH_MS = 200,
+  TICK_MS = 250,
+  /* The balancer takes a process out after two checks a second apart.  */
+  NOTICE_MS = 2600,
+  EXIT_SPARE_MS = 700 /* left of the grace time at the end */
+};
+
+struct driver
+{
+  struct gw *gw;
+  uv_timer_t timer;
+  uv_prepare_t prepare;
+  uv_check_t check;
+  uv_signal_t term;
+  uv_signal_t hup;
+  int64_t stop_at; /* end of the grace time */
+};
+
+static int64_t
+clock_us (void)
+{
+  return (int64_t)(uv_hrtime () / 1000);
+}
+
+int64_t
+gw_now (struct gw *gw)
+{
+  return tmr_now (gw->tmr);
+}
+
+uint64_t
+gw_random (struct gw *gw)
+{
+  /* xorshift64*, enough to spread load.  */
+  gw->seed ^= gw->seed >> 12;
+  gw->seed ^= gw->seed << 25;
+  gw->seed ^= gw->seed >> 27;
+  return gw->seed * UINT64_C (2685821657736338717);
+}
+
+struct sbud *
+gw_budget (struct gw *gw, const char *service)
+{
+  struct sbud *budget = g_hash_table_lookup (gw->budgets, service);
+
+  if (budget == NULL)
+    {
+      budget = g_new0 (struct sbud, 1);
+      g_hash_table_insert (gw->budgets, g_strdup (service), budget);
+    }
+  return budget;
+}
+
+static void
+on_timer (uv_timer_t *timer)
+{
+  (void)timer;
+}
+
+/* Runs what is due and arms the loop's timer for what is next.  */
+static void
+on_prepare (uv_prepare_t *prepare)
+{
+  struct driver *driver = prepare->data;
+  struct tmr *tmr = driver->gw->tmr;
+  int64_t due;
+  int64_t wait_ms;
+
+  tmr_advance (tmr, clock_us ());
+  due = tmr_next (tmr);
+  if (due < 0)
+    return;
+  wait_ms = (due - clock_us () + 999) / 1000;
+  uv_timer_start (&driver->timer, on_timer,
+                  wait_ms > 0 ? (uint64_t)wait_ms : 0, 0);
+}
+
+static void
+on_check (uv_check_t *check)
+{
+  struct driver *driver = check->data;
+
+  tmr_advance (driver->gw->tmr, clock_us ());
+}
+
+static void
+on_flush (void *ctx, int64_t now)
+{
+  (void)ctx;
+  (void)now;
+  jlog_flush ();
+}
+
+static void
+on_tick (void *ctx, int64_t now)
+{
+  struct gw *gw = ctx;
+
+  hsrv_tick (gw->front);
+  hsrv_tick (gw->ready);
+  if (gw->metrics != NULL)
+    hsrv_tick (gw->metrics);
+  hcli_tick (gw->cli);
+  memb_tick (gw->memb, now);
+}
+
+static void
+finish (struct gw *gw)
+{
+  jlog ("stop", NULL,
+        "\"requests\":%" G_GUINT64_FORMAT ",\"answered\":%" G_GUINT64_FORMAT
+        ",\"cut\":%zu",
+        gw->counts.requests, gw->counts.answered, gw->active);
+  jlog_flush ();
+  exit (EXIT_SUCCESS);
+}
+
+static void
+on_stopping (void *ctx, int64_t now)
+{
+  struct driver *driver = ctx;
+  struct gw *gw = driver->gw;
+
+  if (now >= driver->stop_at)
+    finish (gw);
+  if (now < driver->stop_at
+                - (int64_t)((gw->set.grace_ms - EXIT_SPARE_MS - NOTICE_MS)
+                            * 1000))
+    return;
+  hsrv_close_idle (gw->front);
+  if (gw->active == 0 && hsrv_connections (gw->front) == 0)
+    finish (gw);
+}
+
+static void
+on_term (uv_signal_t *signal, int number)
+{
+  enum
+  {
+    LOOK_MS = 50
+  };
+  struct driver *driver = signal->data;
+  struct gw *gw = driver->gw;
+
+  (void)number;
+  if (gw->stopping)
+    return;
+  gw->stopping = 1;
+  jlog ("stopping", NULL, "\"active\":%zu", gw->active);
+  hsrv_drain (gw->front);
+  driver->stop_at
+      = gw_now (gw) + (int64_t)((gw->set.grace_ms - EXIT_SPARE_MS) * 1000);
+  tmr_add (gw->tmr, LOOK_MS * 1000, LOOK_MS * 1000, on_stopping, driver);
+}
+
+static void
+on_hup (uv_signal_t *signal, int number)
+{
+  struct driver *driver = signal->data;
+  struct gw *gw = driver->gw;
+  const char *path = signal->loop->data;
+  struct gw_set next;
+  struct err err;
+
+  (void)number;
+  if (gw_set_read (path, &next, &err) != 0)
+    {
+      jlog ("reload", NULL, "\"outcome\":\"kept\",\"error\":\"%s\"", err.text);
+      return;
+    }
+  /* Addresses and names hold for the life of the process.  */
+  gw->set.repeat_ratio = next.repeat_ratio;
+  gw->set.repeat_slack = next.repeat_slack;
+  gw->set.repeat_window_ms = next.repeat_window_ms;
+  gw->set.prefill_share = next.prefill_share;
+  gw->set.admit_factor = next.admit_factor;
+  gw->set.direct_tokens = next.direct_tokens;
+  gw->set.grace_ms = next.grace_ms;
+  jlog ("reload", NULL, "\"outcome\":\"in force\"");
+}
+
+static void
+drive (struct gw *gw, struct driver *driver, const char *path)
+{
+  driver->gw = gw;
+  gw->loop.data = (void *)path;
+  uv_timer_init (&gw->loop, &driver->timer);
+  uv_prepare_init (&gw->loop, &driver->prepare);
+  uv_check_init (&gw->loop, &driver->check);
+  uv_signal_init (&gw->loop, &driver->term);
+  uv_signal_init (&gw->loop, &driver->hup);
+  driver->prepare.data = driver;
+  driver->check.data = driver;
+  driver->term.data = driver;
+  driver->hup.data = driver;
+  uv_prepare_start (&driver->prepare, on_prepare);
+  uv_check_start (&driver->check, on_check);
+  uv_signal_start (&driver->term, on_term, SIGTERM);
+  uv_signal_start (&driver->hup, on_hup, SIGHUP);
+  signal (SIGPIPE, SIG_IGN);
+  tmr_add (gw->tmr, FLUSH_MS * 1000, (int64_t)FLUSH_MS * 1000, on_flush, gw);
+  tmr_add (gw->tmr, TICK_MS * 1000, (int64_t)TICK_MS * 1000, on_tick, gw);
+}
+
+static int
+options (int argc, char **argv, char **path, int *check)
+{
+  gboolean only_check = FALSE;
+  gboolean version = FALSE;
+  GOptionEntry entries[] = {
+    { "settings", 0, 0, G_OPTION_ARG_FILENAME, path, "settings file", "FILE" },
+    { "check", 0, 0, G_OPTION_ARG_NONE, &only_check,
+      "validate the settings and stop", NULL },
+    { "version", 0, 0, G_OPTION_ARG_NONE, &version, "print the version",
+      NULL },
+    { NULL, 0, 0, 0, NULL, NULL, NULL },
+  };
+  GOptionContext *context = g_option_context_new ("- serve callers");
+  GError *error = NULL;
+  int rc = 0;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &error))
+    {
+      fprintf (stderr, "goldcresthatch-gateway: %s\n", error->message);
+      g_error_free (error);
+      rc = 2;
+    }
+  else if (version)
+    {
+      puts ("goldcresthatch-gateway 1");
+      rc = 1;
+    }
+  else if (*path == NULL
+           && (*path = g_strdup (g_getenv ("GOLDCRESTHATCH_CONFIG"))) == NULL)
+    {
+      fprintf (stderr, "goldcresthatch-gateway: --settings is missing\n");
+      rc = 2;
+    }
+  g_option_context_free (context);
+  *check = only_check;
+  return rc;
+}
+
+int
+gw_run (int argc, char **argv, const struct adp_ops *adp,
+        const struct stor_ops *stor,
+        void *(*stor_open) (struct hcli *cli, struct tmr *tmr,
+                            const char *address))
+{
+  enum
+  {
+    MEMORY_MAX = 40000 /* parts and engines remembered; about 4 MB */
+  };
+  static const struct hsrv_ops front = { gw_request, gw_left };
+  static struct gw gw;
+  static struct driver driver;
+  struct timespec now;
+  struct err err;
+  char *path = NULL;
+  int check = 0;
+  int rc = options (argc, argv, &path, &check);
+
+  if (rc != 0)
+    return rc == 1 ? 0 : rc;
+  if (gw_set_read (path, &gw.set, &err) != 0)
+    {
+      fprintf (stderr, "goldcresthatch-gateway: %s: %s\n", path, err.text);
+      return 1;
+    }
+  if (check)
+    return 0;
+  jlog_open (gw.set.node);
+  clock_gettime (CLOCK_REALTIME, &now);
+  gw.seed = ((uint64_t)now.tv_nsec << 20) ^ (uint64_t)now.tv_sec
+            ^ g_str_hash (gw.set.node);
+  gw.seed |= 1;
+  uv_loop_init (&gw.loop);
+  gw.tmr = tmr_new_virtual (clock_us ());
+  gw.adp = adp;
+  gw.stor = stor;
+  gw.cli = hcli_new (&gw.loop);
+  gw.stor_ctx = stor_open (gw.cli, gw.tmr, gw.set.store);
+  gw.memb = memb_new ();
+  gw.plc = plc_new (&plc_speed_default, MEMORY_MAX);
+  gw.budgets
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  gw.processes = 1;
+  gw_call_init (&gw);
+  drive (&gw, &driver, path);
+  gw.front = hsrv_new (&gw.loop, gw.set.listen_front, &front, &gw, &err);
+  if (gw.front == NULL || gw_pages_open (&gw, &err) != 0)
+    {
+      jlog ("start_failed", NULL, "\"peer\":\"%s\",\"error\":\"%s\"", err.peer,
+            err.text);
+      jlog_flush ();
+      return 1;
+    }
+  jlog ("start", NULL, "\"listen\":\"%s\",\"store\":\"%s\"",
+        gw.set.listen_front, gw.set.store);
+  gw_stage_new (&gw);
+  gw_sync_new (&gw);
+  uv_run (&gw.loop, UV_RUN_DEFAULT);
+  return 0;
+}
--- /dev/null
+++ b/src/gw_set.h
@@ -0,0 +1,33 @@
+#ifndef GW_SET_H
+#define GW_SET_H
+/*
+ * NAME
+ *   gw_set - checked settings of the gateway, JSON with comments
+ */
+#include <stdint.h>
+
+#include "goldcresthatch/err.h"
+
+struct gw_set
+{
+  char node[64];
+  char zone[64];
+  char listen_front[32];
+  char listen_ready[32];
+  char listen_metrics[32]; /* may be empty */
+  char store[32];
+  int first_start;         /* the whole system starts for the first time */
+  double lease_ms;         /* least time between the orders of two holders */
+  double grace_ms;         /* from SIGTERM to the end */
+  double repeat_ratio;     /* of all processes, for a service */
+  double repeat_slack;
+  double repeat_window_ms;
+  double prefill_share;    /* of the engines before any demand is known */
+  double admit_factor;     /* of the target for the first byte: a request that
+                              would wait longer is refused */
+  double direct_tokens;    /* a shorter prompt isn't read apart */
+};
+
+/* Reads PATH.  Returns 0, or -1 with the first error.  */
+int gw_set_read (const char *path, struct gw_set *set, struct err *err);
+#endif
--- /dev/null
+++ b/src/gw_stage.c
@@ -0,0 +1,407 @@
+/* Authority over the engines, and orders that change their stages.  */
+#include <string.h>
+
+#include "gw.h"
+#include "stgp.h"
+
+#define AUTHORITY_KEY "authority/engines"
+
+enum
+{
+  STEP_MS = 250,
+  CONNECT_MS = 400,
+  ORDER_MS = 1500,     /* an answer that takes longer counts as lost */
+  QUIET_MS = 500,      /* beyond lease_ms, for delays of the last holder's */
+  CONFIRM_MS = 400,    /* age of the read of the key that an order needs */
+  ORDERED_MS = 8000    /* a change that isn't done by then has failed */
+};
+
+struct gw_stage
+{
+  struct auth auth;
+  int64_t token_since; /* 0 without a token */
+  uint64_t token;
+  int64_t confirmed;   /* start of the last read that showed our token */
+  int confirming;
+  int planned_first;   /* the share before any demand was ordered */
+  struct role_stats stats;
+  double prefill;      /* tokens asked for since the last step */
+  double decode;
+  struct stgp_state plan;
+  /* One order at a time.  */
+  struct memb_runner *runner;
+  enum memb_stage to;
+  uint64_t call;
+  int ordering; /* the order is out; before that the report is read */
+  int64_t sent;
+  int status;
+  GString *body;
+};
+
+static void step (struct gw *gw);
+static void auth_step (struct gw *gw, const struct auth_event *event);
+
+struct auth_op
+{
+  struct gw *gw;
+  uint64_t op;
+  enum auth_event_kind kind;
+};
+
+static struct msg_id
+draw (struct gw *gw)
+{
+  struct msg_id id;
+  uint64_t bits[2] = { gw_random (gw), gw_random (gw) };
+
+  memset (&id, 0, sizeof id);
+  memcpy (&id, bits, MIN (sizeof id, sizeof bits));
+  return id;
+}
+
+static int
+result_of (enum stor_rc rc)
+{
+  switch (rc)
+    {
+    case STOR_OK:
+      return 1;
+    case STOR_ABSENT:
+    case STOR_CONFLICT:
+    case STOR_REFUSED:
+      return 0;
+    default:
+      return -1;
+    }
+}
+
+static void
+on_auth_done (void *ctx, const struct stor_reply *reply)
+{
+  struct auth_op *op = ctx;
+  struct gw *gw = op->gw;
+  struct auth_record record;
+  struct auth_event event
+      = { .kind = op->kind, .now_us = gw_now (gw), .op = op->op };
+
+  gw->counts.store_calls++;
+  event.rc = result_of (reply->rc);
+  event.draw = draw (gw);
+  event.lease = reply->lease;
+  event.revision = reply->revision;
+  if (op->kind == AUTH_EV_GRANTED)
+    event.rc = reply->rc == STOR_OK ? 0 : -1;
+  else if (reply->rc == STOR_REFUSED)
+    event.rc = -1;
+  if (op->kind == AUTH_EV_READ && reply->rc == STOR_OK && reply->n_items > 0)
+    {
+      event.revision = reply->items[0].created;
+      if (auth_record_decode (reply->items[0].value, reply->items[0].size,
+                              &record, NULL)
+          == 0)
+        event.record = &record;
+    }
+  g_free (op);
+  auth_step (gw, &event);
+}
+
+static void
+auth_do (struct gw *gw, const struct auth_action *action)
+{
+  struct auth_op *op = g_new0 (struct auth_op, 1);
+  char record[AUTH_RECORD_MAX];
+  int n;
+
+  op->gw = gw;
+  op->op = action->op;
+  switch (action->kind)
+    {
+    case AUTH_DO_READ:
+      op->kind = AUTH_EV_READ;
+      gw->stor->get (gw->stor_ctx, AUTHORITY_KEY, on_auth_done, op);
+      return;
+    case AUTH_DO_GRANT:
+      op->kind = AUTH_EV_GRANTED;
+      gw->stor->grant (gw->stor_ctx, AUTH_LEASE_US / 1000, on_auth_done, op);
+      return;
+    case AUTH_DO_CAS:
+      op->kind = AUTH_EV_CAS;
+      n = auth_record_encode (&action->record, record, sizeof record, NULL);
+      gw->stor->put (gw->stor_ctx, AUTHORITY_KEY, 0, record, (size_t)MAX (n, 0),
+                     action->lease, on_auth_done, op);
+      return;
+    case AUTH_DO_RENEW:
+      op->kind = AUTH_EV_RENEWED;
+      gw->stor->renew (gw->stor_ctx, action->lease, on_auth_done, op);
+      return;
+    default:
+      g_free (op);
+      return;
+    }
+}
+
+static void
+auth_step (struct gw *gw, const struct auth_event *event)
+{
+  struct gw_stage *stage = gw->stage;
+  struct auth_action action;
+  uint64_t token;
+
+  auth_handle (&stage->auth, event, &action);
+  token = auth_token (&stage->auth, gw_now (gw));
+  if (token != stage->token)
+    {
+      jlog ("authority", NULL,
+            "\"token\":%" G_GUINT64_FORMAT ",\"before\":%" G_GUINT64_FORMAT,
+            token, stage->token);
+      stage->token = token;
+      stage->token_since = gw_now (gw);
+      stage->confirmed = 0;
+    }
+  auth_do (gw, &action);
+}
+
+static enum hcli_take
+on_head (void *ctx, const struct hhead *head)
+{
+  struct gw *gw = ctx;
+
+  gw->stage->status = head->status;
+  g_string_truncate (gw->stage->body, 0);
+  return HCLI_TAKE;
+}
+
+static void
+on_body (void *ctx, const char *data, size_t size)
+{
+  struct gw *gw = ctx;
+
+  g_string_append_len (gw->stage->body, data, (gssize)size);
+}
+
+static void
+order_over (struct gw *gw)
+{
+  struct gw_stage *stage = gw->stage;
+
+  stage->runner->calls--;
+  stage->runner = NULL;
+  stage->call = 0;
+}
+
+static int
+send_to_runner (struct gw *gw, const GString *request);
+
+static void
+on_done (void *ctx, enum hcli_end end)
+{
+  struct gw *gw = ctx;
+  struct gw_stage *stage = gw->stage;
+  struct adp_order order = { stage->to, gw->set.node, stage->token, -1 };
+  struct adp_report report;
+  GString *out;
+  int64_t now = gw_now (gw);
+
+  stage->call = 0;
+  if (stage->ordering || end != HCLI_WHOLE || stage->status != 200
+      || gw->adp->report_read (stage->body->str, stage->body->len, &report)
+             != 0
+      || report.busy || report.stage == stage->to
+      || auth_token (&stage->auth, now) != stage->token
+      || now - stage->confirmed > CONFIRM_MS * 1000)
+    {
+      if (stage->ordering)
+        jlog ("order", NULL,
+              "\"runner\":\"%s\",\"to\":%d,\"fence\":%" G_GUINT64_FORMAT
+              ",\"status\":%d,\"end\":%d",
+              stage->runner->entry.id, stage->to, stage->token, stage->status,
+              end);
+      if (stage->ordering
+          && (end == HCLI_BROKEN
+              || (end == HCLI_WHOLE && stage->status == 202)))
+        {
+          /* Without an answer it may still be carried out.  */
+          stage->runner->ordered = stage->to;
+          stage->runner->ordered_us = now;
+        }
+      order_over (gw);
+      return;
+    }
+  order.orders = report.orders;
+  out = g_string_new (NULL);
+  gw->adp->order_write (out, stage->runner->entry.address,
+                        stage->runner->entry.id, &order);
+  stage->ordering = 1;
+  stage->status = 0;
+  if (send_to_runner (gw, out) != 0)
+    order_over (gw);
+  g_string_free (out, TRUE);
+}
+
+static int
+send_to_runner (struct gw *gw, const GString *request)
+{
+  static const struct hcli_ops ops = { on_head, on_body, on_done };
+  struct gw_stage *stage = gw->stage;
+
+  stage->sent = gw_now (gw);
+  stage->call = hcli_call (gw->cli, stage->runner->entry.address,
+                           stage->runner->peer, request->str, request->len,
+                           CONNECT_MS, &ops, gw);
+  return stage->call != 0 ? 0 : -1;
+}
+
+static void
+order_start (struct gw *gw, struct memb_runner *runner, enum memb_stage to)
+{
+  struct gw_stage *stage = gw->stage;
+  GString *out = g_string_new (NULL);
+
+  stage->runner = runner;
+  stage->to = to;
+  stage->ordering = 0;
+  stage->status = 0;
+  runner->calls++;
+  gw->adp->report_write (out, runner->entry.address);
+  if (send_to_runner (gw, out) != 0)
+    order_over (gw);
+  g_string_free (out, TRUE);
+}
+
+static void
+on_confirmed (void *ctx, const struct stor_reply *reply)
+{
+  struct gw *gw = ctx;
+  struct gw_stage *stage = gw->stage;
+  int64_t asked = stage->confirming ? stage->sent : 0;
+
+  gw->counts.store_calls++;
+  stage->confirming = 0;
+  if (reply->rc != STOR_OK || reply->n_items == 0
+      || reply->items[0].created != stage->token)
+    return;
+  stage->confirmed = MAX (asked, gw_now (gw) - CONFIRM_MS * 500);
+  step (gw);
+}
+
+/* Decides on the next change.  Returns 0 when there is none.  */
+static int
+next_change (struct gw *gw, struct memb_runner **runner, enum memb_stage *to)
+{
+  struct gw_stage *stage = gw->stage;
+  struct role_demand demand = role_stats_rate (&stage->stats, 0);
+  int64_t now = gw_now (gw);
+  struct stgp_view view = { 0 };
+  size_t i;
+
+  view.share = gw->set.prefill_share;
+  view.first = gw->set.first_start && !stage->planned_first;
+  view.prefill_tokens = demand.prefill * gw->processes;
+  view.decode_tokens = demand.decode * gw->processes;
+  for (i = 0; i < memb_count (gw->memb); i++)
+    {
+      struct memb_runner *one = memb_at (gw->memb, i);
+      enum memb_stage at = one->entry.stage;
+      if (at == MEMB_STAGE_ANY || !one->present || one->leaving)
+        continue;
+      if (one->ordered != MEMB_STAGE_ANY
+          && now - one->ordered_us > ORDERED_MS * 1000)
+        one->ordered = MEMB_STAGE_ANY;
+      if (one->ordered != MEMB_STAGE_ANY)
+        {
+          at = one->ordered;
+          view.changing++;
+        }
+      view.engines++;
+      view.prefill += at == MEMB_STAGE_PREFILL;
+    }
+  if (!stgp_next (&stage->plan, &view, now, to))
+    return 0;
+  *runner = NULL;
+  for (i = 0; i < memb_count (gw->memb); i++)
+    {
+      struct memb_runner *one = memb_at (gw->memb, i);
+      if (one->entry.stage == MEMB_STAGE_ANY || one->entry.stage == *to
+          || !memb_usable (one, now) || one->ordered != MEMB_STAGE_ANY)
+        continue;
+      if (*runner == NULL || one->calls < (*runner)->calls)
+        *runner = one;
+    }
+  return *runner != NULL;
+}
+
+static void
+step (struct gw *gw)
+{
+  struct gw_stage *stage = gw->stage;
+  int64_t now = gw_now (gw);
+  struct memb_runner *runner;
+  enum memb_stage to;
+
+  if (stage->runner != NULL)
+    {
+      if (now - stage->sent < ORDER_MS * 1000)
+        return;
+      hcli_cancel (gw->cli, stage->call);
+      if (stage->ordering)
+        {
+          stage->runner->ordered = stage->to;
+          stage->runner->ordered_us = now;
+        }
+      order_over (gw);
+    }
+  if (stage->token == 0 || gw->stopping
+      || auth_token (&stage->auth, now) != stage->token
+      || now - stage->token_since
+             < (int64_t)((gw->set.lease_ms + QUIET_MS) * 1000)
+      || !next_change (gw, &runner, &to))
+    return;
+  if (now - stage->confirmed > CONFIRM_MS * 500)
+    {
+      if (stage->confirming)
+        return;
+      stage->confirming = 1;
+      stage->sent = now;
+      gw->stor->get (gw->stor_ctx, AUTHORITY_KEY, on_confirmed, gw);
+      return;
+    }
+  order_start (gw, runner, to);
+}
+
+static void
+on_step (void *ctx, int64_t now)
+{
+  struct gw *gw = ctx;
+  struct gw_stage *stage = gw->stage;
+  struct auth_event event = { .kind = AUTH_EV_TIME, .now_us = now };
+
+  event.draw = draw (gw);
+  role_stats_add (&stage->stats, now, stage->prefill, stage->decode);
+  stage->prefill = 0;
+  stage->decode = 0;
+  if (!gw->stopping)
+    auth_step (gw, &event);
+  step (gw);
+}
+
+void
+gw_stage_demand (struct gw *gw, const struct plc_prompt *prompt)
+{
+  if (prompt->tokens >= (uint32_t)gw->set.direct_tokens)
+    gw->stage->prefill += prompt->tokens;
+  gw->stage->decode += prompt->output_tokens;
+}
+
+struct gw_stage *
+gw_stage_new (struct gw *gw)
+{
+  struct gw_stage *stage = g_new0 (struct gw_stage, 1);
+
+  gw->stage = stage;
+  auth_init (&stage->auth, gw->set.node, gw_random (gw));
+  role_stats_init (&stage->stats);
+  stgp_init (&stage->plan);
+  stage->body = g_string_new (NULL);
+  tmr_add (gw->tmr, STEP_MS * 1000, (int64_t)STEP_MS * 1000, on_step, gw);
+  return stage;
+}
--- /dev/null
+++ b/src/gw_sync.c
@@ -0,0 +1,374 @@
+/* Configuration, runners and other gateways, as the store tells them.  */
+#include <string.h>
+
+#include "gw.h"
+
+enum
+{
+  WATCH_MS = 2000,    /* a silent connection is noticed after a little more */
+  RETRY_MS = 200,     /* first pause after a failed call */
+  RETRY_MAX_MS = 800,
+  PRESENCE_TTL_MS = 10000,
+  PRESENCE_RENEW_MS = 3000
+};
+
+#define PROCESSES_PREFIX "gateways/"
+
+enum feed_id
+{
+  FEED_CONFIG,
+  FEED_RUNNERS,
+  FEED_PROCESSES,
+  FEED_MAX
+};
+
+struct feed
+{
+  struct gw *gw;
+  enum feed_id id;
+  const char *prefix;
+  uint64_t revision;
+  uint64_t list_revision; /* of the first page of the listing in progress */
+  char *after;            /* last key of the page before */
+  int listed;
+  int failing;
+  int64_t retry_ms;
+};
+
+struct gw_sync
+{
+  struct feed feeds[FEED_MAX];
+  GHashTable *processes; /* keys present */
+  GHashTable *processes_listing;
+  uint64_t lease;
+};
+
+static void feed_list (struct feed *feed);
+static void feed_watch (struct feed *feed);
+
+static const char *
+strip (const char *key, const char *prefix)
+{
+  size_t n = strlen (prefix);
+
+  return strncmp (key, prefix, n) == 0 ? key + n : NULL;
+}
+
+static void
+config_item (struct feed *feed, const struct stor_item *item)
+{
+  struct gw *gw = feed->gw;
+  struct hsrv_limits limits;
+  struct rtab *table;
+  struct err err;
+
+  if (item->deleted || strcmp (item->key, gw->adp->config_key) != 0)
+    return;
+  table = gw->adp->config_read (item->value, item->size, &err);
+  if (table == NULL)
+    {
+      jlog ("config_malformed", NULL,
+            "\"revision\":%" G_GUINT64_FORMAT ",\"error\":\"%s\"",
+            item->revision, err.text);
+      return;
+    }
+  if (!rtab_adopt (&gw->table, table))
+    return;
+  limits.header_bytes = gw->table->header_bytes;
+  limits.body_bytes = gw->table->body_bytes;
+  limits.header_ms = gw->table->header_ms;
+  limits.idle_ms = gw->table->idle_ms;
+  hsrv_limits_set (gw->front, &limits);
+  jlog ("config", NULL,
+        "\"version\":%" G_GUINT64_FORMAT ",\"revision\":%" G_GUINT64_FORMAT
+        ",\"routes\":%u,\"services\":%u",
+        gw->table->version, item->revision, gw->table->routes->len,
+        gw->table->services->len);
+}
+
+static void
+runner_log (const struct memb_runner *runner, uint64_t revision)
+{
+  jlog ("runner", NULL,
+        "\"runner\":\"%s\",\"service\":\"%s\",\"address\":\"%s\","
+        "\"present\":%d,\"leaving\":%d,\"stage\":%d,\"revision\":%"
+        G_GUINT64_FORMAT,
+        runner->entry.id, runner->entry.service, runner->entry.address,
+        runner->present, runner->leaving, runner->entry.stage, revision);
+}
+
+static void
+runner_item (struct feed *feed, const struct stor_item *item)
+{
+  struct gw *gw = feed->gw;
+  const char *id = strip (item->key, feed->prefix);
+  struct memb_runner *runner;
+  struct memb_entry entry;
+  struct err err;
+  int64_t now = gw_now (gw);
+
+  if (id == NULL)
+    return;
+  if (item->deleted)
+    runner = memb_remove (gw->memb, id, item->revision, now);
+  else if (gw->adp->runner_read (id, item->value, item->size, &entry, &err)
+           != 0)
+    {
+      jlog ("runner_malformed", NULL,
+            "\"revision\":%" G_GUINT64_FORMAT ",\"error\":\"%s\"",
+            item->revision, err.text);
+      return;
+    }
+  else
+    runner = memb_put (gw->memb, &entry, item->revision, now);
+  if (runner == NULL)
+    return;
+  runner_log (runner, item->revision);
+  if (runner->leaving)
+    hcli_forget (gw->cli, runner->peer);
+}
+
+static void
+processes_changed (struct gw *gw)
+{
+  unsigned n = g_hash_table_size (gw->sync->processes);
+
+  if (MAX (n, 1u) == gw->processes)
+    return;
+  gw->processes = MAX (n, 1u);
+  jlog ("gateways", NULL, "\"count\":%u", gw->processes);
+}
+
+static void
+process_item (struct feed *feed, const struct stor_item *item)
+{
+  struct gw *gw = feed->gw;
+
+  if (item->deleted)
+    g_hash_table_remove (gw->sync->processes, item->key);
+  else
+    g_hash_table_add (gw->sync->processes, g_strdup (item->key));
+  if (feed->listed)
+    processes_changed (gw);
+}
+
+static void (*const feed_item[FEED_MAX]) (struct feed *,
+                                          const struct stor_item *)
+    = { [FEED_CONFIG] = config_item,
+        [FEED_RUNNERS] = runner_item,
+        [FEED_PROCESSES] = process_item };
+
+static void
+feed_state (struct feed *feed, int ok)
+{
+  struct gw *gw = feed->gw;
+
+  if (feed->id == FEED_RUNNERS)
+    memb_registry (gw->memb, ok, gw_now (gw));
+  if (feed->failing == !ok)
+    return;
+  feed->failing = !ok;
+  jlog (ok ? "store_regained" : "store_lost", NULL, "\"feed\":\"%s\"",
+        feed->prefix);
+}
+
+static void
+on_retry (void *ctx, int64_t now)
+{
+  struct feed *feed = ctx;
+
+  (void)now;
+  if (feed->listed)
+    feed_watch (feed);
+  else
+    feed_list (feed);
+}
+
+static void
+feed_retry (struct feed *feed)
+{
+  struct gw *gw = feed->gw;
+  int64_t pause_ms
+      = feed->retry_ms + (int64_t)(gw_random (gw) % RETRY_MS);
+
+  feed->retry_ms = MIN (feed->retry_ms * 2, RETRY_MAX_MS);
+  tmr_add (gw->tmr, pause_ms * 1000, 0, on_retry, feed);
+}
+
+static void
+on_listed (void *ctx, const struct stor_reply *reply)
+{
+  struct feed *feed = ctx;
+  size_t i;
+
+  feed->gw->counts.store_calls++;
+  feed_state (feed, reply->rc == STOR_OK);
+  if (reply->rc != STOR_OK)
+    {
+      g_clear_pointer (&feed->after, g_free);
+      feed_retry (feed);
+      return;
+    }
+  feed->retry_ms = RETRY_MS;
+  if (feed->after == NULL)
+    {
+      feed->list_revision = reply->revision;
+      if (feed->id == FEED_RUNNERS)
+        memb_list_begin (feed->gw->memb);
+      if (feed->id == FEED_PROCESSES)
+        g_hash_table_remove_all (feed->gw->sync->processes);
+    }
+  for (i = 0; i < reply->n_items; i++)
+    feed_item[feed->id](feed, &reply->items[i]);
+  if (reply->more && reply->n_items > 0)
+    {
+      g_free (feed->after);
+      feed->after = g_strdup (reply->items[reply->n_items - 1].key);
+      feed_list (feed);
+      return;
+    }
+  g_clear_pointer (&feed->after, g_free);
+  if (feed->id == FEED_RUNNERS)
+    memb_list_end (feed->gw->memb, feed->list_revision, gw_now (feed->gw));
+  feed->listed = 1;
+  if (feed->id == FEED_PROCESSES)
+    processes_changed (feed->gw);
+  feed->revision = feed->list_revision;
+  feed_watch (feed);
+}
+
+static void
+feed_list (struct feed *feed)
+{
+  struct gw *gw = feed->gw;
+
+  gw->stor->list (gw->stor_ctx, feed->prefix, feed->after, on_listed, feed);
+}
+
+static void
+on_watched (void *ctx, const struct stor_reply *reply)
+{
+  struct feed *feed = ctx;
+  size_t i;
+
+  feed->gw->counts.store_calls++;
+  feed_state (feed, reply->rc == STOR_OK || reply->rc == STOR_COMPACTED);
+  if (reply->rc == STOR_COMPACTED)
+    {
+      feed_list (feed);
+      return;
+    }
+  if (reply->rc != STOR_OK)
+    {
+      feed_retry (feed);
+      return;
+    }
+  feed->retry_ms = RETRY_MS;
+  for (i = 0; i < reply->n_items; i++)
+    feed_item[feed->id](feed, &reply->items[i]);
+  feed->revision = MAX (feed->revision, reply->revision);
+  feed_watch (feed);
+}
+
+static void
+feed_watch (struct feed *feed)
+{
+  struct gw *gw = feed->gw;
+
+  gw->stor->watch (gw->stor_ctx, feed->prefix, feed->revision, WATCH_MS,
+                   on_watched, feed);
+}
+
+/* Presence of this process.  */
+static void presence_start (struct gw *gw);
+
+static void
+on_presence_time (void *ctx, int64_t now)
+{
+  (void)now;
+  presence_start (ctx);
+}
+
+static void
+on_renewed (void *ctx, const struct stor_reply *reply)
+{
+  struct gw *gw = ctx;
+
+  gw->counts.store_calls++;
+  if (reply->rc == STOR_ABSENT)
+    gw->sync->lease = 0;
+  tmr_add (gw->tmr,
+           (reply->rc == STOR_ABSENT ? RETRY_MS : PRESENCE_RENEW_MS) * 1000, 0,
+           on_presence_time, gw);
+}
+
+static void
+on_present (void *ctx, const struct stor_reply *reply)
+{
+  struct gw *gw = ctx;
+
+  gw->counts.store_calls++;
+  if (reply->rc != STOR_OK)
+    gw->sync->lease = 0;
+  tmr_add (gw->tmr, PRESENCE_RENEW_MS * 1000, 0, on_presence_time, gw);
+}
+
+static void
+on_granted (void *ctx, const struct stor_reply *reply)
+{
+  struct gw *gw = ctx;
+  char *key;
+
+  gw->counts.store_calls++;
+  if (reply->rc != STOR_OK || gw->stopping)
+    {
+      tmr_add (gw->tmr, PRESENCE_RENEW_MS * 1000, 0, on_presence_time, gw);
+      return;
+    }
+  gw->sync->lease = reply->lease;
+  key = g_strconcat (PROCESSES_PREFIX, gw->set.node, NULL);
+  gw->stor->set (gw->stor_ctx, key, gw->set.zone, strlen (gw->set.zone),
+                 gw->sync->lease, on_present, gw);
+  g_free (key);
+}
+
+static void
+presence_start (struct gw *gw)
+{
+  if (gw->stopping)
+    return;
+  if (gw->sync->lease == 0)
+    gw->stor->grant (gw->stor_ctx, PRESENCE_TTL_MS, on_granted, gw);
+  else
+    gw->stor->renew (gw->stor_ctx, gw->sync->lease, on_renewed, gw);
+}
+
+struct gw_sync *
+gw_sync_new (struct gw *gw)
+{
+  struct gw_sync *sync = g_new0 (struct gw_sync, 1);
+  int i;
+
+  gw->sync = sync;
+  sync->processes
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  sync->feeds[FEED_CONFIG].prefix = gw->adp->config_key;
+  sync->feeds[FEED_RUNNERS].prefix = gw->adp->runners_prefix;
+  sync->feeds[FEED_PROCESSES].prefix = PROCESSES_PREFIX;
+  for (i = 0; i < FEED_MAX; i++)
+    {
+      sync->feeds[i].gw = gw;
+      sync->feeds[i].id = (enum feed_id)i;
+      sync->feeds[i].retry_ms = RETRY_MS;
+      feed_list (&sync->feeds[i]);
+    }
+  presence_start (gw);
+  return sync;
+}
+
+int
+gw_is_ready (const struct gw *gw)
+{
+  return !gw->stopping && gw->table != NULL && gw->sync != NULL
+         && gw->sync->feeds[FEED_RUNNERS].listed;
+}
--- /dev/null
+++ b/src/hcli.c
@@ -0,0 +1,517 @@
+#include "hcli.h"
+
+#include <limits.h>
+#include <string.h>
+
+#include "goldcresthatch/tab.h"
+#include "hnet.h"
+
+enum
+{
+  CALLS_MAX = 3600,            /* below the descriptor limit of a small VM */
+  ANSWER_HEAD_MAX = 64 * 1024, /* bytes of an answer's head */
+  IDLE_MS = 4000, /* shorter than the usual timeout of a server's connection */
+  IDLE_PART = 2   /* of the time that the server states, one half is used */
+};
+
+struct peer
+{
+  char *name;
+  unsigned total;
+  unsigned busy;
+  GQueue idle; /* struct conn, the latest used at the head */
+};
+
+struct conn
+{
+  uv_tcp_t tcp;
+  uv_connect_t connect;
+  struct hcli *cli;
+  struct peer *peer;
+  uint64_t call; /* 0 when idle */
+  int connected;
+  int sent;
+  int closing;
+  int in_body;
+  int whole;
+  int skipping;
+  GString *request; /* until it is written */
+  GString *in;      /* the head of an answer */
+  struct hhead head;
+  http_parser parser;
+  struct hcli_ops ops;
+  void *ctx;
+  uint64_t connect_by_ms;
+  uint64_t idle_until_ms;
+  int64_t keep_ms;
+};
+
+struct hcli
+{
+  uv_loop_t *loop;
+  struct tab *calls;
+  GHashTable *peers;
+};
+
+static void
+peer_drop (struct hcli *cli, struct peer *peer)
+{
+  if (peer->total > 0)
+    return;
+  g_hash_table_remove (cli->peers, peer->name);
+  g_queue_clear (&peer->idle);
+  g_free (peer->name);
+  g_free (peer);
+}
+
+static void
+conn_free (uv_handle_t *handle)
+{
+  struct conn *c = handle->data;
+
+  if (c->request != NULL)
+    g_string_free (c->request, TRUE);
+  if (c->in != NULL)
+    g_string_free (c->in, TRUE);
+  g_free (c);
+}
+
+static void
+conn_close (struct conn *c)
+{
+  struct peer *peer = c->peer;
+
+  if (c->closing)
+    return;
+  c->closing = 1;
+  if (c->call == 0)
+    g_queue_remove (&peer->idle, c);
+  else
+    {
+      tab_remove (c->cli->calls, c->call);
+      peer->busy--;
+    }
+  c->call = 0;
+  peer->total--;
+  peer_drop (c->cli, peer);
+  uv_close ((uv_handle_t *)&c->tcp, conn_free);
+}
+
+static void
+conn_fail (struct conn *c)
+{
+  struct hcli_ops ops = c->ops;
+  void *ctx = c->ctx;
+  enum hcli_end end = c->sent ? HCLI_BROKEN : HCLI_NOT_SENT;
+  int tell = c->call != 0 && !c->closing;
+
+  conn_close (c);
+  if (tell)
+    ops.done (ctx, end);
+}
+
+/* Puts the connection back, or closes it, and then tells that the answer is
+   whole.  */
+static void
+conn_whole (struct conn *c)
+{
+  struct hcli_ops ops = c->ops;
+  void *ctx = c->ctx;
+
+  if (c->keep_ms <= 0)
+    conn_close (c);
+  else
+    {
+      tab_remove (c->cli->calls, c->call);
+      c->call = 0;
+      c->peer->busy--;
+      c->idle_until_ms = uv_now (c->cli->loop) + (uint64_t)c->keep_ms;
+      g_string_free (c->in, TRUE);
+      c->in = NULL;
+      g_queue_push_head (&c->peer->idle, c);
+    }
+  ops.done (ctx, HCLI_WHOLE);
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t n)
+{
+  struct conn *c = parser->data;
+  uint64_t call = c->call;
+
+  if (!c->skipping)
+    c->ops.body (c->ctx, at, n);
+  /* The callback may have cancelled the call.  */
+  return c->closing || c->call != call ? -1 : 0;
+}
+
+static int
+on_complete (http_parser *parser)
+{
+  struct conn *c = parser->data;
+
+  c->whole = 1;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+/* Returns for how long the connection may be kept after this answer.  */
+static int64_t
+keep_ms (struct conn *c)
+{
+  struct hspan value = hhead_get (&c->head, "keep-alive");
+  const char *at;
+  struct hspan digits;
+  long long seconds;
+
+  if (!http_should_keep_alive (&c->parser))
+    return 0;
+  at = value.p == NULL ? NULL : g_strstr_len (value.p, (gssize)value.n,
+                                              "timeout=");
+  if (at == NULL)
+    return IDLE_MS;
+  digits.p = at + strlen ("timeout=");
+  digits.n = 0;
+  while (digits.p + digits.n < value.p + value.n
+         && g_ascii_isdigit (digits.p[digits.n]))
+    digits.n++;
+  if (hspan_number (digits, &seconds) != 0)
+    return IDLE_MS;
+  return seconds * 1000 / IDLE_PART;
+}
+
+static void
+begin_head (struct conn *c)
+{
+  http_parser_init (&c->parser, HTTP_RESPONSE);
+  c->parser.data = c;
+  c->in_body = 0;
+  c->whole = 0;
+  c->skipping = 0;
+}
+
+/* Returns 0 when the head is read, 1 when more is needed, -1 on a failure. */
+static int
+read_head (struct conn *c)
+{
+  size_t length;
+  uint64_t call = c->call;
+  enum hhead_verdict verdict
+      = hhead_scan (c->in->str, c->in->len, ANSWER_HEAD_MAX, 0, &length);
+
+  if (verdict == HHEAD_PARTIAL)
+    return 1;
+  if (verdict != HHEAD_OK
+      || hhead_parse (&c->parser, c->in->str, length, &c->head) != 0)
+    return -1;
+  if (c->head.status < 200)
+    {
+      g_string_erase (c->in, 0, (gssize)length);
+      begin_head (c);
+      return c->in->len > 0 ? read_head (c) : 1;
+    }
+  c->keep_ms = keep_ms (c);
+  c->skipping = c->ops.head (c->ctx, &c->head) == HCLI_SKIP;
+  if (c->closing || c->call != call)
+    return -1;
+  g_string_erase (c->in, 0, (gssize)length);
+  c->in_body = 1;
+  c->whole = c->head.complete;
+  return 0;
+}
+
+static void
+take_input (struct conn *c)
+{
+  static const http_parser_settings settings
+      = { .on_body = on_body, .on_message_complete = on_complete };
+  size_t n;
+  int rc;
+
+  for (;;)
+    {
+      if (!c->in_body)
+        {
+          rc = read_head (c);
+          if (rc < 0)
+            conn_fail (c);
+          if (rc != 0)
+            return;
+        }
+      n = 0;
+      if (!c->whole && c->in->len > 0)
+        n = http_parser_execute (&c->parser, &settings, c->in->str,
+                                 c->in->len);
+      if (c->closing)
+        return;
+      if (!c->whole && HTTP_PARSER_ERRNO (&c->parser) != HPE_OK)
+        {
+          conn_fail (c);
+          return;
+        }
+      g_string_erase (c->in, 0, (gssize)n);
+      if (!c->whole)
+        return;
+      if (!c->skipping)
+        break;
+      begin_head (c);
+      if (c->in->len == 0)
+        return;
+    }
+  if (c->in->len > 0)
+    c->keep_ms = 0;
+  conn_whole (c);
+}
+
+/* Returns nonzero when only the end of the connection ends the body.  */
+static int
+ends_with_connection (const http_parser *parser)
+{
+  return !(parser->flags & F_CHUNKED) && parser->content_length == ULLONG_MAX;
+}
+
+static void
+on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+  static const http_parser_settings settings
+      = { .on_body = on_body, .on_message_complete = on_complete };
+  struct conn *c = stream->data;
+
+  if (n == 0 || c->closing)
+    return;
+  if (c->call == 0)
+    {
+      conn_close (c);
+      return;
+    }
+  if (n > 0)
+    {
+      g_string_append_len (c->in, buf->base, n);
+      take_input (c);
+      return;
+    }
+  c->keep_ms = 0;
+  if (n == UV_EOF && c->in_body && !c->skipping
+      && ends_with_connection (&c->parser)
+      && http_parser_execute (&c->parser, &settings, NULL, 0) == 0
+      && c->whole)
+    conn_whole (c);
+  else
+    conn_fail (c);
+}
+
+static void
+send_request (struct conn *c)
+{
+  /* From here on the peer may have the request.  */
+  c->sent = 1;
+  if (hnet_write ((uv_stream_t *)&c->tcp, c->request->str, c->request->len)
+      != 0)
+    {
+      conn_fail (c);
+      return;
+    }
+  g_string_free (c->request, TRUE);
+  c->request = NULL;
+}
+
+static void
+on_connect (uv_connect_t *req, int status)
+{
+  struct conn *c = req->data;
+
+  if (c->closing)
+    return;
+  if (status != 0)
+    {
+      conn_fail (c);
+      return;
+    }
+  c->connected = 1;
+  uv_tcp_nodelay (&c->tcp, 1);
+  hnet_user_timeout (&c->tcp);
+  uv_read_start ((uv_stream_t *)&c->tcp, hnet_alloc, on_read);
+  send_request (c);
+}
+
+static struct peer *
+peer_get (struct hcli *cli, const char *name)
+{
+  struct peer *peer = g_hash_table_lookup (cli->peers, name);
+
+  if (peer != NULL)
+    return peer;
+  peer = g_new0 (struct peer, 1);
+  peer->name = g_strdup (name);
+  g_queue_init (&peer->idle);
+  g_hash_table_insert (cli->peers, peer->name, peer);
+  return peer;
+}
+
+static struct conn *
+conn_open (struct hcli *cli, struct peer *peer, const char *address,
+           int64_t connect_ms)
+{
+  struct sockaddr_in sa;
+  struct conn *c;
+
+  if (hnet_address (address, &sa) != 0)
+    return NULL;
+  c = g_new0 (struct conn, 1);
+  c->cli = cli;
+  c->peer = peer;
+  c->connect_by_ms = uv_now (cli->loop) + (uint64_t)connect_ms;
+  uv_tcp_init (cli->loop, &c->tcp);
+  c->tcp.data = c;
+  c->connect.data = c;
+  if (uv_tcp_connect (&c->connect, &c->tcp, (struct sockaddr *)&sa, on_connect)
+      != 0)
+    {
+      c->closing = 1;
+      uv_close ((uv_handle_t *)&c->tcp, conn_free);
+      return NULL;
+    }
+  peer->total++;
+  return c;
+}
+
+struct hcli *
+hcli_new (uv_loop_t *loop)
+{
+  struct hcli *cli = g_new0 (struct hcli, 1);
+
+  cli->loop = loop;
+  cli->calls = tab_new (CALLS_MAX);
+  cli->peers = g_hash_table_new (g_str_hash, g_str_equal);
+  return cli;
+}
+
+uint64_t
+hcli_call (struct hcli *cli, const char *address, const char *peer_name,
+           const char *request, size_t size, int64_t connect_ms,
+           const struct hcli_ops *ops, void *ctx)
+{
+  struct peer *peer = peer_get (cli, peer_name);
+  struct conn *c = g_queue_pop_head (&peer->idle);
+  uint64_t call;
+
+  if (c == NULL)
+    c = conn_open (cli, peer, address, connect_ms);
+  if (c == NULL)
+    {
+      peer_drop (cli, peer);
+      return 0;
+    }
+  call = tab_add (cli->calls, c);
+  if (call == 0)
+    {
+      if (c->connected)
+        g_queue_push_head (&peer->idle, c);
+      else
+        {
+          c->closing = 1;
+          peer->total--;
+          peer_drop (cli, peer);
+          uv_close ((uv_handle_t *)&c->tcp, conn_free);
+        }
+      return 0;
+    }
+  peer->busy++;
+  c->call = call;
+  c->ops = *ops;
+  c->ctx = ctx;
+  c->sent = 0;
+  c->in = g_string_sized_new (1024);
+  c->request = g_string_new_len (request, (gssize)size);
+  begin_head (c);
+  if (c->connected)
+    {
+      c->sent = 1;
+      if (hnet_write ((uv_stream_t *)&c->tcp, request, size) != 0)
+        {
+          /* The loop's next read reports the failure to the owner.  */
+          uv_read_start ((uv_stream_t *)&c->tcp, hnet_alloc, on_read);
+        }
+      g_string_free (c->request, TRUE);
+      c->request = NULL;
+    }
+  return call;
+}
+
+void
+hcli_cancel (struct hcli *cli, uint64_t call)
+{
+  struct conn *c = tab_get (cli->calls, call);
+
+  if (c != NULL)
+    conn_close (c);
+}
+
+int
+hcli_is_sent (const struct hcli *cli, uint64_t call)
+{
+  const struct conn *c = tab_get (cli->calls, call);
+
+  return c != NULL && c->sent;
+}
+
+unsigned
+hcli_connections (const struct hcli *cli, const char *peer_name,
+                  unsigned *busy)
+{
+  const struct peer *peer = g_hash_table_lookup (cli->peers, peer_name);
+
+  *busy = peer != NULL ? peer->busy : 0;
+  return peer != NULL ? peer->total : 0;
+}
+
+void
+hcli_forget (struct hcli *cli, const char *peer_name)
+{
+  struct peer *peer = g_hash_table_lookup (cli->peers, peer_name);
+  GList *idle;
+
+  if (peer == NULL)
+    return;
+  idle = g_list_copy (peer->idle.head);
+  g_list_foreach (idle, (GFunc)(void (*) (void))conn_close, NULL);
+  g_list_free (idle);
+}
+
+static void
+close_idle (struct hcli *cli, struct peer *peer, GPtrArray *old)
+{
+  uint64_t now = uv_now (cli->loop);
+  GList *node;
+
+  for (node = peer->idle.head; node != NULL; node = node->next)
+    if (((struct conn *)node->data)->idle_until_ms < now)
+      g_ptr_array_add (old, node->data);
+}
+
+void
+hcli_tick (struct hcli *cli)
+{
+  GPtrArray *old = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer peer;
+  uint64_t now = uv_now (cli->loop);
+  uint64_t call = 0;
+  guint i;
+
+  g_hash_table_iter_init (&iter, cli->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &peer))
+    close_idle (cli, peer, old);
+  for (i = 0; i < old->len; i++)
+    conn_close (g_ptr_array_index (old, i));
+  g_ptr_array_set_size (old, 0);
+  while ((call = tab_next (cli->calls, call)) != 0)
+    {
+      struct conn *c = tab_get (cli->calls, call);
+      if (!c->connected && c->connect_by_ms < now)
+        g_ptr_array_add (old, c);
+    }
+  for (i = 0; i < old->len; i++)
+    conn_fail (g_ptr_array_index (old, i));
+  g_ptr_array_free (old, TRUE);
+}
--- /dev/null
+++ b/src/hhead.c
@@ -0,0 +1,243 @@
+#include "hhead.h"
+
+#include <string.h>
+#include <strings.h>
+
+static int
+is_token (unsigned char c)
+{
+  return g_ascii_isalnum (c) || (c != 0 && strchr ("!#$%&'*+-.^_`|~", c));
+}
+
+/* Checks the field line of N bytes without its line end.  */
+static int
+field_ok (const char *line, size_t n, int *hosts)
+{
+  size_t i = 0;
+
+  while (i < n && is_token ((unsigned char)line[i]))
+    i++;
+  if (i == 0 || i == n || line[i] != ':')
+    return 0;
+  if (i == 4 && strncasecmp (line, "host", 4) == 0)
+    ++*hosts;
+  for (; i < n; i++)
+    if (((unsigned char)line[i] < 0x20 && line[i] != '\t') || line[i] == 0x7f)
+      return 0;
+  return 1;
+}
+
+static int
+first_line_ok (const char *line, size_t n, int is_request)
+{
+  size_t i;
+  int spaces = 0;
+
+  for (i = 0; i < n; i++)
+    {
+      if ((unsigned char)line[i] < 0x20 || line[i] == 0x7f)
+        return 0;
+      spaces += line[i] == ' ';
+    }
+  if (!is_request)
+    return n >= 12 && memcmp (line, "HTTP/1.", 7) == 0;
+  return spaces == 2 && n > 9
+         && (memcmp (line + n - 9, " HTTP/1.1", 9) == 0
+             || memcmp (line + n - 9, " HTTP/1.0", 9) == 0);
+}
+
+enum hhead_verdict
+hhead_scan (const char *data, size_t size, size_t max, int is_request,
+            size_t *length)
+{
+  size_t start = 0;
+  int hosts = 0;
+
+  for (;;)
+    {
+      const char *lf = memchr (data + start, '\n', size - start);
+      size_t end;
+      if (lf == NULL)
+        return size > max ? HHEAD_TOO_LARGE : HHEAD_PARTIAL;
+      end = (size_t)(lf - data);
+      if (end + 1 > max)
+        return HHEAD_TOO_LARGE;
+      if (end == start || data[end - 1] != '\r')
+        return HHEAD_MALFORMED;
+      if (end - 1 == start)
+        {
+          *length = end + 1;
+          return start == 0 || (is_request && hosts != 1) ? HHEAD_MALFORMED
+                                                          : HHEAD_OK;
+        }
+      if (start == 0 ? !first_line_ok (data, end - 1, is_request)
+                     : !field_ok (data + start, end - 1 - start, &hosts))
+        return HHEAD_MALFORMED;
+      start = end + 1;
+    }
+}
+
+static int
+on_url (http_parser *parser, const char *at, size_t n)
+{
+  struct hhead *head = parser->data;
+
+  head->target.p = at;
+  head->target.n = n;
+  return 0;
+}
+
+static int
+on_field (http_parser *parser, const char *at, size_t n)
+{
+  struct hhead *head = parser->data;
+
+  if (head->n_fields == HHEAD_FIELDS_MAX)
+    return -1;
+  head->fields[head->n_fields].name.p = at;
+  head->fields[head->n_fields].name.n = n;
+  head->fields[head->n_fields].value.p = "";
+  head->fields[head->n_fields].value.n = 0;
+  head->n_fields++;
+  return 0;
+}
+
+static int
+on_value (http_parser *parser, const char *at, size_t n)
+{
+  struct hhead *head = parser->data;
+  struct hspan *value = &head->fields[head->n_fields - 1].value;
+
+  while (n > 0 && (at[n - 1] == ' ' || at[n - 1] == '\t'))
+    n--;
+  value->p = at;
+  value->n = n;
+  return 0;
+}
+
+static int
+on_complete (http_parser *parser)
+{
+  ((struct hhead *)parser->data)->complete = 1;
+  return 0;
+}
+
+int
+hhead_parse (http_parser *parser, const char *data, size_t length,
+             struct hhead *head)
+{
+  static const http_parser_settings settings
+      = { .on_url = on_url, .on_header_field = on_field,
+          .on_header_value = on_value, .on_message_complete = on_complete };
+  void *owner = parser->data;
+  size_t n;
+
+  memset (head, 0, offsetof (struct hhead, fields));
+  parser->data = head;
+  n = http_parser_execute (parser, &settings, data, length);
+  parser->data = owner;
+  if (n != length || HTTP_PARSER_ERRNO (parser) != HPE_OK || parser->upgrade)
+    return -1;
+  if (parser->type == HTTP_REQUEST)
+    {
+      head->method.p = data;
+      head->method.n = strcspn (data, " ");
+    }
+  else
+    head->status = parser->status_code;
+  return 0;
+}
+
+int
+hspan_is (struct hspan span, const char *text)
+{
+  return span.p != NULL && strlen (text) == span.n
+         && strncasecmp (span.p, text, span.n) == 0;
+}
+
+int
+hspan_same (struct hspan span, const char *text)
+{
+  return span.p != NULL && strlen (text) == span.n
+         && memcmp (span.p, text, span.n) == 0;
+}
+
+struct hspan
+hhead_get (const struct hhead *head, const char *name)
+{
+  struct hspan none = { NULL, 0 };
+  size_t i;
+
+  for (i = 0; i < head->n_fields; i++)
+    if (hspan_is (head->fields[i].name, name))
+      return head->fields[i].value;
+  return none;
+}
+
+int
+hspan_number (struct hspan span, long long *value)
+{
+  enum
+  {
+    DIGITS_MAX = 15
+  };
+  long long sum = 0;
+  size_t i;
+
+  if (span.p == NULL || span.n == 0 || span.n > DIGITS_MAX)
+    return -1;
+  for (i = 0; i < span.n; i++)
+    {
+      if (!g_ascii_isdigit (span.p[i]))
+        return -1;
+      sum = sum * 10 + (span.p[i] - '0');
+    }
+  *value = sum;
+  return 0;
+}
+
+int
+hhead_is_hop (struct hspan name)
+{
+  static const char *const hop[]
+      = { "connection",         "keep-alive", "proxy-connection",
+          "te",                 "trailer",    "transfer-encoding",
+          "upgrade",            "expect",     "proxy-authenticate",
+          "proxy-authorization" };
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (hop); i++)
+    if (hspan_is (name, hop[i]))
+      return 1;
+  return 0;
+}
+
+const char *
+hhead_reason (int status)
+{
+  static const struct
+  {
+    int status;
+    const char *reason;
+  } reasons[] = {
+    { 200, "OK" },
+    { 400, "Bad Request" },
+    { 404, "Not Found" },
+    { 408, "Request Timeout" },
+    { 413, "Content Too Large" },
+    { 421, "Misdirected Request" },
+    { 422, "Unprocessable Content" },
+    { 429, "Too Many Requests" },
+    { 431, "Request Header Fields Too Large" },
+    { 500, "Internal Server Error" },
+    { 502, "Bad Gateway" },
+    { 503, "Service Unavailable" },
+    { 504, "Gateway Timeout" },
+  };
+  size_t i;
+
+  for (i = 0; i < G_N_ELEMENTS (reasons); i++)
+    if (reasons[i].status == status)
+      return reasons[i].reason;
+  return "Status";
+}
--- /dev/null
+++ b/src/hnet.c
@@ -0,0 +1,84 @@
+#include "hnet.h"
+
+#include <glib.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+
+int
+hnet_address (const char *text, struct sockaddr_in *sa)
+{
+  const char *colon = strrchr (text, ':');
+  char host[16];
+  char *end;
+  long port;
+
+  if (colon == NULL || colon == text || (size_t)(colon - text) >= sizeof host)
+    return -1;
+  memcpy (host, text, (size_t)(colon - text));
+  host[colon - text] = '\0';
+  port = strtol (colon + 1, &end, 10);
+  if (end == colon + 1 || *end != '\0' || port < 1 || port > 65535)
+    return -1;
+  return uv_ip4_addr (host, (int)port, sa) == 0 ? 0 : -1;
+}
+
+void
+hnet_alloc (uv_handle_t *handle, size_t hint, uv_buf_t *buf)
+{
+  static char shared[64 * 1024];
+
+  (void)handle;
+  (void)hint;
+  buf->base = shared;
+  buf->len = sizeof shared;
+}
+
+struct pending
+{
+  uv_write_t req;
+  char data[];
+};
+
+static void
+on_written (uv_write_t *req, int status)
+{
+  /* A failed write shows as an error of the next read.  */
+  (void)status;
+  g_free (req->data);
+}
+
+int
+hnet_write (uv_stream_t *stream, const char *data, size_t size)
+{
+  uv_buf_t buf = uv_buf_init ((char *)data, (unsigned)size);
+  struct pending *pending;
+  int n = uv_try_write (stream, &buf, 1);
+
+  if (n == UV_EAGAIN)
+    n = 0;
+  if (n < 0)
+    return -1;
+  if ((size_t)n == size)
+    return 0;
+  size -= (size_t)n;
+  pending = g_malloc (sizeof *pending + size);
+  memcpy (pending->data, data + n, size);
+  pending->req.data = pending;
+  buf = uv_buf_init (pending->data, (unsigned)size);
+  if (uv_write (&pending->req, stream, &buf, 1, on_written) == 0)
+    return 0;
+  g_free (pending);
+  return -1;
+}
+
+void
+hnet_user_timeout (uv_tcp_t *tcp)
+{
+  unsigned silence_ms = HNET_SILENCE_MS;
+  uv_os_fd_t fd;
+
+  if (uv_fileno ((const uv_handle_t *)tcp, &fd) == 0)
+    setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms,
+                sizeof silence_ms);
+}
--- /dev/null
+++ b/src/hnet.h
@@ -0,0 +1,28 @@
+#ifndef HNET_H
+#define HNET_H
+/*
+ * NAME
+ *   hnet - sockets of the event loop: addresses, writes, dead peers
+ */
+#include <netinet/in.h>
+#include <uv.h>
+
+enum
+{
+  /* A peer that acknowledges nothing for so long is taken as gone.  A few
+     times the resend interval of a link in one region.  */
+  HNET_SILENCE_MS = 2500
+};
+
+/* Parses "IP:PORT".  Returns 0 or -1.  */
+int hnet_address (const char *text, struct sockaddr_in *sa);
+
+/* Gives all readers of the loop one buffer, valid until the callback ends.  */
+void hnet_alloc (uv_handle_t *handle, size_t hint, uv_buf_t *buf);
+
+/* Writes at once what the socket takes and queues a copy of the rest.
+   Returns 0 or -1.  */
+int hnet_write (uv_stream_t *stream, const char *data, size_t size);
+
+void hnet_user_timeout (uv_tcp_t *tcp);
+#endif
--- /dev/null
+++ b/src/hsrv.c
@@ -0,0 +1,517 @@
+#include "hsrv.h"
+
+#include <limits.h>
+#include <string.h>
+
+#include "goldcresthatch/tab.h"
+#include "hnet.h"
+
+enum
+{
+  CONNS_MAX = 3600,        /* below the descriptor limit of a small VM */
+  AHEAD_MAX = 64 * 1024,   /* bytes read ahead of the request in progress */
+  UNSENT_MAX = 1024 * 1024, /* bytes that a slow reader may leave unsent */
+  ENDING_MS = 1000 /* for a client to read the last answer and close */
+};
+
+enum phase
+{
+  PHASE_HEAD,
+  PHASE_BODY,
+  PHASE_BUSY,  /* the request is with its owner */
+  PHASE_ANSWER, /* the answer has begun */
+  PHASE_ENDING /* the last answer is out; input is dropped */
+};
+
+struct conn
+{
+  uv_tcp_t tcp;
+  struct hsrv *srv;
+  uint64_t handle;
+  enum phase phase;
+  GString *in;
+  size_t head_length;
+  struct hhead head;
+  http_parser parser;
+  GString *body;
+  int whole;   /* the body has ended */
+  int keep;    /* after the answer */
+  int chunked; /* the answer */
+  int paused;
+  int closing;
+  uint64_t since_ms; /* start of the phase HEAD: idle, or of its first byte */
+};
+
+struct hsrv
+{
+  uv_loop_t *loop;
+  uv_tcp_t listener;
+  struct hsrv_ops ops;
+  void *ctx;
+  struct hsrv_limits limits;
+  struct tab *conns;
+  int draining;
+};
+
+static void next_request (struct conn *c);
+
+static void
+conn_free (uv_handle_t *handle)
+{
+  struct conn *c = handle->data;
+
+  g_string_free (c->in, TRUE);
+  if (c->body != NULL)
+    g_string_free (c->body, TRUE);
+  g_free (c);
+}
+
+static void
+conn_close (struct conn *c, int tell)
+{
+  if (c->closing)
+    return;
+  c->closing = 1;
+  tab_remove (c->srv->conns, c->handle);
+  if (tell && (c->phase == PHASE_BUSY || c->phase == PHASE_ANSWER))
+    c->srv->ops.left (c->srv->ctx, c->handle);
+  uv_close ((uv_handle_t *)&c->tcp, conn_free);
+}
+
+static void
+conn_write (struct conn *c, const char *data, size_t size)
+{
+  if (hnet_write ((uv_stream_t *)&c->tcp, data, size) != 0
+      || uv_stream_get_write_queue_size ((uv_stream_t *)&c->tcp) > UNSENT_MAX)
+    conn_close (c, 1);
+}
+
+static void
+refuse (struct conn *c, int status)
+{
+  c->keep = 0;
+  c->phase = PHASE_BUSY;
+  hsrv_answer (c->srv, c->handle, status, NULL, "", 0);
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t n)
+{
+  struct conn *c = parser->data;
+
+  if (c->body->len + n > c->srv->limits.body_bytes)
+    return -1;
+  g_string_append_len (c->body, at, (gssize)n);
+  return 0;
+}
+
+static int
+on_complete (http_parser *parser)
+{
+  struct conn *c = parser->data;
+
+  c->whole = 1;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static void
+read_body (struct conn *c)
+{
+  static const http_parser_settings settings
+      = { .on_body = on_body, .on_message_complete = on_complete };
+  size_t start = c->head_length;
+  size_t n = 0;
+
+  if (!c->whole)
+    n = http_parser_execute (&c->parser, &settings, c->in->str + start,
+                           c->in->len - start);
+  if (c->whole || HTTP_PARSER_ERRNO (&c->parser) == HPE_OK)
+    g_string_erase (c->in, (gssize)start, (gssize)n);
+  if (c->whole)
+    {
+      c->phase = PHASE_BUSY;
+      c->keep = c->keep && !c->srv->draining;
+      c->srv->ops.request (c->srv->ctx, c->handle, &c->head, c->body->str,
+                           c->body->len);
+      return;
+    }
+  if (HTTP_PARSER_ERRNO (&c->parser) != HPE_OK)
+    refuse (c, HTTP_PARSER_ERRNO (&c->parser) == HPE_CB_body ? 413 : 400);
+}
+
+/* Answers "Expect: 100-continue", without which some clients wait.  */
+static void
+go_on (struct conn *c)
+{
+  static const char line[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+  if (hspan_is (hhead_get (&c->head, "expect"), "100-continue"))
+    conn_write (c, line, sizeof line - 1);
+}
+
+static int
+coding_known (const struct hhead *head)
+{
+  struct hspan coding = hhead_get (head, "transfer-encoding");
+  size_t i;
+  int lengths = 0;
+
+  for (i = 0; i < head->n_fields; i++)
+    lengths += hspan_is (head->fields[i].name, "content-length")
+               || hspan_is (head->fields[i].name, "transfer-encoding");
+  return lengths <= 1 && (coding.p == NULL || hspan_is (coding, "chunked"));
+}
+
+static void
+read_head (struct conn *c)
+{
+  struct hsrv *srv = c->srv;
+  enum hhead_verdict verdict;
+
+  while (c->in->len >= 2 && memcmp (c->in->str, "\r\n", 2) == 0)
+    g_string_erase (c->in, 0, 2);
+  if (c->in->len == 0)
+    return;
+  verdict = hhead_scan (c->in->str, c->in->len, srv->limits.header_bytes, 1,
+                        &c->head_length);
+  if (verdict == HHEAD_PARTIAL)
+    return;
+  if (verdict != HHEAD_OK)
+    {
+      refuse (c, verdict == HHEAD_TOO_LARGE ? 431 : 400);
+      return;
+    }
+  http_parser_init (&c->parser, HTTP_REQUEST);
+  c->parser.data = c;
+  if (hhead_parse (&c->parser, c->in->str, c->head_length, &c->head) != 0
+      || !coding_known (&c->head))
+    {
+      refuse (c, 400);
+      return;
+    }
+  if (!(c->parser.flags & F_CHUNKED)
+      && c->parser.content_length != ULLONG_MAX
+      && c->parser.content_length > srv->limits.body_bytes)
+    {
+      refuse (c, 413);
+      return;
+    }
+  c->keep = http_should_keep_alive (&c->parser);
+  c->whole = c->head.complete;
+  if (c->body == NULL)
+    c->body = g_string_sized_new (256);
+  c->phase = PHASE_BODY;
+  go_on (c);
+}
+
+/* The spans of the head point into the input, which moves when it grows.  */
+static void
+append_input (struct conn *c, const char *data, size_t size)
+{
+  const char *old = c->in->str;
+  ptrdiff_t by;
+  size_t i;
+
+  g_string_append_len (c->in, data, (gssize)size);
+  by = c->in->str - old;
+  if (c->phase == PHASE_HEAD || by == 0)
+    return;
+  c->head.method.p += by;
+  c->head.target.p += by;
+  for (i = 0; i < c->head.n_fields; i++)
+    {
+      c->head.fields[i].name.p += by;
+      if (c->head.fields[i].value.n > 0)
+        c->head.fields[i].value.p += by;
+    }
+}
+
+static void
+on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+  struct conn *c = stream->data;
+
+  if (n < 0)
+    {
+      conn_close (c, 1);
+      return;
+    }
+  if (n == 0 || c->phase == PHASE_ENDING)
+    return;
+  if (c->phase == PHASE_HEAD && c->in->len == 0)
+    c->since_ms = uv_now (c->srv->loop);
+  append_input (c, buf->base, (size_t)n);
+  if (c->phase == PHASE_HEAD)
+    read_head (c);
+  if (!c->closing && c->phase == PHASE_BODY)
+    read_body (c);
+  if (!c->closing && c->phase >= PHASE_BUSY && c->phase != PHASE_ENDING && c->in->len > AHEAD_MAX
+      && !c->paused)
+    {
+      c->paused = 1;
+      uv_read_stop (stream);
+    }
+}
+
+static void
+on_accept (uv_stream_t *listener, int status)
+{
+  struct hsrv *srv = listener->data;
+  struct conn *c;
+
+  if (status != 0)
+    return;
+  c = g_new0 (struct conn, 1);
+  c->srv = srv;
+  c->in = g_string_sized_new (1024);
+  uv_tcp_init (srv->loop, &c->tcp);
+  c->tcp.data = c;
+  c->since_ms = uv_now (srv->loop);
+  if (uv_accept (listener, (uv_stream_t *)&c->tcp) != 0
+      || (c->handle = tab_add (srv->conns, c)) == 0)
+    {
+      c->closing = 1;
+      uv_close ((uv_handle_t *)&c->tcp, conn_free);
+      return;
+    }
+  uv_tcp_nodelay (&c->tcp, 1);
+  hnet_user_timeout (&c->tcp);
+  uv_read_start ((uv_stream_t *)&c->tcp, hnet_alloc, on_read);
+}
+
+struct hsrv *
+hsrv_new (uv_loop_t *loop, const char *address, const struct hsrv_ops *ops,
+          void *ctx, struct err *err)
+{
+  enum
+  {
+    BACKLOG = 511
+  };
+  static const struct hsrv_limits defaults
+      = { 16384, 4194304, 3000, 15000 };
+  struct sockaddr_in sa;
+  struct hsrv *srv;
+  int rc;
+
+  if (hnet_address (address, &sa) != 0)
+    {
+      err_set (err, ERR_INVALID, "listen", address, "not IP:PORT");
+      return NULL;
+    }
+  srv = g_new0 (struct hsrv, 1);
+  srv->loop = loop;
+  srv->ops = *ops;
+  srv->ctx = ctx;
+  srv->limits = defaults;
+  srv->conns = tab_new (CONNS_MAX);
+  uv_tcp_init (loop, &srv->listener);
+  srv->listener.data = srv;
+  rc = uv_tcp_bind (&srv->listener, (struct sockaddr *)&sa, 0);
+  if (rc == 0)
+    rc = uv_listen ((uv_stream_t *)&srv->listener, BACKLOG, on_accept);
+  if (rc == 0)
+    return srv;
+  err_set (err, ERR_IO, "listen", address, "%s", uv_strerror (rc));
+  uv_close ((uv_handle_t *)&srv->listener, NULL);
+  tab_free (srv->conns);
+  g_free (srv);
+  return NULL;
+}
+
+void
+hsrv_limits_set (struct hsrv *srv, const struct hsrv_limits *limits)
+{
+  srv->limits = *limits;
+}
+
+void
+hsrv_start (struct hsrv *srv, uint64_t conn, int status, const char *fields,
+            int64_t length)
+{
+  struct conn *c = tab_get (srv->conns, conn);
+  GString *out;
+
+  if (c == NULL)
+    return;
+  out = g_string_sized_new (512);
+  c->keep = c->keep && !srv->draining;
+  c->chunked = length < 0 && c->parser.http_minor > 0;
+  if (length < 0 && !c->chunked)
+    c->keep = 0;
+  g_string_append_printf (out, "HTTP/1.1 %d %s\r\n%s", status,
+                          hhead_reason (status), fields ? fields : "");
+  if (length >= 0)
+    g_string_append_printf (out, "Content-Length: %" G_GINT64_FORMAT "\r\n",
+                            length);
+  else if (c->chunked)
+    g_string_append (out, "Transfer-Encoding: chunked\r\n");
+  g_string_append (out, c->keep ? "\r\n" : "Connection: close\r\n\r\n");
+  c->phase = PHASE_ANSWER;
+  conn_write (c, out->str, out->len);
+  g_string_free (out, TRUE);
+}
+
+void
+hsrv_send (struct hsrv *srv, uint64_t conn, const char *data, size_t size)
+{
+  struct conn *c = tab_get (srv->conns, conn);
+  GString *out;
+
+  if (c == NULL || size == 0)
+    return;
+  if (!c->chunked)
+    {
+      conn_write (c, data, size);
+      return;
+    }
+  out = g_string_sized_new (size + 16);
+  g_string_append_printf (out, "%zx\r\n", size);
+  g_string_append_len (out, data, (gssize)size);
+  g_string_append (out, "\r\n");
+  conn_write (c, out->str, out->len);
+  g_string_free (out, TRUE);
+}
+
+static void
+on_shutdown (uv_shutdown_t *req, int status)
+{
+  /* The client's close ends the connection; hsrv_tick bounds the wait.  */
+  (void)status;
+  g_free (req);
+}
+
+/* Sends what is queued, then the end.  A close with unread input would reset
+   the connection and could take the answer with it.  */
+static void
+end_output (struct conn *c)
+{
+  uv_shutdown_t *req = g_new0 (uv_shutdown_t, 1);
+
+  c->phase = PHASE_ENDING;
+  c->since_ms = uv_now (c->srv->loop);
+  if (c->paused)
+    uv_read_start ((uv_stream_t *)&c->tcp, hnet_alloc, on_read);
+  c->paused = 0;
+  req->data = c;
+  if (uv_shutdown (req, (uv_stream_t *)&c->tcp, on_shutdown) != 0)
+    {
+      g_free (req);
+      conn_close (c, 0);
+    }
+}
+
+static void
+next_request (struct conn *c)
+{
+  if (!c->keep)
+    {
+      end_output (c);
+      return;
+    }
+  c->phase = PHASE_HEAD;
+  g_string_erase (c->in, 0, (gssize)c->head_length);
+  if (c->body != NULL)
+    {
+      g_string_free (c->body, TRUE);
+      c->body = NULL;
+    }
+  c->head_length = 0;
+  c->since_ms = uv_now (c->srv->loop);
+  if (c->paused)
+    {
+      c->paused = 0;
+      uv_read_start ((uv_stream_t *)&c->tcp, hnet_alloc, on_read);
+    }
+  if (c->in->len > 0)
+    read_head (c);
+  if (!c->closing && c->phase == PHASE_BODY)
+    read_body (c);
+}
+
+void
+hsrv_finish (struct hsrv *srv, uint64_t conn)
+{
+  struct conn *c = tab_get (srv->conns, conn);
+
+  if (c == NULL)
+    return;
+  if (c->chunked)
+    conn_write (c, "0\r\n\r\n", 5);
+  if (!c->closing)
+    next_request (c);
+}
+
+void
+hsrv_answer (struct hsrv *srv, uint64_t conn, int status, const char *fields,
+             const char *body, size_t size)
+{
+  struct conn *c = tab_get (srv->conns, conn);
+
+  if (c == NULL)
+    return;
+  hsrv_start (srv, conn, status, fields, (int64_t)size);
+  c = tab_get (srv->conns, conn);
+  if (c == NULL)
+    return;
+  c->chunked = 0;
+  hsrv_send (srv, conn, body, size);
+  hsrv_finish (srv, conn);
+}
+
+void
+hsrv_abort (struct hsrv *srv, uint64_t conn)
+{
+  struct conn *c = tab_get (srv->conns, conn);
+
+  if (c == NULL)
+    return;
+  c->phase = PHASE_HEAD;
+  conn_close (c, 0);
+}
+
+void
+hsrv_drain (struct hsrv *srv)
+{
+  srv->draining = 1;
+}
+
+void
+hsrv_close_idle (struct hsrv *srv)
+{
+  uint64_t handle = 0;
+
+  while ((handle = tab_next (srv->conns, handle)) != 0)
+    {
+      struct conn *c = tab_get (srv->conns, handle);
+      if (c->phase == PHASE_HEAD && c->in->len == 0)
+        conn_close (c, 0);
+    }
+}
+
+size_t
+hsrv_connections (const struct hsrv *srv)
+{
+  return tab_count (srv->conns);
+}
+
+void
+hsrv_tick (struct hsrv *srv)
+{
+  uint64_t now = uv_now (srv->loop);
+  uint64_t handle = 0;
+
+  while ((handle = tab_next (srv->conns, handle)) != 0)
+    {
+      struct conn *c = tab_get (srv->conns, handle);
+      int64_t age = (int64_t)(now - c->since_ms);
+      if (c->phase == PHASE_HEAD && c->in->len == 0
+          && age > srv->limits.idle_ms)
+        conn_close (c, 0);
+      else if (c->phase == PHASE_HEAD && c->in->len > 0
+               && age > srv->limits.header_ms)
+        refuse (c, 408);
+      else if (c->phase == PHASE_ENDING && age > ENDING_MS)
+        conn_close (c, 0);
+    }
+}
--- /dev/null
+++ b/src/rtab.c
@@ -0,0 +1,198 @@
+#include "rtab.h"
+
+#include <string.h>
+
+static void
+route_free (gpointer data)
+{
+  struct rtab_route *route = data;
+  size_t i;
+
+  for (i = 0; i < route->n_targets; i++)
+    g_free (route->targets[i].service);
+  g_free (route->targets);
+  g_free (route->name);
+  g_free (route->host);
+  g_free (route->prefix);
+  g_free (route);
+}
+
+static void
+service_free (gpointer data)
+{
+  struct rtab_service *service = data;
+
+  g_free (service->name);
+  g_free (service);
+}
+
+struct rtab *
+rtab_new (uint64_t version)
+{
+  struct rtab *table = g_new0 (struct rtab, 1);
+
+  table->refs = 1;
+  table->version = version;
+  table->routes = g_ptr_array_new_with_free_func (route_free);
+  table->services = g_ptr_array_new_with_free_func (service_free);
+  table->hosts = g_hash_table_new_full (
+      g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
+  return table;
+}
+
+struct rtab *
+rtab_ref (struct rtab *table)
+{
+  table->refs++;
+  return table;
+}
+
+void
+rtab_unref (struct rtab *table)
+{
+  if (table == NULL || --table->refs > 0)
+    return;
+  g_hash_table_destroy (table->hosts);
+  g_ptr_array_free (table->routes, TRUE);
+  g_ptr_array_free (table->services, TRUE);
+  g_free (table);
+}
+
+struct rtab_route *
+rtab_route_add (struct rtab *table, size_t n_targets)
+{
+  struct rtab_route *route = g_new0 (struct rtab_route, 1);
+
+  route->targets = g_new0 (struct rtab_target, n_targets);
+  route->n_targets = n_targets;
+  g_ptr_array_add (table->routes, route);
+  return route;
+}
+
+struct rtab_service *
+rtab_service_add (struct rtab *table)
+{
+  struct rtab_service *service = g_new0 (struct rtab_service, 1);
+
+  g_ptr_array_add (table->services, service);
+  return service;
+}
+
+static gint
+longest_first (gconstpointer a, gconstpointer b)
+{
+  const struct rtab_route *x = *(struct rtab_route *const *)a;
+  const struct rtab_route *y = *(struct rtab_route *const *)b;
+  size_t n = strlen (x->prefix);
+  size_t m = strlen (y->prefix);
+
+  return n > m ? -1 : n < m;
+}
+
+void
+rtab_seal (struct rtab *table)
+{
+  GHashTableIter iter;
+  gpointer list;
+  guint i;
+
+  for (i = 0; i < table->routes->len; i++)
+    {
+      struct rtab_route *route = g_ptr_array_index (table->routes, i);
+      GPtrArray *of_host = g_hash_table_lookup (table->hosts, route->host);
+      if (of_host == NULL)
+        {
+          of_host = g_ptr_array_new ();
+          g_hash_table_insert (table->hosts, route->host, of_host);
+        }
+      g_ptr_array_add (of_host, route);
+    }
+  g_hash_table_iter_init (&iter, table->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &list))
+    g_ptr_array_sort (list, longest_first);
+}
+
+const struct rtab_route *
+rtab_find (const struct rtab *table, struct hspan host, struct hspan target)
+{
+  enum
+  {
+    HOST_MAX = 256
+  };
+  char name[HOST_MAX];
+  const char *colon;
+  const char *query;
+  GPtrArray *of_host;
+  size_t n = host.n;
+  guint i;
+
+  if (host.p == NULL)
+    return NULL;
+  colon = memchr (host.p, ':', n);
+  if (colon != NULL)
+    n = (size_t)(colon - host.p);
+  if (n >= sizeof name)
+    return NULL;
+  for (i = 0; i < n; i++)
+    name[i] = g_ascii_tolower (host.p[i]);
+  name[n] = '\0';
+  of_host = g_hash_table_lookup (table->hosts, name);
+  if (of_host == NULL)
+    return NULL;
+  query = memchr (target.p, '?', target.n);
+  if (query != NULL)
+    target.n = (size_t)(query - target.p);
+  for (i = 0; i < of_host->len; i++)
+    {
+      const struct rtab_route *route = g_ptr_array_index (of_host, i);
+      size_t m = strlen (route->prefix);
+      if (m <= target.n && memcmp (route->prefix, target.p, m) == 0)
+        return route;
+    }
+  return NULL;
+}
+
+const struct rtab_service *
+rtab_service_find (const struct rtab *table, const char *name)
+{
+  guint i;
+
+  for (i = 0; i < table->services->len; i++)
+    {
+      const struct rtab_service *service
+          = g_ptr_array_index (table->services, i);
+      if (strcmp (service->name, name) == 0)
+        return service;
+    }
+  return NULL;
+}
+
+const char *
+rtab_pick (const struct rtab_route *route, uint64_t hash)
+{
+  uint64_t sum = 0;
+  uint64_t at;
+  size_t i;
+
+  for (i = 0; i < route->n_targets; i++)
+    sum += route->targets[i].weight;
+  if (sum == 0)
+    return route->n_targets > 0 ? route->targets[0].service : NULL;
+  at = hash % sum;
+  for (i = 0; at >= route->targets[i].weight; i++)
+    at -= route->targets[i].weight;
+  return route->targets[i].service;
+}
+
+int
+rtab_adopt (struct rtab **held, struct rtab *next)
+{
+  if (*held != NULL && next->version <= (*held)->version)
+    {
+      rtab_unref (next);
+      return 0;
+    }
+  rtab_unref (*held);
+  *held = next;
+  return 1;
+}
--- a/src/tmr.c
+++ b/src/tmr.c
@@ -285,6 +285,19 @@
   return pending;
 }
 
+int64_t
+tmr_next (struct tmr *tmr)
+{
+  struct timer *timer;
+  int64_t due;
+
+  pthread_mutex_lock (&tmr->lock);
+  timer = first_timer (tmr);
+  due = timer != NULL ? timer->due : -1;
+  pthread_mutex_unlock (&tmr->lock);
+  return due;
+}
+
 void
 tmr_advance (struct tmr *tmr, int64_t to)
 {
