Read a body that arrives after its head

Cause: http_parser takes zero bytes for the end of the connection, so a head that came alone was answered 400.

--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -172,7 +172,7 @@
   else if (call->memory[0] == '\0' && call->outc.sends == 0
            && choice.first_us > limit)
     gw_call_refuse (call, (int64_t)(choice.first_us - limit) / 1000, "late");
-  else if (gw_send (call, choice.runner, phase, choice.unread) != 0)
+  else if (gw_send (call, &choice, phase) != 0)
     gw_call_refuse (call, NO_RUNNER_MS, "no connection");
 }
 
@@ -198,7 +198,7 @@
   else if (call->outc.sends == 0
            && choice.first_us > (double)(call->deadline - gw_now (gw)))
     gw_call_refuse (call, (int64_t)choice.wait_us / 1000, "late");
-  else if (gw_send (call, choice.runner, ADP_WHOLE, 0) != 0)
+  else if (gw_send (call, &choice, ADP_WHOLE) != 0)
     gw_call_refuse (call, NO_RUNNER_MS, "no connection");
 }
 
--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -54,8 +54,8 @@
 void gw_call_end (struct gw_call *call);
 
 /* gw_send.c */
-int gw_send (struct gw_call *call, struct memb_runner *runner,
-             enum adp_phase phase, uint32_t unread);
+int gw_send (struct gw_call *call, const struct plc_choice *choice,
+             enum adp_phase phase);
 void gw_send_cancel (struct gw_call *call);
 /* Frees a prompt's memory that won't be taken.  */
 void gw_send_free_memory (struct gw_call *call);
--- a/src/gw_page.c
+++ b/src/gw_page.c
@@ -91,8 +91,8 @@
 int
 gw_pages_open (struct gw *gw, struct err *err)
 {
-  static const struct hsrv_ops ready = { on_ready, ignore_left };
-  static const struct hsrv_ops metrics = { on_metrics, ignore_left };
+  static const struct hsrv_ops ready = { on_ready, ignore_left, NULL };
+  static const struct hsrv_ops metrics = { on_metrics, ignore_left, NULL };
 
   gw->ready = hsrv_new (&gw->loop, gw->set.listen_ready, &ready, gw, err);
   if (gw->ready == NULL)
--- a/src/gw_run.c
+++ b/src/gw_run.c
@@ -94,6 +94,15 @@
   tmr_advance (driver->gw->tmr, clock_us ());
 }
 
+static void
+on_unread (void *ctx, int status, const char *why)
+{
+  struct gw *gw = ctx;
+
+  gw->counts.refused++;
+  jlog ("unread", NULL, "\"status\":%d,\"why\":\"%s\"", status, why);
+}
+
 static void
 on_flush (void *ctx, int64_t now)
 {
@@ -263,7 +272,7 @@
   {
     MEMORY_MAX = 40000 /* parts and engines remembered; about 4 MB */
   };
-  static const struct hsrv_ops front = { gw_request, gw_left };
+  static const struct hsrv_ops front = { gw_request, gw_left, on_unread };
   static struct gw gw;
   static struct driver driver;
   struct timespec now;
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -379,11 +379,12 @@
 }
 
 int
-gw_send (struct gw_call *call, struct memb_runner *runner,
-         enum adp_phase phase, uint32_t unread)
+gw_send (struct gw_call *call, const struct plc_choice *choice,
+         enum adp_phase phase)
 {
   static const struct hcli_ops ops = { on_head, on_body, on_done };
   struct gw *gw = call->gw;
+  struct memb_runner *runner = choice->runner;
   int64_t now = gw_now (gw);
   struct adp_send send = { .runner_id = runner->entry.id,
                            .budget_ms = (call->deadline - now) / 1000,
@@ -408,9 +409,9 @@
   call->phase = phase;
   call->runner = runner;
   call->sent = now;
-  call->reading = unread;
+  call->reading = choice->unread;
   runner->calls++;
-  runner->tokens += unread;
+  runner->tokens += choice->unread;
   if (phase == ADP_PROMPT_ONLY)
     {
       gw->counts.prompts++;
@@ -423,9 +424,11 @@
     }
   jlog ("sent", call->in.id,
         "\"runner\":\"%s\",\"phase\":\"%s\",\"load\":%.1f,\"load_age_ms\":%"
-        G_GINT64_FORMAT ",\"unread\":%u,\"left_ms\":%" G_GINT64_FORMAT,
+        G_GINT64_FORMAT ",\"unread\":%u,\"wait_ms\":%.0f,\"first_ms\":%.0f"
+        ",\"left_ms\":%" G_GINT64_FORMAT,
         runner->entry.id, phase == ADP_PROMPT_ONLY ? "prompt" : "whole",
-        memb_load (runner, now), (now - runner->told_us) / 1000, unread,
+        memb_load (runner, now), (now - runner->told_us) / 1000, choice->unread,
+        choice->wait_us / 1000, choice->first_us / 1000,
         send.budget_ms);
   return 0;
 }
--- a/src/hsrv.c
+++ b/src/hsrv.c
@@ -87,8 +87,10 @@
 }
 
 static void
-refuse (struct conn *c, int status)
+refuse (struct conn *c, int status, const char *why)
 {
+  if (c->srv->ops.unread != NULL)
+    c->srv->ops.unread (c->srv->ctx, status, why);
   c->keep = 0;
   c->phase = PHASE_BUSY;
   hsrv_answer (c->srv, c->handle, status, NULL, "", 0);
@@ -123,7 +125,8 @@
   size_t start = c->head_length;
   size_t n = 0;
 
-  if (!c->whole)
+  /* Zero bytes would stand for the end of the connection.  */
+  if (!c->whole && c->in->len > start)
     n = http_parser_execute (&c->parser, &settings, c->in->str + start,
                            c->in->len - start);
   if (c->whole || HTTP_PARSER_ERRNO (&c->parser) == HPE_OK)
@@ -137,7 +140,8 @@
       return;
     }
   if (HTTP_PARSER_ERRNO (&c->parser) != HPE_OK)
-    refuse (c, HTTP_PARSER_ERRNO (&c->parser) == HPE_CB_body ? 413 : 400);
+    refuse (c, HTTP_PARSER_ERRNO (&c->parser) == HPE_CB_body ? 413 : 400,
+            http_errno_description (HTTP_PARSER_ERRNO (&c->parser)));
 }
 
 /* Answers "Expect: 100-continue", without which some clients wait.  */
@@ -179,7 +183,7 @@
     return;
   if (verdict != HHEAD_OK)
     {
-      refuse (c, verdict == HHEAD_TOO_LARGE ? 431 : 400);
+      refuse (c, verdict == HHEAD_TOO_LARGE ? 431 : 400, "head");
       return;
     }
   http_parser_init (&c->parser, HTTP_REQUEST);
@@ -187,14 +191,14 @@
   if (hhead_parse (&c->parser, c->in->str, c->head_length, &c->head) != 0
       || !coding_known (&c->head))
     {
-      refuse (c, 400);
+      refuse (c, 400, "fields or length");
       return;
     }
   if (!(c->parser.flags & F_CHUNKED)
       && c->parser.content_length != ULLONG_MAX
       && c->parser.content_length > srv->limits.body_bytes)
     {
-      refuse (c, 413);
+      refuse (c, 413, "length");
       return;
     }
   c->keep = http_should_keep_alive (&c->parser);
@@ -510,7 +514,7 @@
         conn_close (c, 0);
       else if (c->phase == PHASE_HEAD && c->in->len > 0
                && age > srv->limits.header_ms)
-        refuse (c, 408);
+        refuse (c, 408, "head not complete in time");
       else if (c->phase == PHASE_ENDING && age > ENDING_MS)
         conn_close (c, 0);
     }
--- a/src/hsrv.h
+++ b/src/hsrv.h
@@ -32,6 +32,8 @@
                    const char *body, size_t size);
   /* The client has left before its answer was complete.  */
   void (*left) (void *ctx, uint64_t conn);
+  /* A request was refused with STATUS before it was whole; may be null.  */
+  void (*unread) (void *ctx, int status, const char *why);
 };
 
 struct hsrv;
