--- a/src/gw.h
+++ b/src/gw.h
@@ -72,6 +72,8 @@
   struct gw_share *share;
   uint64_t seed; /* of the random numbers */
   int stopping;
+  int64_t stop_at;       /* end of the grace time */
+  int64_t notice_until;  /* until then the balancer may send new clients */
   size_t active; /* requests in progress */
   struct gw_counts counts;
   uint64_t latency[GW_BUCKETS];
--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -265,6 +265,14 @@
   budget_ms = in.budget_ms > 0 ? MIN (in.budget_ms, route->timeout_ms)
                                : route->timeout_ms;
   call->deadline = call->arrived + budget_ms * 1000;
+  if (gw->stopping && call->arrived >= gw->notice_until
+      && call->deadline > gw->stop_at)
+    {
+      rtab_unref (call->table);
+      g_free (call);
+      answer_early (gw, conn, in.id, 503, "stopping");
+      return;
+    }
   call->timer = tmr_add (gw->tmr, budget_ms * 1000 + DEADLINE_SLACK_US, 0,
                          on_deadline, call);
   gw->active++;
--- a/src/gw_run.c
+++ b/src/gw_run.c
@@ -24,7 +24,6 @@
   uv_check_t check;
   uv_signal_t term;
   uv_signal_t hup;
-  int64_t stop_at; /* end of the grace time */
 };
 
 static int64_t
@@ -141,11 +140,9 @@
   struct driver *driver = ctx;
   struct gw *gw = driver->gw;
 
-  if (now >= driver->stop_at)
+  if (now >= gw->stop_at)
     finish (gw);
-  if (now < driver->stop_at
-                - (int64_t)((gw->set.grace_ms - EXIT_SPARE_MS - NOTICE_MS)
-                            * 1000))
+  if (now < gw->notice_until)
     return;
   hsrv_close_idle (gw->front);
   if (gw->active == 0 && hsrv_connections (gw->front) == 0)
@@ -168,8 +165,9 @@
   gw->stopping = 1;
   jlog ("stopping", NULL, "\"active\":%zu", gw->active);
   hsrv_drain (gw->front);
-  driver->stop_at
+  gw->stop_at
       = gw_now (gw) + (int64_t)((gw->set.grace_ms - EXIT_SPARE_MS) * 1000);
+  gw->notice_until = gw_now (gw) + NOTICE_MS * 1000;
   tmr_add (gw->tmr, LOOK_MS * 1000, LOOK_MS * 1000, on_stopping, driver);
 }
 
--- a/src/hcli.c
+++ b/src/hcli.c
@@ -270,11 +270,37 @@
   return !(parser->flags & F_CHUNKED) && parser->content_length == ULLONG_MAX;
 }
 
+/* Ends an answer without a length, which is whole if the peer ended the
+   connection in order.  */
 static void
-on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+take_end (struct conn *c)
 {
   static const http_parser_settings settings
       = { .on_body = on_body, .on_message_complete = on_complete };
+  uint64_t call = c->call;
+  char rest[4096];
+  ssize_t n;
+
+  while ((n = hnet_read_end ((uv_stream_t *)&c->tcp, rest, sizeof rest)) > 0)
+    {
+      g_string_append_len (c->in, rest, n);
+      take_input (c);
+      if (c->closing || c->call != call)
+        return;
+    }
+  c->keep_ms = 0;
+  if (n == 0 && c->in_body && !c->skipping
+      && ends_with_connection (&c->parser)
+      && http_parser_execute (&c->parser, &settings, NULL, 0) == 0
+      && c->whole)
+    conn_whole (c);
+  else
+    conn_fail (c);
+}
+
+static void
+on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
   struct conn *c = stream->data;
 
   if (n == 0 || c->closing)
@@ -290,14 +316,13 @@
       take_input (c);
       return;
     }
+  if (n == UV_EOF)
+    {
+      take_end (c);
+      return;
+    }
   c->keep_ms = 0;
-  if (n == UV_EOF && c->in_body && !c->skipping
-      && ends_with_connection (&c->parser)
-      && http_parser_execute (&c->parser, &settings, NULL, 0) == 0
-      && c->whole)
-    conn_whole (c);
-  else
-    conn_fail (c);
+  conn_fail (c);
 }
 
 static void
--- a/src/hnet.c
+++ b/src/hnet.c
@@ -1,9 +1,11 @@
 #include "hnet.h"
 
+#include <errno.h>
 #include <glib.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 int
 hnet_address (const char *text, struct sockaddr_in *sa)
@@ -72,6 +74,20 @@
   return -1;
 }
 
+ssize_t
+hnet_read_end (uv_stream_t *stream, char *data, size_t size)
+{
+  uv_os_fd_t fd;
+  ssize_t n;
+
+  if (uv_fileno ((const uv_handle_t *)stream, &fd) != 0)
+    return -1;
+  do
+    n = recv (fd, data, size, MSG_DONTWAIT);
+  while (n < 0 && errno == EINTR);
+  return n;
+}
+
 void
 hnet_user_timeout (uv_tcp_t *tcp)
 {
--- a/src/hnet.h
+++ b/src/hnet.h
@@ -24,5 +24,10 @@
    Returns 0 or -1.  */
 int hnet_write (uv_stream_t *stream, const char *data, size_t size);
 
+/* Reads on after the loop reported the end of STREAM.  Returns the number of
+   bytes read into DATA, 0 at an orderly end, and -1 after a reset: the loop
+   reports an end for either when the last bytes came with it.  */
+ssize_t hnet_read_end (uv_stream_t *stream, char *data, size_t size);
+
 void hnet_user_timeout (uv_tcp_t *tcp);
 #endif
