--- a/src/gw.h
+++ b/src/gw.h
@@ -95,6 +95,9 @@
 
 /* gw_stage.c: authority and the stages of the engines */
 struct gw_stage *gw_stage_new (struct gw *gw);
+/* Tells the place of this gateway among COUNT, by name: the first ones stand
+   by to take over the authority, the others look rarely.  */
+void gw_stage_place (struct gw *gw, size_t place, size_t count);
 /* Notes the tokens that a request asks for.  */
 void gw_stage_demand (struct gw *gw, const struct plc_prompt *prompt);
 
--- a/src/gw_set.c
+++ b/src/gw_set.c
@@ -33,6 +33,7 @@
   double fallback;
 } numbers[] = {
   { "lease_ms", offsetof (struct gw_set, lease_ms), 100, 600000, 3000 },
+  { "settled_ms", offsetof (struct gw_set, settled_ms), 500, 600000, 3000 },
   { "grace_ms", offsetof (struct gw_set, grace_ms), 1000, 600000, 8000 },
   /* A tenth, as for the entry's own retries.  */
   { "repeat_ratio", offsetof (struct gw_set, repeat_ratio), 0, 1, 0.1 },
--- a/src/gw_set.h
+++ b/src/gw_set.h
@@ -19,6 +19,7 @@
   char store[32];
   int first_start;         /* the whole system starts for the first time */
   double lease_ms;         /* least time between the orders of two holders */
+  double settled_ms;       /* within which changes are in force after trouble */
   double grace_ms;         /* from SIGTERM to the end */
   double repeat_ratio;     /* of all processes, for a service */
   double repeat_slack;
--- a/src/gw_stage.c
+++ b/src/gw_stage.c
@@ -385,6 +385,17 @@
   step (gw);
 }
 
+void
+gw_stage_place (struct gw *gw, size_t place, size_t count)
+{
+  enum
+  {
+    NEAR = 3 /* gateways that are quick to take over */
+  };
+
+  auth_stand_set (&gw->stage->auth, place < NEAR, place, count);
+}
+
 void
 gw_stage_demand (struct gw *gw, const struct plc_prompt *prompt)
 {
--- a/src/gw_sync.c
+++ b/src/gw_sync.c
@@ -5,7 +5,12 @@
 
 enum
 {
-  WATCH_MS = 2000,    /* a silent connection is noticed after a little more */
+  WATCH_LEAST_MS = 1000,
+  WATCH_SPARE_MS = 1000, /* a silent connection is noticed this long before the
+                            configuration has to be in force */
+  GATHER_MS = 250,    /* changes that come close together share a call */
+  POLL_MS = 3000,     /* between two listings of the gateways */
+  POLL_FIRST_MS = 600,
   RETRY_MS = 200,     /* first pause after a failed call */
   RETRY_MAX_MS = 800,
   PRESENCE_TTL_MS = 10000,
@@ -133,11 +138,17 @@
   unsigned n = g_hash_table_size (gw->sync->processes);
   GHashTableIter iter;
   gpointer address;
+  gpointer key;
   GPtrArray *addresses = g_ptr_array_new ();
+  size_t place = 0;
 
   g_hash_table_iter_init (&iter, gw->sync->processes);
-  while (g_hash_table_iter_next (&iter, NULL, &address))
-    g_ptr_array_add (addresses, address);
+  while (g_hash_table_iter_next (&iter, &key, &address))
+    {
+      g_ptr_array_add (addresses, address);
+      place += strcmp (strip (key, PROCESSES_PREFIX), gw->set.node) < 0;
+    }
+  gw_stage_place (gw, place, n);
   gw_share_others (gw, (const char *const *)addresses->pdata, addresses->len);
   g_ptr_array_free (addresses, TRUE);
   if (MAX (n, 1u) == gw->processes)
@@ -156,8 +167,6 @@
   else
     g_hash_table_insert (gw->sync->processes, g_strdup (item->key),
                          g_strndup (item->value, item->size));
-  if (feed->listed)
-    processes_changed (gw);
 }
 
 static void (*const feed_item[FEED_MAX]) (struct feed *,
@@ -180,13 +189,20 @@
         feed->prefix);
 }
 
+static void
+on_poll (void *ctx, int64_t now)
+{
+  (void)now;
+  feed_list (ctx);
+}
+
 static void
 on_retry (void *ctx, int64_t now)
 {
   struct feed *feed = ctx;
 
   (void)now;
-  if (feed->listed)
+  if (feed->listed && feed->id != FEED_PROCESSES)
     feed_watch (feed);
   else
     feed_list (feed);
@@ -239,10 +255,14 @@
   if (feed->id == FEED_RUNNERS)
     memb_list_end (feed->gw->memb, feed->list_revision, gw_now (feed->gw));
   feed->listed = 1;
-  if (feed->id == FEED_PROCESSES)
-    processes_changed (feed->gw);
   feed->revision = feed->list_revision;
-  feed_watch (feed);
+  if (feed->id == FEED_PROCESSES)
+    {
+      processes_changed (feed->gw);
+      tmr_add (feed->gw->tmr, POLL_MS * 1000, 0, on_poll, feed);
+    }
+  else
+    feed_watch (feed);
 }
 
 static void
@@ -250,7 +270,8 @@
 {
   struct gw *gw = feed->gw;
 
-  gw->stor->list (gw->stor_ctx, feed->prefix, feed->after, on_listed, feed);
+  gw->stor->list (gw->stor_ctx, feed->prefix, feed->after,
+                  feed->id == FEED_PROCESSES, on_listed, feed);
 }
 
 static void
@@ -275,7 +296,10 @@
   for (i = 0; i < reply->n_items; i++)
     feed_item[feed->id](feed, &reply->items[i]);
   feed->revision = MAX (feed->revision, reply->revision);
-  feed_watch (feed);
+  if (reply->n_items > 0)
+    tmr_add (feed->gw->tmr, GATHER_MS * 1000, 0, on_retry, feed);
+  else
+    feed_watch (feed);
 }
 
 static void
@@ -283,7 +307,9 @@
 {
   struct gw *gw = feed->gw;
 
-  gw->stor->watch (gw->stor_ctx, feed->prefix, feed->revision, WATCH_MS,
+  gw->stor->watch (gw->stor_ctx, feed->prefix, feed->revision,
+                   (int)MAX (gw->set.settled_ms - WATCH_SPARE_MS,
+                             WATCH_LEAST_MS),
                    on_watched, feed);
 }
 
@@ -368,8 +394,11 @@
       sync->feeds[i].gw = gw;
       sync->feeds[i].id = (enum feed_id)i;
       sync->feeds[i].retry_ms = RETRY_MS;
-      feed_list (&sync->feeds[i]);
+      if (i != FEED_PROCESSES)
+        feed_list (&sync->feeds[i]);
     }
+  tmr_add (gw->tmr, POLL_FIRST_MS * 1000, 0, on_poll,
+           &sync->feeds[FEED_PROCESSES]);
   presence_start (gw);
   return sync;
 }
--- a/src/hnet.c
+++ b/src/hnet.c
@@ -88,6 +88,15 @@
   return n;
 }
 
+void
+hnet_break (uv_stream_t *stream)
+{
+  uv_os_fd_t fd;
+
+  if (uv_fileno ((const uv_handle_t *)stream, &fd) == 0)
+    shutdown (fd, SHUT_RDWR);
+}
+
 void
 hnet_user_timeout (uv_tcp_t *tcp)
 {
--- a/src/hnet.h
+++ b/src/hnet.h
@@ -29,5 +29,8 @@
    reports an end for either when the last bytes came with it.  */
 ssize_t hnet_read_end (uv_stream_t *stream, char *data, size_t size);
 
+/* Ends both directions, so that the loop soon reports the end of STREAM.  */
+void hnet_break (uv_stream_t *stream);
+
 void hnet_user_timeout (uv_tcp_t *tcp);
 #endif
--- a/src/hsrv.c
+++ b/src/hsrv.c
@@ -39,6 +39,7 @@
   int chunked; /* the answer */
   int paused;
   int closing;
+  int unwritable;
   uint64_t since_ms; /* start of the phase HEAD: idle, or of its first byte */
 };
 
@@ -54,6 +55,7 @@
 };
 
 static void next_request (struct conn *c);
+static void on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf);
 
 static void
 conn_free (uv_handle_t *handle)
@@ -78,12 +80,23 @@
   uv_close ((uv_handle_t *)&c->tcp, conn_free);
 }
 
+/* A connection that can't be written is not closed here: the owner of the
+   request may be in the middle of an answer.  The loop reports its end.  */
 static void
 conn_write (struct conn *c, const char *data, size_t size)
 {
-  if (hnet_write ((uv_stream_t *)&c->tcp, data, size) != 0
-      || uv_stream_get_write_queue_size ((uv_stream_t *)&c->tcp) > UNSENT_MAX)
-    conn_close (c, 1);
+  uv_stream_t *stream = (uv_stream_t *)&c->tcp;
+
+  if (c->unwritable)
+    return;
+  if (hnet_write (stream, data, size) == 0
+      && uv_stream_get_write_queue_size (stream) <= UNSENT_MAX)
+    return;
+  c->unwritable = 1;
+  hnet_break (stream);
+  if (c->paused)
+    uv_read_start (stream, hnet_alloc, on_read);
+  c->paused = 0;
 }
 
 static void
--- a/src/stor.h
+++ b/src/stor.h
@@ -46,8 +46,9 @@
 struct stor_ops
 {
   void (*get) (void *stor, const char *key, stor_done *done, void *ctx);
-  /* Lists the keys after AFTER, which may be null.  */
-  void (*list) (void *stor, const char *prefix, const char *after,
+  /* Lists the keys after AFTER, which may be null.  With STALE the answer may
+     be seconds old, and costs less.  */
+  void (*list) (void *stor, const char *prefix, const char *after, int stale,
                 stor_done *done, void *ctx);
   /* Waits up to WAIT_MS for changes after REVISION.  */
   void (*watch) (void *stor, const char *prefix, uint64_t revision,
