--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -422,7 +422,7 @@
   struct adp_send send = { .runner_id = runner->entry.id,
                            .budget_ms = (call->deadline - now) / 1000,
                            .phase = phase,
-                           .urgency = (int)MIN (call->route->priority, 9u),
+                             .urgency = (int)MIN (call->route->priority, 9u),
                            .last_event = call->last_event };
   GString *out = g_string_sized_new (call->size + 1024);
 
