--- a/src/gw.h
+++ b/src/gw.h
@@ -15,7 +15,6 @@
 
 #include "adp.h"
 #include "goldcresthatch/auth.h"
-#include "goldcresthatch/role.h"
 #include "goldcresthatch/tab.h"
 #include "goldcresthatch/tmr.h"
 #include "gw_set.h"
@@ -98,13 +97,18 @@
 /* Tells the place of this gateway among COUNT, by name: the first ones stand
    by to take over the authority, the others look rarely.  */
 void gw_stage_place (struct gw *gw, size_t place, size_t count);
-/* Notes the tokens that a request asks for.  */
-void gw_stage_demand (struct gw *gw, const struct plc_prompt *prompt);
+/* Notes that a prompt of which UNREAD tokens are to be read apart was asked
+   for, whether or not it is taken.  */
+void gw_stage_demand (struct gw *gw, double unread);
+/* Returns the engines that the prompts asked of this gateway keep busy.  */
+double gw_stage_reading (const struct gw *gw);
 
 /* gw_share.c: what gateways tell each other */
 int gw_share_open (struct gw *gw, struct err *err);
 /* Sets the addresses of the registered gateways; this one's may be among
    them.  */
+/* Returns the engines that the prompts asked of the others keep busy.  */
+double gw_share_reading (const struct gw *gw);
 void gw_share_others (struct gw *gw, const char *const *addresses, size_t n);
 
 /* gw_page.c: readiness and metrics */
--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -163,6 +163,8 @@
       where->stage = MEMB_STAGE_PREFILL;
       choice = plc_prefill (gw->plc, gw->memb, where, prompt, now);
       choice.first_us += decode.first_us;
+      if (call->outc.sends == 0 && call->n_excluded == 0)
+        gw_stage_demand (gw, choice.unread);
       phase = ADP_PROMPT_ONLY;
     }
   else
@@ -277,8 +279,6 @@
                          on_deadline, call);
   gw->active++;
   g_hash_table_insert (by_conn, &call->conn, call);
-  if (in.has_prompt)
-    gw_stage_demand (gw, &in.prompt);
   gw_call_place (call);
 }
 
--- a/src/gw_share.c
+++ b/src/gw_share.c
@@ -57,7 +57,8 @@
   lshr_tick (share->lshr, gw->memb, now);
   if (share->others->len > 0)
     {
-      lshr_encode (gw->set.node, ++share->sequence, gw->memb, word);
+      lshr_encode (gw->set.node, ++share->sequence, gw_stage_reading (gw),
+                   gw->memb, word);
       buf = uv_buf_init (word->str, (unsigned)word->len);
       for (i = 0; i < share->others->len; i++)
         /* A datagram that the socket doesn't take is as good as lost.  */
@@ -70,6 +71,12 @@
   tmr_add (gw->tmr, lshr_interval (gw->processes), 0, on_tell, gw);
 }
 
+double
+gw_share_reading (const struct gw *gw)
+{
+  return lshr_reading (gw->share->lshr);
+}
+
 int
 gw_share_open (struct gw *gw, struct err *err)
 {
--- a/src/gw_stage.c
+++ b/src/gw_stage.c
@@ -13,7 +13,8 @@
   ORDER_MS = 1500,     /* an answer that takes longer counts as lost */
   QUIET_MS = 500,      /* beyond lease_ms, for delays of the last holder's */
   CONFIRM_MS = 400,    /* age of the read of the key that an order needs */
-  ORDERED_MS = 8000    /* a change that isn't done by then has failed */
+  ASKED_MS = 1000,     /* time constant of the prompts asked for */
+  ORDERED_MS = 15000    /* a change that isn't done by then has failed */
 };
 
 struct gw_stage
@@ -23,10 +24,8 @@
   uint64_t token;
   int64_t confirmed;   /* start of the last read that showed our token */
   int confirming;
-  int planned_first;   /* the share before any demand was ordered */
-  struct role_stats stats;
-  double prefill;      /* tokens asked for since the last step */
-  double decode;
+  double asked_us;     /* engine time asked for since the last step */
+  double reading;      /* decaying average, in engines */
   struct stgp_state plan;
   /* One order at a time.  */
   struct memb_runner *runner;
@@ -284,20 +283,19 @@
   step (gw);
 }
 
-/* Decides on the next change.  Returns 0 when there is none.  */
+/* Notes the demand and decides on the next change.  Returns 0 when there is
+   none.  */
 static int
-next_change (struct gw *gw, struct memb_runner **runner, enum memb_stage *to)
+next_change (struct gw *gw, int may_order, struct memb_runner **runner,
+             enum memb_stage *to)
 {
   struct gw_stage *stage = gw->stage;
-  struct role_demand demand = role_stats_rate (&stage->stats, 0);
   int64_t now = gw_now (gw);
   struct stgp_view view = { 0 };
   size_t i;
 
   view.share = gw->set.prefill_share;
-  view.first = gw->set.first_start && !stage->planned_first;
-  view.prefill_tokens = demand.prefill * gw->processes;
-  view.decode_tokens = demand.decode * gw->processes;
+  view.reading = stage->reading + gw_share_reading (gw);
   for (i = 0; i < memb_count (gw->memb); i++)
     {
       struct memb_runner *one = memb_at (gw->memb, i);
@@ -314,9 +312,13 @@
           view.changing++;
         }
       view.engines++;
+      view.slots += (one->entry.slots - view.slots) / view.engines;
       view.prefill += at == MEMB_STAGE_PREFILL;
+      if (one->entry.stage == MEMB_STAGE_DECODE)
+        view.generating += memb_load (one, now) / MAX (one->entry.slots, 1u);
     }
-  if (!stgp_next (&stage->plan, &view, now, to))
+  stgp_see (&stage->plan, &view, now);
+  if (!may_order || !stgp_next (&stage->plan, &view, now, to))
     return 0;
   *runner = NULL;
   for (i = 0; i < memb_count (gw->memb); i++)
@@ -338,6 +340,7 @@
   int64_t now = gw_now (gw);
   struct memb_runner *runner;
   enum memb_stage to;
+  int may_order;
 
   if (stage->runner != NULL)
     {
@@ -351,11 +354,11 @@
         }
       order_over (gw);
     }
-  if (stage->token == 0 || gw->stopping
-      || auth_token (&stage->auth, now) != stage->token
-      || now - stage->token_since
-             < (int64_t)((gw->set.lease_ms + QUIET_MS) * 1000)
-      || !next_change (gw, &runner, &to))
+  may_order = stage->token != 0 && !gw->stopping
+              && auth_token (&stage->auth, now) == stage->token
+              && now - stage->token_since
+                     >= (int64_t)((gw->set.lease_ms + QUIET_MS) * 1000);
+  if (!next_change (gw, may_order, &runner, &to))
     return;
   if (now - stage->confirmed > CONFIRM_MS * 500)
     {
@@ -377,9 +380,9 @@
   struct auth_event event = { .kind = AUTH_EV_TIME, .now_us = now };
 
   event.draw = draw (gw);
-  role_stats_add (&stage->stats, now, stage->prefill, stage->decode);
-  stage->prefill = 0;
-  stage->decode = 0;
+  stage->reading += (stage->asked_us / (STEP_MS * 1000) - stage->reading)
+                    * STEP_MS / ASKED_MS;
+  stage->asked_us = 0;
   if (!gw->stopping)
     auth_step (gw, &event);
   step (gw);
@@ -397,11 +400,16 @@
 }
 
 void
-gw_stage_demand (struct gw *gw, const struct plc_prompt *prompt)
+gw_stage_demand (struct gw *gw, double unread)
+{
+  gw->stage->asked_us += plc_speed_default.prompt_us
+                         + unread / plc_speed_default.read_tokens_per_us;
+}
+
+double
+gw_stage_reading (const struct gw *gw)
 {
-  if (prompt->tokens >= (uint32_t)gw->set.direct_tokens)
-    gw->stage->prefill += prompt->tokens;
-  gw->stage->decode += prompt->output_tokens;
+  return gw->stage->reading;
 }
 
 struct gw_stage *
@@ -411,7 +419,6 @@
 
   gw->stage = stage;
   auth_init (&stage->auth, gw->set.node, gw_random (gw));
-  role_stats_init (&stage->stats);
   stgp_init (&stage->plan);
   stage->body = g_string_new (NULL);
   tmr_add (gw->tmr, STEP_MS * 1000, (int64_t)STEP_MS * 1000, on_step, gw);
--- a/src/lshr.c
+++ b/src/lshr.c
@@ -6,6 +6,8 @@
 enum
 {
   VERSION = 1,
+  WORD_FIELDS = 5,
+  READING_SCALE = 1000, /* sent as a whole number */
   INTERVAL_EACH_US = 5000, /* bounds the datagrams received to 200/s */
   INTERVAL_LEAST_US = 20000
 };
@@ -22,6 +24,7 @@
 struct teller
 {
   uint64_t sequence;
+  double reading;
   int64_t heard_us;
   GArray *rows;
 };
@@ -65,8 +68,8 @@
 }
 
 void
-lshr_encode (const char *self, uint64_t sequence, const struct memb *memb,
-             GString *out)
+lshr_encode (const char *self, uint64_t sequence, double reading,
+             const struct memb *memb, GString *out)
 {
   msgpack_sbuffer buffer;
   msgpack_packer packer;
@@ -78,11 +81,12 @@
   rows = MIN (rows, (size_t)LSHR_ROWS_MAX);
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, 4);
+  msgpack_pack_array (&packer, WORD_FIELDS);
   msgpack_pack_int (&packer, VERSION);
   msgpack_pack_str (&packer, strlen (self));
   msgpack_pack_str_body (&packer, self, strlen (self));
   msgpack_pack_uint64 (&packer, sequence);
+  msgpack_pack_uint64 (&packer, (uint64_t)(reading * READING_SCALE));
   msgpack_pack_array (&packer, rows);
   for (i = 0; i < memb_count (memb) && rows > 0; i++)
     {
@@ -204,17 +208,19 @@
   GArray *rows;
   uint64_t version;
   uint64_t sequence;
+  uint64_t reading;
   char *name;
 
-  if (word->type != MSGPACK_OBJECT_ARRAY || word->via.array.size != 4
+  if (word->type != MSGPACK_OBJECT_ARRAY || word->via.array.size != WORD_FIELDS
       || uint_of (&field[0], VERSION, &version) != 0 || version != VERSION
       || field[1].type != MSGPACK_OBJECT_STR
-      || uint_of (&field[2], UINT64_MAX, &sequence) != 0)
+      || uint_of (&field[2], UINT64_MAX, &sequence) != 0
+      || uint_of (&field[3], UINT32_MAX, &reading) != 0)
     return err_set (err, ERR_PROTOCOL, "read load", NULL, "malformed");
   rows = g_array_new (FALSE, FALSE, sizeof (struct row));
   name = g_strndup (field[1].via.str.ptr, field[1].via.str.size);
   teller = g_hash_table_lookup (lshr->tellers, name);
-  if (rows_read (&field[3], rows) != 0 || strcmp (name, self) == 0
+  if (rows_read (&field[4], rows) != 0 || strcmp (name, self) == 0
       || (teller != NULL && sequence <= teller->sequence))
     {
       g_array_free (rows, TRUE);
@@ -234,6 +240,7 @@
     }
   teller->rows = rows;
   teller->sequence = sequence;
+  teller->reading = (double)reading / READING_SCALE;
   teller->heard_us = now;
   return 0;
 }
@@ -277,6 +284,19 @@
     sum (lshr, memb, now);
 }
 
+double
+lshr_reading (const struct lshr *lshr)
+{
+  GHashTableIter iter;
+  gpointer value;
+  double sum = 0;
+
+  g_hash_table_iter_init (&iter, lshr->tellers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    sum += ((const struct teller *)value)->reading;
+  return sum;
+}
+
 int64_t
 lshr_interval (unsigned processes)
 {
--- a/src/lshr.h
+++ b/src/lshr.h
@@ -31,10 +31,14 @@
 void lshr_free (struct lshr *lshr);
 
 /* Appends the word of the gateway SELF to OUT: what it has in progress at
-   each runner of MEMB, and the stages that it has ordered.  */
-void lshr_encode (const char *self, uint64_t sequence,
+   each runner of MEMB, the stages that it has ordered, and READING, the
+   engines that reading the prompts asked of it would keep busy.  */
+void lshr_encode (const char *self, uint64_t sequence, double reading,
                   const struct memb *memb, GString *out);
 
+/* Returns the sum of READING of the other gateways.  */
+double lshr_reading (const struct lshr *lshr);
+
 /* Applies the word of another gateway to the runners of MEMB.  Returns 0, or
    -1 with ERR_PROTOCOL when it is malformed, of SELF, or old.  */
 int lshr_apply (struct lshr *lshr, struct memb *memb, const char *self,
--- a/src/stgp.c
+++ b/src/stgp.c
@@ -2,39 +2,88 @@
 
 #include <math.h>
 
-/* Engines that may change at once: others serve meanwhile.  At the first start
-   no one is served yet.  */
-static const double changing_share = 0.2;
-static const double demand_least = 1000; /* tokens/s; below is no traffic */
+/* Time constant of the averages.  A mix that turns within seconds isn't
+   followed: its engines would come back too late.  */
+static const double average_s = 120;
+/* The setting counts like this much time of demand.  */
+static const double prior_s = 60;
+/* Engines that may change at once while others serve.  */
+static const double changing_share = 0.1;
+/* A change is made when the target is this far away, in engines.  */
+static const double worth_a_change = 1;
+/* Demand below this is no traffic: engines kept busy.  */
+static const double demand_least = 0.05;
+/* Slots of the engines that the setting is meant for.  */
+static const double prior_slots = 32;
 
 void
 stgp_init (struct stgp_state *state)
 {
-  state->wanted_us = -1;
-  state->wanted = MEMB_STAGE_ANY;
+  state->last_us = -1;
   state->changed_us = 0;
+  state->reading = 0;
+  state->generating = 0;
+  state->seen_s = 0;
+}
+
+void
+stgp_see (struct stgp_state *state, const struct stgp_view *view, int64_t now)
+{
+  double elapsed_s = state->last_us < 0 ? 0 : (double)(now - state->last_us) / 1e6;
+  double keep;
+
+  state->last_us = now;
+  if (view->reading + view->generating < demand_least)
+    return;
+  /* At first a plain mean, so that the start has no weight of its own.  */
+  state->seen_s = fmin (state->seen_s + elapsed_s, average_s * 10);
+  keep = state->seen_s < average_s
+             ? 1 - fmin (1, elapsed_s / fmax (state->seen_s, 1e-3))
+             : exp (-elapsed_s / average_s);
+  state->reading = state->reading * keep + view->reading * (1 - keep);
+  state->generating = state->generating * keep + view->generating * (1 - keep);
+}
+
+/* A batch of fewer slots makes its tokens faster, so the engines needed grow
+   less than the slots shrink.  */
+static double
+prior (const struct stgp_view *view)
+{
+  double slots = view->slots > 0 ? view->slots : prior_slots;
+  double generating = (1 - view->share) * sqrt (prior_slots / slots);
+
+  return view->share / (view->share + generating);
+}
+
+double
+stgp_target (const struct stgp_state *state, const struct stgp_view *view)
+{
+  double share = prior (view);
+  double sum = state->reading + state->generating;
+
+  if (sum > 0)
+    share = (share * prior_s + state->reading / sum * state->seen_s)
+            / (prior_s + state->seen_s);
+  return fmin (view->engines - 1.0, fmax (1, share * view->engines));
 }
 
 int
 stgp_next (struct stgp_state *state, const struct stgp_view *view, int64_t now,
            enum memb_stage *to)
 {
-  unsigned target;
+  double off;
 
-  (void)state;
-  (void)now;
   if (view->engines < 2)
     return 0;
-  target = (unsigned)lround (view->share * view->engines);
-  if (target < 1)
-    target = 1;
-  if (target > view->engines - 1)
-    target = view->engines - 1;
-  if (target == view->prefill)
-    return 0;
-  if (view->prefill_tokens + view->decode_tokens > demand_least
-      && view->changing + 1 > fmax (1, changing_share * view->engines))
+  off = stgp_target (state, view) - view->prefill;
+  /* Before any demand no one is served, and changes needn't wait.  */
+  if (state->seen_s <= 0 ? fabs (off) < 0.5
+                         : fabs (off) < worth_a_change
+                               || view->changing + 1
+                                      > fmax (1, changing_share
+                                                     * view->engines))
     return 0;
-  *to = view->prefill < target ? MEMB_STAGE_PREFILL : MEMB_STAGE_DECODE;
+  state->changed_us = now;
+  *to = off > 0 ? MEMB_STAGE_PREFILL : MEMB_STAGE_DECODE;
   return 1;
 }
--- a/src/stgp.h
+++ b/src/stgp.h
@@ -5,9 +5,12 @@
  *   stgp - share of the engines that read prompts apart
  *
  * DESCRIPTION
- *   Before any demand is known the share is a setting.  Later it follows the
- *   tokens asked for, slowly: a change takes an engine out for seconds, while
- *   the mix may turn within as many.  Pure; times are in microseconds.
+ *   Engines are shared out so that both stages are used alike: in proportion
+ *   to the engines that reading the prompts asked for would keep busy, and to
+ *   those whose slots the generations asked for would fill.  Before any demand
+ *   is known the share is a setting, which the demand outweighs within minutes.
+ *   A change takes an engine out for seconds, and many more until its streams
+ *   have ended, so a change must be worth an engine.  Pure; times are in microseconds.
  */
 #include <stdint.h>
 
@@ -18,21 +21,31 @@
   unsigned engines;  /* with a stage, usable */
   unsigned prefill;  /* that read prompts, or will once changed */
   unsigned changing;
-  double share;          /* wanted before any demand */
-  int first;             /* no engine was ever ordered */
-  double prefill_tokens; /* asked for a second, of prompts read apart */
-  double decode_tokens;
+  double share;          /* wanted before any demand, for 32 slots */
+  double slots;          /* of an engine */
+  double reading;        /* engines kept busy by the prompts asked for now */
+  double generating;     /* engines whose slots are taken or waited for */
 };
 
 struct stgp_state
 {
-  int64_t wanted_us; /* since when a change is wanted, or -1 */
-  enum memb_stage wanted;
+  int64_t last_us;
   int64_t changed_us;
+  double reading; /* decaying averages */
+  double generating;
+  double seen_s; /* time with demand */
 };
 
 void stgp_init (struct stgp_state *state);
 
+/* Adds what is seen now to the averages.  */
+void stgp_see (struct stgp_state *state, const struct stgp_view *view,
+               int64_t now);
+
+/* Returns the number of engines that should read prompts.  */
+double stgp_target (const struct stgp_state *state,
+                    const struct stgp_view *view);
+
 /* Returns 1 with the stage that one more engine is to get, or 0.  */
 int stgp_next (struct stgp_state *state, const struct stgp_view *view,
                int64_t now, enum memb_stage *to);
