Relay long requests over wide links

Cause: on the grown sites most gateways have 10 Mbit/s; a prompt read apart goes out twice, and a request of 9 kB was seen to take 220 ms to its engine and 680 ms to the second one. Ruled out: engines (idle slots), processor (1 % of a core). Such gateways now relay long requests to those with at least four times their link, which send them twice.

--- a/src/adp.h
+++ b/src/adp.h
@@ -31,13 +31,14 @@
 enum adp_phase
 {
   ADP_WHOLE,      /* a plain call, or an engine reads and generates */
-  ADP_PROMPT_ONLY /* an engine reads the prompt and keeps its memory */
+  ADP_PROMPT_ONLY, /* an engine reads the prompt and keeps its memory */
+  ADP_RELAY        /* another gateway serves it */
 };
 
 /* How a request is sent to a runner.  */
 struct adp_send
 {
-  const char *runner_id;
+  const char *runner_id; /* not with ADP_RELAY */
   int64_t budget_ms;
   enum adp_phase phase;
   const char *memory; /* "IP:PORT/HANDLE" of a prompt that was read, or null */
--- a/src/gw.h
+++ b/src/gw.h
@@ -31,6 +31,22 @@
 struct gw_sync;
 struct gw_stage;
 struct gw_share;
+struct gw_relay;
+
+/* A listener whose requests are served.  */
+struct gw_door
+{
+  struct gw *gw;
+  struct hsrv *srv;
+  GHashTable *calls; /* connection -> struct gw_call */
+};
+
+enum gw_door_id
+{
+  GW_DOOR_CLIENTS,
+  GW_DOOR_GATEWAYS, /* requests that other gateways relay */
+  GW_DOOR_MAX
+};
 
 struct gw_counts
 {
@@ -41,6 +57,7 @@
   uint64_t left;      /* by the client */
   uint64_t repeats;   /* sends after the first */
   uint64_t prompts;   /* read apart */
+  uint64_t relayed;   /* to another gateway */
   uint64_t store_calls;
 };
 
@@ -58,7 +75,7 @@
   const struct stor_ops *stor;
   void *stor_ctx;
   struct hcli *cli;
-  struct hsrv *front;
+  struct gw_door doors[GW_DOOR_MAX]; /* SRV may be null for gateways */
   struct hsrv *ready;
   struct hsrv *metrics;
   struct rtab *table;
@@ -69,6 +86,7 @@
   struct gw_sync *sync;
   struct gw_stage *stage;
   struct gw_share *share;
+  struct gw_relay *relay;
   uint64_t seed; /* of the random numbers */
   int stopping;
   int64_t stop_at;       /* end of the grace time */
@@ -83,10 +101,19 @@
 struct sbud *gw_budget (struct gw *gw, const char *service);
 
 /* gw_call.c: the life of a request */
-void gw_request (void *ctx, uint64_t conn, const struct hhead *head,
-                 const char *body, size_t size);
-void gw_left (void *ctx, uint64_t conn);
-void gw_call_init (struct gw *gw);
+extern const struct hsrv_ops gw_call_ops; /* their context is a gw_door */
+
+/* gw_relay.c: gateways that take requests from this one */
+struct gw_relay *gw_relay_new (struct gw *gw);
+/* Appends what other gateways need to know of this one.  */
+void gw_relay_presence (const struct gw *gw, GString *out);
+/* Replaces what is known of the others by the presences PRESENT, by name.  */
+void gw_relay_known (struct gw *gw, GHashTable *present);
+/* Returns the gateway to which a request of SIZE bytes is relayed, or null:
+   it is sent to a runner from here.  */
+struct memb_runner *gw_relay_choose (struct gw *gw, size_t size,
+                                     struct memb_runner *const *excluded,
+                                     size_t n_excluded);
 
 /* gw_sync.c: configuration, runners and the other gateways, from the store */
 struct gw_sync *gw_sync_new (struct gw *gw);
--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -15,15 +15,6 @@
   NO_RUNNER_MS = 500      /* about the time in which a runner is back */
 };
 
-static GHashTable *by_conn; /* conn -> struct gw_call */
-
-void
-gw_call_init (struct gw *gw)
-{
-  (void)gw;
-  by_conn = g_hash_table_new (g_int64_hash, g_int64_equal);
-}
-
 int
 gw_call_idempotent (const struct gw_call *call)
 {
@@ -41,7 +32,7 @@
   gw_send_source (call, NULL);
   while (call->n_excluded > 0)
     call->excluded[--call->n_excluded]->references--;
-  g_hash_table_remove (by_conn, &call->conn);
+  g_hash_table_remove (call->door->calls, &call->conn);
   tmr_cancel (gw->tmr, call->timer);
   rtab_unref (call->table);
   if (call->fields != NULL)
@@ -72,7 +63,7 @@
     gw->counts.refused++;
   else
     gw->counts.failed++;
-  hsrv_answer (gw->front, call->conn, status, fields->str, "", 0);
+  hsrv_answer (call->door->srv, call->conn, status, fields->str, "", 0);
   g_string_free (fields, TRUE);
   gw_call_end (call);
 }
@@ -99,7 +90,7 @@
             why, call->route->name, call->last_event,
             call->runner != NULL ? call->runner->entry.id : "");
       call->gw->counts.failed++;
-      hsrv_abort (call->gw->front, call->conn);
+      hsrv_abort (call->door->srv, call->conn);
       gw_call_end (call);
       return;
     }
@@ -190,8 +181,13 @@
           .zone = gw->set.zone,
           .excluded = (const struct memb_runner *const *)call->excluded,
           .n_excluded = call->n_excluded };
-  struct plc_choice choice;
+  struct plc_choice choice = { NULL, 0, 0, 0 };
 
+  if (call->door == &gw->doors[GW_DOOR_CLIENTS] && call->outc.sends == 0)
+    choice.runner = gw_relay_choose (gw, call->size, call->excluded,
+                                     call->n_excluded);
+  if (choice.runner != NULL && gw_send (call, &choice, ADP_RELAY) == 0)
+    return;
   if (call->service != NULL && call->service->is_engine)
     {
       place_generation (call, &where);
@@ -209,9 +205,10 @@
 
 /* Answers a request that is never sent on.  */
 static void
-answer_early (struct gw *gw, uint64_t conn, const char *id, int status,
+answer_early (struct gw_door *door, uint64_t conn, const char *id, int status,
               const char *why)
 {
+  struct gw *gw = door->gw;
   GString *fields = g_string_new (NULL);
 
   if (status == 503)
@@ -220,15 +217,16 @@
         G_GUINT64_FORMAT,
         status, why, gw->table != NULL ? gw->table->version : 0);
   gw->counts.refused++;
-  hsrv_answer (gw->front, conn, status, fields->str, "", 0);
+  hsrv_answer (door->srv, conn, status, fields->str, "", 0);
   g_string_free (fields, TRUE);
 }
 
-void
-gw_request (void *ctx, uint64_t conn, const struct hhead *head,
+static void
+on_request (void *ctx, uint64_t conn, const struct hhead *head,
             const char *body, size_t size)
 {
-  struct gw *gw = ctx;
+  struct gw_door *door = ctx;
+  struct gw *gw = door->gw;
   struct adp_request in;
   const struct rtab_route *route;
   struct gw_call *call;
@@ -237,22 +235,23 @@
   gw->counts.requests++;
   if (gw->adp->request_read (head, &in) != 0 || in.id[0] == '\0')
     {
-      answer_early (gw, conn, NULL, 400, "malformed");
+      answer_early (door, conn, NULL, 400, "malformed");
       return;
     }
   if (gw->table == NULL)
     {
-      answer_early (gw, conn, in.id, 503, "no configuration yet");
+      answer_early (door, conn, in.id, 503, "no configuration yet");
       return;
     }
   route = rtab_find (gw->table, hhead_get (head, "host"), head->target);
   if (route == NULL)
     {
-      answer_early (gw, conn, in.id, 404, "no route");
+      answer_early (door, conn, in.id, 404, "no route");
       return;
     }
   call = g_new0 (struct gw_call, 1);
   call->gw = gw;
+  call->door = door;
   call->conn = conn;
   call->head = head;
   call->body = body;
@@ -272,21 +271,22 @@
     {
       rtab_unref (call->table);
       g_free (call);
-      answer_early (gw, conn, in.id, 503, "stopping");
+      answer_early (door, conn, in.id, 503, "stopping");
       return;
     }
   call->timer = tmr_add (gw->tmr, budget_ms * 1000 + DEADLINE_SLACK_US, 0,
                          on_deadline, call);
   gw->active++;
-  g_hash_table_insert (by_conn, &call->conn, call);
+  g_hash_table_insert (door->calls, &call->conn, call);
   gw_call_place (call);
 }
 
-void
-gw_left (void *ctx, uint64_t conn)
+static void
+on_left (void *ctx, uint64_t conn)
 {
-  struct gw *gw = ctx;
-  struct gw_call *call = g_hash_table_lookup (by_conn, &conn);
+  struct gw_door *door = ctx;
+  struct gw *gw = door->gw;
+  struct gw_call *call = g_hash_table_lookup (door->calls, &conn);
 
   if (call == NULL)
     return;
@@ -297,3 +297,14 @@
         (gw_now (gw) - call->arrived) / 1000);
   gw_call_end (call);
 }
+
+static void
+on_unread (void *ctx, int status, const char *why)
+{
+  struct gw_door *door = ctx;
+
+  door->gw->counts.refused++;
+  jlog ("unread", NULL, "\"status\":%d,\"why\":\"%s\"", status, why);
+}
+
+const struct hsrv_ops gw_call_ops = { on_request, on_left, on_unread };
--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -14,6 +14,7 @@
 struct gw_call
 {
   struct gw *gw;
+  struct gw_door *door;
   uint64_t conn;
   const struct hhead *head;
   const char *body;
@@ -31,7 +32,8 @@
   /* The send in progress.  */
   uint64_t call;
   enum adp_phase phase;
-  struct memb_runner *runner;
+  struct memb_runner *runner; /* or the gateway that it is relayed to */
+  int leaving;    /* the other end closes the connection after its answer */
   double reading; /* prompt tokens noted at the runner */
   int64_t sent;
   struct adp_answer answer;
--- /dev/null
+++ b/src/gw_relay.c
@@ -0,0 +1,141 @@
+/* Gateways that take requests from this one.
+
+   A request whose prompt is read apart is sent twice, so a gateway with a thin
+   link is full at half of the load that its link could carry.  It relays long
+   requests to gateways with much wider links, which send them twice.  */
+#include <stdio.h>
+#include <string.h>
+
+#include "gw.h"
+
+enum
+{
+  RELAY_BYTES = 2048, /* shorter requests don't fill a link */
+  WIDER = 4           /* times this link: a relay serves many thin ones */
+};
+
+struct gw_relay
+{
+  GHashTable *others; /* name -> struct other */
+};
+
+struct other
+{
+  struct memb_runner runner; /* health and calls; not a runner */
+  double link_mbit;
+  char load_address[32];
+  int present;
+};
+
+struct gw_relay *
+gw_relay_new (struct gw *gw)
+{
+  gw->relay = g_new0 (struct gw_relay, 1);
+  gw->relay->others = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                             g_free);
+  return gw->relay;
+}
+
+void
+gw_relay_presence (const struct gw *gw, GString *out)
+{
+  g_string_append_printf (
+      out, "%s %s %.2f %s", gw->set.listen_load[0] ? gw->set.listen_load : "-",
+      gw->set.listen_relay[0] ? gw->set.listen_relay : "-", gw->set.link_mbit,
+      gw->set.zone);
+}
+
+static void
+presence_read (struct gw_relay *relay, const char *name, const char *presence)
+{
+  struct other *other = g_hash_table_lookup (relay->others, name);
+  struct other next = { 0 };
+
+  if (sscanf (presence, "%31s %31s %lf %63s", next.load_address,
+              next.runner.entry.address, &next.link_mbit,
+              next.runner.entry.zone)
+      != 4)
+    {
+      jlog ("gateway_malformed", NULL, "\"gateway\":\"%s\"", name);
+      return;
+    }
+  next.present = 1;
+  g_strlcpy (next.runner.entry.id, name, sizeof next.runner.entry.id);
+  g_snprintf (next.runner.peer, sizeof next.runner.peer, "gateway %s %s", name,
+              next.runner.entry.address);
+  if (other == NULL)
+    {
+      other = g_new0 (struct other, 1);
+      *other = next;
+      g_hash_table_insert (relay->others, g_strdup (name), other);
+      return;
+    }
+  /* A gateway that moved is another process; calls in progress end by
+     themselves.  */
+  memcpy (&other->runner.entry, &next.runner.entry, sizeof next.runner.entry);
+  memcpy (other->runner.peer, next.runner.peer, sizeof next.runner.peer);
+  memcpy (other->load_address, next.load_address, sizeof next.load_address);
+  other->link_mbit = next.link_mbit;
+  other->present = 1;
+}
+
+void
+gw_relay_known (struct gw *gw, GHashTable *present)
+{
+  struct gw_relay *relay = gw->relay;
+  GPtrArray *addresses = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, relay->others);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct other *)value)->present = 0;
+  g_hash_table_iter_init (&iter, present);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    if (strcmp (name, gw->set.node) != 0)
+      presence_read (relay, name, value);
+  g_hash_table_iter_init (&iter, relay->others);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct other *other = value;
+      if (other->present)
+        g_ptr_array_add (addresses, other->load_address);
+      else if (other->runner.calls + other->runner.references == 0)
+        g_hash_table_iter_remove (&iter);
+    }
+  gw_share_others (gw, (const char *const *)addresses->pdata, addresses->len);
+  g_ptr_array_free (addresses, TRUE);
+}
+
+struct memb_runner *
+gw_relay_choose (struct gw *gw, size_t size,
+                 struct memb_runner *const *excluded, size_t n_excluded)
+{
+  struct memb_runner *best = NULL;
+  int64_t now = gw_now (gw);
+  GHashTableIter iter;
+  gpointer value;
+  size_t i;
+
+  if (size < RELAY_BYTES)
+    return NULL;
+  g_hash_table_iter_init (&iter, gw->relay->others);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct other *other = value;
+      struct memb_runner *runner = &other->runner;
+      int near = strcmp (runner->entry.zone, gw->set.zone) == 0;
+      if (!other->present || other->link_mbit < gw->set.link_mbit * WIDER
+          || runner->entry.address[0] == '-' || now < runner->down_us)
+        continue;
+      for (i = 0; i < n_excluded && excluded[i] != runner; i++)
+        ;
+      if (i < n_excluded)
+        continue;
+      if (best == NULL || runner->calls < best->calls
+          || (runner->calls == best->calls && near))
+        best = runner;
+    }
+  return best;
+}
--- a/src/gw_run.c
+++ b/src/gw_run.c
@@ -93,15 +93,6 @@
   tmr_advance (driver->gw->tmr, clock_us ());
 }
 
-static void
-on_unread (void *ctx, int status, const char *why)
-{
-  struct gw *gw = ctx;
-
-  gw->counts.refused++;
-  jlog ("unread", NULL, "\"status\":%d,\"why\":\"%s\"", status, why);
-}
-
 static void
 on_flush (void *ctx, int64_t now)
 {
@@ -115,7 +106,11 @@
 {
   struct gw *gw = ctx;
 
-  hsrv_tick (gw->front);
+  int i;
+
+  for (i = 0; i < GW_DOOR_MAX; i++)
+    if (gw->doors[i].srv != NULL)
+      hsrv_tick (gw->doors[i].srv);
   hsrv_tick (gw->ready);
   if (gw->metrics != NULL)
     hsrv_tick (gw->metrics);
@@ -139,13 +134,20 @@
 {
   struct driver *driver = ctx;
   struct gw *gw = driver->gw;
+  size_t open = 0;
+  int i;
 
   if (now >= gw->stop_at)
     finish (gw);
   if (now < gw->notice_until)
     return;
-  hsrv_close_idle (gw->front);
-  if (gw->active == 0 && hsrv_connections (gw->front) == 0)
+  for (i = 0; i < GW_DOOR_MAX; i++)
+    if (gw->doors[i].srv != NULL)
+      {
+        hsrv_close_idle (gw->doors[i].srv);
+        open += hsrv_connections (gw->doors[i].srv);
+      }
+  if (gw->active == 0 && open == 0)
     finish (gw);
 }
 
@@ -158,13 +160,16 @@
   };
   struct driver *driver = signal->data;
   struct gw *gw = driver->gw;
+  int i;
 
   (void)number;
   if (gw->stopping)
     return;
   gw->stopping = 1;
   jlog ("stopping", NULL, "\"active\":%zu", gw->active);
-  hsrv_drain (gw->front);
+  for (i = 0; i < GW_DOOR_MAX; i++)
+    if (gw->doors[i].srv != NULL)
+      hsrv_drain (gw->doors[i].srv);
   gw->stop_at
       = gw_now (gw) + (int64_t)((gw->set.grace_ms - EXIT_SPARE_MS) * 1000);
   gw->notice_until = gw_now (gw) + NOTICE_MS * 1000;
@@ -260,6 +265,29 @@
   return rc;
 }
 
+static int
+doors_open (struct gw *gw, struct err *err)
+{
+  const char *addresses[GW_DOOR_MAX]
+      = { [GW_DOOR_CLIENTS] = gw->set.listen_front,
+          [GW_DOOR_GATEWAYS] = gw->set.listen_relay };
+  int i;
+
+  for (i = 0; i < GW_DOOR_MAX; i++)
+    {
+      struct gw_door *door = &gw->doors[i];
+      door->gw = gw;
+      door->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
+      if (addresses[i][0] == '\0')
+        continue;
+      door->srv
+          = hsrv_new (&gw->loop, addresses[i], &gw_call_ops, door, err);
+      if (door->srv == NULL)
+        return -1;
+    }
+  return 0;
+}
+
 int
 gw_run (int argc, char **argv, const struct adp_ops *adp,
         const struct stor_ops *stor,
@@ -270,7 +298,6 @@
   {
     MEMORY_MAX = 40000 /* parts and engines remembered; about 4 MB */
   };
-  static const struct hsrv_ops front = { gw_request, gw_left, on_unread };
   static struct gw gw;
   static struct driver driver;
   struct timespec now;
@@ -304,10 +331,8 @@
   gw.budgets
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   gw.processes = 1;
-  gw_call_init (&gw);
   drive (&gw, &driver, path);
-  gw.front = hsrv_new (&gw.loop, gw.set.listen_front, &front, &gw, &err);
-  if (gw.front == NULL || gw_pages_open (&gw, &err) != 0
+  if (doors_open (&gw, &err) != 0 || gw_pages_open (&gw, &err) != 0
       || gw_share_open (&gw, &err) != 0)
     {
       jlog ("start_failed", NULL, "\"peer\":\"%s\",\"error\":\"%s\"", err.peer,
@@ -317,6 +342,7 @@
     }
   jlog ("start", NULL, "\"listen\":\"%s\",\"store\":\"%s\"",
         gw.set.listen_front, gw.set.store);
+  gw_relay_new (&gw);
   gw_stage_new (&gw);
   gw_sync_new (&gw);
   uv_run (&gw.loop, UV_RUN_DEFAULT);
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -136,7 +136,7 @@
         {
           jlog ("passed", call->in.id, "\"status\":%d,\"runner\":\"%s\"",
                 call->answer.status, runner->entry.id);
-          hsrv_answer (gw->front, call->conn, call->answer.status,
+          hsrv_answer (call->door->srv, call->conn, call->answer.status,
                        call->fields->str, call->data->str, call->data->len);
           gw_call_end (call);
           return;
@@ -167,8 +167,9 @@
             call->runner->entry.id);
       return HCLI_SKIP;
     }
-  if (answer->has_load)
+  if (answer->has_load && call->phase != ADP_RELAY)
     memb_told (call->runner, answer->running, answer->waiting, gw_now (gw));
+  call->leaving = hspan_is (hhead_get (head, "connection"), "close");
   if (call->streaming)
     return HCLI_TAKE;
   if (call->fields == NULL)
@@ -216,7 +217,6 @@
 static void
 pass_events (struct gw_call *call)
 {
-  struct gw *gw = call->gw;
   size_t n = whole_events (call->data->str, call->data->len);
 
   if (n == 0)
@@ -225,11 +225,11 @@
     {
       call->streaming = 1;
       outc_apply (&call->outc, OUTC_EV_START);
-      hsrv_start (gw->front, call->conn, call->answer.status,
+      hsrv_start (call->door->srv, call->conn, call->answer.status,
                   call->fields->str, -1);
     }
   note_events (call, call->data->str, n);
-  hsrv_send (gw->front, call->conn, call->data->str, n);
+  hsrv_send (call->door->srv, call->conn, call->data->str, n);
   g_string_erase (call->data, 0, (gssize)n);
 }
 
@@ -248,16 +248,16 @@
       /* Too long to hold: what follows can't be repeated.  */
       call->streaming = 1;
       outc_apply (&call->outc, OUTC_EV_START);
-      hsrv_start (call->gw->front, call->conn, call->answer.status,
+      hsrv_start (call->door->srv, call->conn, call->answer.status,
                   call->fields->str, -1);
     }
   g_string_append_len (call->data, data, (gssize)size);
-  if (call->phase == ADP_WHOLE && call->route->kind == RTAB_STREAM
+  if (call->phase != ADP_PROMPT_ONLY && call->route->kind == RTAB_STREAM
       && call->answer.status == 200 && call->answer.stamped)
     pass_events (call);
   else if (call->streaming)
     {
-      hsrv_send (call->gw->front, call->conn, call->data->str,
+      hsrv_send (call->door->srv, call->conn, call->data->str,
                  call->data->len);
       g_string_truncate (call->data, 0);
     }
@@ -289,11 +289,11 @@
         call->outc.sends, (gw_now (gw) - call->arrived) / 1000);
   if (call->streaming)
     {
-      hsrv_send (gw->front, call->conn, call->data->str, call->data->len);
-      hsrv_finish (gw->front, call->conn);
+      hsrv_send (call->door->srv, call->conn, call->data->str, call->data->len);
+      hsrv_finish (call->door->srv, call->conn);
     }
   else
-    hsrv_answer (gw->front, call->conn, call->answer.status,
+    hsrv_answer (call->door->srv, call->conn, call->answer.status,
                  call->fields->str, call->data->str, call->data->len);
   gw_call_end (call);
 }
@@ -345,6 +345,48 @@
   gw_send_source (call, NULL);
 }
 
+/* Handles the end of a relayed request.  Returns 0 when it is to be treated
+   like the answer of a runner.  */
+static int
+relay_done (struct gw_call *call, enum hcli_end end)
+{
+  struct gw *gw = call->gw;
+  int64_t now = gw_now (gw);
+  int status = call->answer.status;
+
+  if (end == HCLI_WHOLE && call->answer.stamped)
+    return 0;
+  if (end == HCLI_BROKEN || (end == HCLI_WHOLE && status >= 500
+                             && status != 503))
+    {
+      outc_apply (&call->outc, OUTC_EV_LOST);
+      if (end == HCLI_BROKEN)
+        memb_failed (call->runner, MEMB_BROKEN, now);
+      repeat_or_give_up (call, "relay failed");
+      return 1;
+    }
+  /* It says that it has not run the request.  */
+  outc_apply (&call->outc,
+              end == HCLI_NOT_SENT ? OUTC_EV_UNREACHED : OUTC_EV_NOT_RUN);
+  if (end == HCLI_NOT_SENT || call->leaving)
+    memb_failed (call->runner, MEMB_UNREACHED, now);
+  if (end == HCLI_WHOLE && !call->leaving
+      && (status == 503 || status == 429))
+    {
+      gw->counts.refused++;
+      jlog ("refused", call->in.id,
+            "\"status\":%d,\"why\":\"relay\",\"relay\":\"%s\"", status,
+            call->runner->entry.id);
+      hsrv_answer (call->door->srv, call->conn, status, call->fields->str,
+                   "", 0);
+      gw_call_end (call);
+      return 1;
+    }
+  exclude (call, call->runner);
+  gw_call_place (call);
+  return 1;
+}
+
 static void
 on_done (void *ctx, enum hcli_end end)
 {
@@ -359,6 +401,8 @@
       prompt_done (call, end);
       return;
     }
+  if (call->phase == ADP_RELAY && relay_done (call, end))
+    return;
   if (end == HCLI_NOT_SENT)
     {
       outc_apply (&call->outc, OUTC_EV_UNREACHED);
@@ -389,7 +433,7 @@
       repeat_or_give_up (call, "not resumed");
       return;
     }
-  if (call->answer.status >= 500)
+  if (call->answer.status >= 500 && call->phase != ADP_RELAY)
     {
       memb_failed (runner, MEMB_ERROR, now);
       if (gw_call_idempotent (call))
@@ -411,6 +455,10 @@
   answer_whole (call);
 }
 
+static const char *const phase_names[]
+    = { [ADP_WHOLE] = "whole", [ADP_PROMPT_ONLY] = "prompt",
+        [ADP_RELAY] = "relay" };
+
 int
 gw_send (struct gw_call *call, const struct plc_choice *choice,
          enum adp_phase phase)
@@ -422,7 +470,10 @@
   struct adp_send send = { .runner_id = runner->entry.id,
                            .budget_ms = (call->deadline - now) / 1000,
                            .phase = phase,
-                             .urgency = (int)MIN (call->route->priority, 9u),
+                             .urgency = phase == ADP_RELAY
+                                          ? -1
+                                          : (int)MIN (call->route->priority,
+                                                      9u),
                            .last_event = call->last_event };
   GString *out = g_string_sized_new (call->size + 1024);
 
@@ -437,7 +488,7 @@
   memset (&call->answer, 0, sizeof call->answer);
   if (call->data != NULL)
     g_string_truncate (call->data, 0);
-  if (!call->sent_once)
+  if (!call->sent_once && phase != ADP_RELAY)
     budget_first (call);
   call->phase = phase;
   call->runner = runner;
@@ -454,12 +505,13 @@
     {
       outc_apply (&call->outc, OUTC_EV_SEND);
       call->memory[0] = '\0';
+      gw->counts.relayed += phase == ADP_RELAY;
     }
   jlog ("sent", call->in.id,
         "\"runner\":\"%s\",\"phase\":\"%s\",\"load\":%.1f,\"load_age_ms\":%"
         G_GINT64_FORMAT ",\"unread\":%u,\"wait_ms\":%.0f,\"first_ms\":%.0f"
         ",\"left_ms\":%" G_GINT64_FORMAT,
-        runner->entry.id, phase == ADP_PROMPT_ONLY ? "prompt" : "whole",
+        runner->entry.id, phase_names[phase],
         memb_load (runner, now), (now - runner->told_us) / 1000, choice->unread,
         choice->wait_us / 1000, choice->first_us / 1000,
         send.budget_ms);
--- a/src/gw_set.c
+++ b/src/gw_set.c
@@ -20,6 +20,7 @@
   { "listen_front", offsetof (struct gw_set, listen_front), 32, 1, 1 },
   { "listen_ready", offsetof (struct gw_set, listen_ready), 32, 1, 1 },
   { "listen_metrics", offsetof (struct gw_set, listen_metrics), 32, 1, 0 },
+  { "listen_relay", offsetof (struct gw_set, listen_relay), 32, 1, 0 },
   { "listen_load", offsetof (struct gw_set, listen_load), 32, 1, 0 },
   { "store", offsetof (struct gw_set, store), 32, 1, 1 },
 };
@@ -32,6 +33,7 @@
   double high;
   double fallback;
 } numbers[] = {
+  { "link_mbit", offsetof (struct gw_set, link_mbit), 0.01, 1e7, 1000 },
   { "lease_ms", offsetof (struct gw_set, lease_ms), 100, 600000, 3000 },
   { "settled_ms", offsetof (struct gw_set, settled_ms), 500, 600000, 3000 },
   { "grace_ms", offsetof (struct gw_set, grace_ms), 1000, 600000, 8000 },
--- a/src/gw_sync.c
+++ b/src/gw_sync.c
@@ -43,7 +43,7 @@
 struct gw_sync
 {
   struct feed feeds[FEED_MAX];
-  GHashTable *processes; /* key -> address for load */
+  GHashTable *processes; /* name -> presence */
   uint64_t lease;
 };
 
@@ -65,6 +65,7 @@
   struct hsrv_limits limits;
   struct rtab *table;
   struct err err;
+  int i;
 
   if (item->deleted || strcmp (item->key, gw->adp->config_key) != 0)
     return;
@@ -82,7 +83,9 @@
   limits.body_bytes = gw->table->body_bytes;
   limits.header_ms = gw->table->header_ms;
   limits.idle_ms = gw->table->idle_ms;
-  hsrv_limits_set (gw->front, &limits);
+  for (i = 0; i < GW_DOOR_MAX; i++)
+    if (gw->doors[i].srv != NULL)
+      hsrv_limits_set (gw->doors[i].srv, &limits);
   jlog ("config", NULL,
         "\"version\":%" G_GUINT64_FORMAT ",\"revision\":%" G_GUINT64_FORMAT
         ",\"routes\":%u,\"services\":%u",
@@ -137,20 +140,14 @@
 {
   unsigned n = g_hash_table_size (gw->sync->processes);
   GHashTableIter iter;
-  gpointer address;
-  gpointer key;
-  GPtrArray *addresses = g_ptr_array_new ();
+  gpointer name;
   size_t place = 0;
 
   g_hash_table_iter_init (&iter, gw->sync->processes);
-  while (g_hash_table_iter_next (&iter, &key, &address))
-    {
-      g_ptr_array_add (addresses, address);
-      place += strcmp (strip (key, PROCESSES_PREFIX), gw->set.node) < 0;
-    }
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    place += strcmp (name, gw->set.node) < 0;
   gw_stage_place (gw, place, n);
-  gw_share_others (gw, (const char *const *)addresses->pdata, addresses->len);
-  g_ptr_array_free (addresses, TRUE);
+  gw_relay_known (gw, gw->sync->processes);
   if (MAX (n, 1u) == gw->processes)
     return;
   gw->processes = MAX (n, 1u);
@@ -162,10 +159,14 @@
 {
   struct gw *gw = feed->gw;
 
+  const char *name = strip (item->key, feed->prefix);
+
+  if (name == NULL)
+    return;
   if (item->deleted)
-    g_hash_table_remove (gw->sync->processes, item->key);
+    g_hash_table_remove (gw->sync->processes, name);
   else
-    g_hash_table_insert (gw->sync->processes, g_strdup (item->key),
+    g_hash_table_insert (gw->sync->processes, g_strdup (name),
                          g_strndup (item->value, item->size));
 }
 
@@ -351,6 +352,7 @@
 on_granted (void *ctx, const struct stor_reply *reply)
 {
   struct gw *gw = ctx;
+  GString *presence;
   char *key;
 
   gw->counts.store_calls++;
@@ -361,8 +363,11 @@
     }
   gw->sync->lease = reply->lease;
   key = g_strconcat (PROCESSES_PREFIX, gw->set.node, NULL);
-  gw->stor->set (gw->stor_ctx, key, gw->set.listen_load,
-                 strlen (gw->set.listen_load), gw->sync->lease, on_present, gw);
+  presence = g_string_new (NULL);
+  gw_relay_presence (gw, presence);
+  gw->stor->set (gw->stor_ctx, key, presence->str, presence->len,
+                 gw->sync->lease, on_present, gw);
+  g_string_free (presence, TRUE);
   g_free (key);
 }
 
