--- /dev/null
+++ b/tests/unit_hhead.cc
@@ -0,0 +1,73 @@
+#include <gtest/gtest.h>
+#include <string>
+
+#include "gw_headers.hh"
+
+namespace
+{
+
+enum hhead_verdict
+scan (const std::string &text, int is_request = 1, size_t max = 1000)
+{
+  size_t length = 0;
+  return hhead_scan (text.data (), text.size (), max, is_request, &length);
+}
+
+// Guards against passing on a request that its runner could split otherwise.
+TEST (Hhead, RefusesWhatCanBeReadInTwoWays)
+{
+  const char *const malformed[] = {
+    "GET / HTTP/1.1\nHost: a\n\n",
+    "GET / HTTP/1.1\r\nHost: a\n\r\n",
+    "GET / HTTP/1.1\r\nHost : a\r\n\r\n",
+    "GET / HTTP/1.1\r\nHost: a\r\n b: folded\r\n\r\n",
+    "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+    "GET / HTTP/1.1\r\nA: b\r\n\r\n",
+    "GET / HTTP/1.1\r\nHost: a\r\nA: b\rc\r\n\r\n",
+    "GET / HTTP/1.1\r\nHost: a\r\nno colon\r\n\r\n",
+    "GET  / HTTP/1.1\r\nHost: a\r\n\r\n",
+    "GET / HTTP/2.0\r\nHost: a\r\n\r\n",
+    "\r\n\r\n",
+  };
+  for (const char *text : malformed)
+    EXPECT_EQ (scan (text), HHEAD_MALFORMED) << text;
+  EXPECT_EQ (scan ("GET / HTTP/1.1\r\nHost: a\r\nB: c\r\n\r\n"), HHEAD_OK);
+}
+
+// Guards against a head that is taken before its end, or kept without bound.
+TEST (Hhead, PartialAndTooLarge)
+{
+  EXPECT_EQ (scan (""), HHEAD_PARTIAL);
+  EXPECT_EQ (scan ("GET / HTTP/1.1\r\nHost: a\r\n"), HHEAD_PARTIAL);
+  EXPECT_EQ (scan (std::string (1001, 'a')), HHEAD_TOO_LARGE);
+  EXPECT_EQ (scan ("GET / HTTP/1.1\r\nHost: " + std::string (1000, 'a')
+                   + "\r\n\r\n"),
+             HHEAD_TOO_LARGE);
+}
+
+// Guards against spans that miss or include white space, and a bodiless
+// message that waits for a body.
+TEST (Hhead, ParsesSpans)
+{
+  const std::string text
+      = "POST /p/q?x=1 HTTP/1.1\r\nHost: h\r\nA:  b c \r\nEmpty:\r\n"
+        "Content-Length: 0\r\n\r\n";
+  http_parser parser;
+  struct hhead head;
+  long long number;
+  http_parser_init (&parser, HTTP_REQUEST);
+  ASSERT_EQ (hhead_parse (&parser, text.data (), text.size (), &head), 0);
+  EXPECT_TRUE (hspan_same (head.method, "POST"));
+  EXPECT_TRUE (hspan_same (head.target, "/p/q?x=1"));
+  EXPECT_TRUE (hspan_same (hhead_get (&head, "a"), "b c"));
+  EXPECT_EQ (hhead_get (&head, "empty").n, 0U);
+  EXPECT_EQ (hhead_get (&head, "other").p, nullptr);
+  EXPECT_TRUE (head.complete);
+  EXPECT_EQ (hspan_number (hhead_get (&head, "content-length"), &number), 0);
+  EXPECT_EQ (hspan_number (gw_test::span ("1x"), &number), -1);
+  EXPECT_EQ (hspan_number (gw_test::span ("1234567890123456"), &number), -1);
+  EXPECT_TRUE (hhead_is_hop (gw_test::span ("Transfer-Encoding")));
+  EXPECT_FALSE (hhead_is_hop (gw_test::span ("Content-Type")));
+}
+
+}
