--- a/Makefile
+++ b/Makefile
@@ -83,7 +83,7 @@
 	$(CC) $(CPPFLAGS) $(PKG_CFLAGS) $(CFLAGS) -MMD -c $< -o $@
 
 $(BUILD)/cc-%.o: tests/%.cc | $(BUILD)
-	$(CXX) $(CPPFLAGS) $(PKG_CFLAGS) $(CXXFLAGS) -MMD -c $< -o $@
+	$(CXX) $(CPPFLAGS) -Iplatform $(PKG_CFLAGS) $(CXXFLAGS) -MMD -c $< -o $@
 
 $(LIB): $(LIB_OBJ)
 	rm -f $@
@@ -101,7 +101,8 @@
 endef
 $(foreach s,$(STANDINS),$(eval $(call standin_rule,$(s))))
 
-$(BUILD)/unit-tests: $(UNIT_SRC:tests/%.cc=$(BUILD)/cc-%.o) $(LIB)
+$(BUILD)/unit-tests: $(UNIT_SRC:tests/%.cc=$(BUILD)/cc-%.o) \
+	$(filter-out %-gateway_main.o,$(PLATFORM_OBJ)) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest_main -lgtest $(PKG_LIBS)
 
 $(BUILD)/diff-tests: $(DIFF_SRC:tests/%.cc=$(BUILD)/cc-%.o) $(LIB)
--- a/src/adp.h
+++ b/src/adp.h
@@ -30,7 +30,7 @@
 
 enum adp_phase
 {
-  ADP_WHOLE,      /* a plain call, or an engine reads and generates */
+  ADP_WHOLE,       /* a plain call, or an engine reads and generates */
   ADP_PROMPT_ONLY, /* an engine reads the prompt and keeps its memory */
   ADP_RELAY        /* another gateway serves it */
 };
--- a/src/gw.h
+++ b/src/gw.h
@@ -51,13 +51,13 @@
 struct gw_counts
 {
   uint64_t requests;
-  uint64_t answered;  /* a runner's answer was passed on whole */
-  uint64_t refused;   /* not run */
-  uint64_t failed;    /* 502, 504 or cut */
-  uint64_t left;      /* by the client */
-  uint64_t repeats;   /* sends after the first */
-  uint64_t prompts;   /* read apart */
-  uint64_t relayed;   /* to another gateway */
+  uint64_t answered; /* a runner's answer was passed on whole */
+  uint64_t refused;  /* not run */
+  uint64_t failed;   /* 502, 504 or cut */
+  uint64_t left;     /* by the client */
+  uint64_t repeats;  /* sends after the first */
+  uint64_t prompts;  /* read apart */
+  uint64_t relayed;  /* to another gateway */
   uint64_t store_calls;
 };
 
@@ -89,13 +89,19 @@
   struct gw_relay *relay;
   uint64_t seed; /* of the random numbers */
   int stopping;
-  int64_t stop_at;       /* end of the grace time */
-  int64_t notice_until;  /* until then the balancer may send new clients */
-  size_t active; /* requests in progress */
+  int64_t stop_at;      /* end of the grace time */
+  int64_t notice_until; /* until then the balancer may send new clients */
+  size_t active;        /* requests in progress */
   struct gw_counts counts;
   uint64_t latency[GW_BUCKETS];
 };
 
+static inline int64_t
+gw_ms (int64_t ms)
+{
+  return ms * 1000;
+}
+
 int64_t gw_now (struct gw *gw);
 uint64_t gw_random (struct gw *gw);
 struct sbud *gw_budget (struct gw *gw, const char *service);
--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -53,8 +53,8 @@
   if (after_ms > 0)
     gw->adp->retry_after_write (fields, after_ms);
   jlog (status == 503 || status == 429 ? "refused" : "failed", call->in.id,
-        "\"status\":%d,\"why\":\"%s\",\"route\":\"%s\",\"version\":%"
-        G_GUINT64_FORMAT ",\"sends\":%u,\"age_ms\":%" G_GINT64_FORMAT
+        "\"status\":%d,\"why\":\"%s\",\"route\":\"%s\",\"version\":"
+        "%" G_GUINT64_FORMAT ",\"sends\":%u,\"age_ms\":%" G_GINT64_FORMAT
         ",\"return_ms\":%" G_GINT64_FORMAT ",\"runner\":\"%s\"",
         status, why, call->route->name, call->table->version, call->outc.sends,
         (gw_now (gw) - call->arrived) / 1000, after_ms,
@@ -184,8 +184,8 @@
   struct plc_choice choice = { NULL, 0, 0, 0 };
 
   if (call->door == &gw->doors[GW_DOOR_CLIENTS] && call->outc.sends == 0)
-    choice.runner = gw_relay_choose (gw, call->size, call->excluded,
-                                     call->n_excluded);
+    choice.runner
+        = gw_relay_choose (gw, call->size, call->excluded, call->n_excluded);
   if (choice.runner != NULL && gw_send (call, &choice, ADP_RELAY) == 0)
     return;
   if (call->service != NULL && call->service->is_engine)
@@ -213,9 +213,9 @@
 
   if (status == 503)
     gw->adp->retry_after_write (fields, NO_RUNNER_MS);
-  jlog ("refused", id, "\"status\":%d,\"why\":\"%s\",\"version\":%"
-        G_GUINT64_FORMAT,
-        status, why, gw->table != NULL ? gw->table->version : 0);
+  jlog ("refused", id,
+        "\"status\":%d,\"why\":\"%s\",\"version\":%" G_GUINT64_FORMAT, status,
+        why, gw->table != NULL ? gw->table->version : 0);
   gw->counts.refused++;
   hsrv_answer (door->srv, conn, status, fields->str, "", 0);
   g_string_free (fields, TRUE);
--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -41,7 +41,7 @@
   GString *data;   /* of its body, as far as it wasn't passed on */
   int streaming;
   /* A prompt's memory that no runner has taken yet.  */
-  char memory[128]; /* "IP:PORT/HANDLE" or empty */
+  char memory[128];           /* "IP:PORT/HANDLE" or empty */
   struct memb_runner *source; /* that read the prompt */
   struct memb_runner *excluded[GW_EXCLUDED_MAX];
   size_t n_excluded;
--- a/src/gw_page.c
+++ b/src/gw_page.c
@@ -40,7 +40,8 @@
     { "relayed_total", gw->counts.relayed },
     { "store_calls_total", gw->counts.store_calls },
     { "active_requests", gw->active },
-    { "client_connections", hsrv_connections (gw->doors[GW_DOOR_CLIENTS].srv) },
+    { "client_connections",
+      hsrv_connections (gw->doors[GW_DOOR_CLIENTS].srv) },
     { "runners", memb_count (gw->memb) },
     { "gateways", gw->processes },
     { "config_version", gw->table != NULL ? gw->table->version : 0 },
@@ -55,11 +56,10 @@
     {
       sum += gw->latency[i];
       if (i + 1 < GW_BUCKETS)
-        g_string_append_printf (
-            out,
-            "goldcresthatch_answer_seconds_bucket{le=\"%g\"} %" G_GUINT64_FORMAT
-            "\n",
-            (double)(UINT64_C (1) << i) / 1000, sum);
+        g_string_append_printf (out,
+                                "goldcresthatch_answer_seconds_bucket{le=\"%"
+                                "g\"} %" G_GUINT64_FORMAT "\n",
+                                (double)(UINT64_C (1) << i) / 1000, sum);
     }
   g_string_append_printf (
       out,
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -31,18 +31,18 @@
 gw_relay_new (struct gw *gw)
 {
   gw->relay = g_new0 (struct gw_relay, 1);
-  gw->relay->others = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                             g_free);
+  gw->relay->others
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return gw->relay;
 }
 
 void
 gw_relay_presence (const struct gw *gw, GString *out)
 {
-  g_string_append_printf (
-      out, "%s %s %.2f %s", gw->set.listen_load[0] ? gw->set.listen_load : "-",
-      gw->set.listen_relay[0] ? gw->set.listen_relay : "-", gw->set.link_mbit,
-      gw->set.zone);
+  g_string_append_printf (out, "%s %s %.2f %s",
+                          gw->set.listen_load[0] ? gw->set.listen_load : "-",
+                          gw->set.listen_relay[0] ? gw->set.listen_relay : "-",
+                          gw->set.link_mbit, gw->set.zone);
 }
 
 static void
--- a/src/gw_run.c
+++ b/src/gw_run.c
@@ -172,8 +172,8 @@
       hsrv_drain (gw->doors[i].srv);
   gw->stop_at
       = gw_now (gw) + (int64_t)((gw->set.grace_ms - EXIT_SPARE_MS) * 1000);
-  gw->notice_until = gw_now (gw) + NOTICE_MS * 1000;
-  tmr_add (gw->tmr, LOOK_MS * 1000, LOOK_MS * 1000, on_stopping, driver);
+  gw->notice_until = gw_now (gw) + gw_ms (NOTICE_MS);
+  tmr_add (gw->tmr, gw_ms (LOOK_MS), gw_ms (LOOK_MS), on_stopping, driver);
 }
 
 static void
@@ -221,8 +221,8 @@
   uv_signal_start (&driver->term, on_term, SIGTERM);
   uv_signal_start (&driver->hup, on_hup, SIGHUP);
   signal (SIGPIPE, SIG_IGN);
-  tmr_add (gw->tmr, FLUSH_MS * 1000, (int64_t)FLUSH_MS * 1000, on_flush, gw);
-  tmr_add (gw->tmr, TICK_MS * 1000, (int64_t)TICK_MS * 1000, on_tick, gw);
+  tmr_add (gw->tmr, gw_ms (FLUSH_MS), gw_ms (FLUSH_MS), on_flush, gw);
+  tmr_add (gw->tmr, gw_ms (TICK_MS), gw_ms (TICK_MS), on_tick, gw);
 }
 
 static int
@@ -280,8 +280,7 @@
       door->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
       if (addresses[i][0] == '\0')
         continue;
-      door->srv
-          = hsrv_new (&gw->loop, addresses[i], &gw_call_ops, door, err);
+      door->srv = hsrv_new (&gw->loop, addresses[i], &gw_call_ops, door, err);
       if (door->srv == NULL)
         return -1;
     }
@@ -328,8 +327,7 @@
   gw.stor_ctx = stor_open (gw.cli, gw.tmr, gw.set.store);
   gw.memb = memb_new ();
   gw.plc = plc_new (&plc_speed_default, MEMORY_MAX);
-  gw.budgets
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  gw.budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   gw.processes = 1;
   drive (&gw, &driver, path);
   if (doors_open (&gw, &err) != 0 || gw_pages_open (&gw, &err) != 0
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -5,8 +5,8 @@
 
 enum
 {
-  CONNECT_MS = 400,          /* many times the delay between two zones */
-  BUFFER_MAX = 256 * 1024    /* of an answer that isn't streamed */
+  CONNECT_MS = 400,       /* many times the delay between two zones */
+  BUFFER_MAX = 256 * 1024 /* of an answer that isn't streamed */
 };
 
 /* Ends the accounts of the send in progress.  */
@@ -67,8 +67,7 @@
 gw_send_free_memory (struct gw_call *call)
 {
   /* The engine drops it by itself when this call is lost.  */
-  static const struct hcli_ops ops
-      = { ignore_head, ignore_body, ignore_done };
+  static const struct hcli_ops ops = { ignore_head, ignore_body, ignore_done };
   GString *out;
   char *slash = strchr (call->memory, '/');
 
@@ -87,9 +86,8 @@
 budget_take (struct gw_call *call)
 {
   struct gw *gw = call->gw;
-  struct sbud_config config
-      = { gw->set.repeat_ratio, gw->set.repeat_slack,
-          (int64_t)(gw->set.repeat_window_ms * 1000) };
+  struct sbud_config config = { gw->set.repeat_ratio, gw->set.repeat_slack,
+                                (int64_t)(gw->set.repeat_window_ms * 1000) };
 
   return sbud_take (gw_budget (gw, call->service_name), &config, gw->processes,
                     gw_now (gw));
@@ -99,9 +97,8 @@
 budget_first (struct gw_call *call)
 {
   struct gw *gw = call->gw;
-  struct sbud_config config
-      = { gw->set.repeat_ratio, gw->set.repeat_slack,
-          (int64_t)(gw->set.repeat_window_ms * 1000) };
+  struct sbud_config config = { gw->set.repeat_ratio, gw->set.repeat_slack,
+                                (int64_t)(gw->set.repeat_window_ms * 1000) };
 
   call->sent_once = 1;
   sbud_first (gw_budget (gw, call->service_name), &config, gw_now (gw));
@@ -146,8 +143,8 @@
     }
   gw->counts.repeats++;
   jlog ("repeat", call->in.id,
-        "\"why\":\"%s\",\"runner\":\"%s\",\"sends\":%u,\"last_event\":%"
-        G_GUINT64_FORMAT,
+        "\"why\":\"%s\",\"runner\":\"%s\",\"sends\":%u,\"last_event\":"
+        "%" G_GUINT64_FORMAT,
         why, runner->entry.id, call->outc.sends, call->last_event);
   gw_call_place (call);
 }
@@ -241,9 +238,8 @@
   /* A refusal to go on with a stream isn't part of it.  */
   if (call->streaming && (!call->answer.stamped || call->answer.status != 200))
     return;
-  if (call->data->len + size > BUFFER_MAX
-      && call->route->kind != RTAB_STREAM && !call->streaming
-      && call->answer.stamped)
+  if (call->data->len + size > BUFFER_MAX && call->route->kind != RTAB_STREAM
+      && !call->streaming && call->answer.stamped)
     {
       /* Too long to hold: what follows can't be repeated.  */
       call->streaming = 1;
@@ -289,7 +285,8 @@
         call->outc.sends, (gw_now (gw) - call->arrived) / 1000);
   if (call->streaming)
     {
-      hsrv_send (call->door->srv, call->conn, call->data->str, call->data->len);
+      hsrv_send (call->door->srv, call->conn, call->data->str,
+                 call->data->len);
       hsrv_finish (call->door->srv, call->conn);
     }
   else
@@ -320,8 +317,7 @@
   if (end == HCLI_WHOLE && call->answer.not_run)
     memb_refused (runner, gw_now (gw));
   else
-    memb_failed (runner,
-                 end == HCLI_NOT_SENT ? MEMB_UNREACHED : MEMB_BROKEN,
+    memb_failed (runner, end == HCLI_NOT_SENT ? MEMB_UNREACHED : MEMB_BROKEN,
                  gw_now (gw));
   jlog ("prompt_failed", call->in.id,
         "\"runner\":\"%s\",\"status\":%d,\"end\":%d,\"ms\":%" G_GINT64_FORMAT,
@@ -356,8 +352,8 @@
 
   if (end == HCLI_WHOLE && call->answer.stamped)
     return 0;
-  if (end == HCLI_BROKEN || (end == HCLI_WHOLE && status >= 500
-                             && status != 503))
+  if (end == HCLI_BROKEN
+      || (end == HCLI_WHOLE && status >= 500 && status != 503))
     {
       outc_apply (&call->outc, OUTC_EV_LOST);
       if (end == HCLI_BROKEN)
@@ -370,15 +366,14 @@
               end == HCLI_NOT_SENT ? OUTC_EV_UNREACHED : OUTC_EV_NOT_RUN);
   if (end == HCLI_NOT_SENT || call->leaving)
     memb_failed (call->runner, MEMB_UNREACHED, now);
-  if (end == HCLI_WHOLE && !call->leaving
-      && (status == 503 || status == 429))
+  if (end == HCLI_WHOLE && !call->leaving && (status == 503 || status == 429))
     {
       gw->counts.refused++;
       jlog ("refused", call->in.id,
             "\"status\":%d,\"why\":\"relay\",\"relay\":\"%s\"", status,
             call->runner->entry.id);
-      hsrv_answer (call->door->srv, call->conn, status, call->fields->str,
-                   "", 0);
+      hsrv_answer (call->door->srv, call->conn, status, call->fields->str, "",
+                   0);
       gw_call_end (call);
       return 1;
     }
@@ -455,9 +450,9 @@
   answer_whole (call);
 }
 
-static const char *const phase_names[]
-    = { [ADP_WHOLE] = "whole", [ADP_PROMPT_ONLY] = "prompt",
-        [ADP_RELAY] = "relay" };
+static const char *const phase_names[] = {
+  [ADP_WHOLE] = "whole", [ADP_PROMPT_ONLY] = "prompt", [ADP_RELAY] = "relay"
+};
 
 int
 gw_send (struct gw_call *call, const struct plc_choice *choice,
@@ -467,14 +462,13 @@
   struct gw *gw = call->gw;
   struct memb_runner *runner = choice->runner;
   int64_t now = gw_now (gw);
-  struct adp_send send = { .runner_id = runner->entry.id,
-                           .budget_ms = (call->deadline - now) / 1000,
-                           .phase = phase,
-                             .urgency = phase == ADP_RELAY
-                                          ? -1
-                                          : (int)MIN (call->route->priority,
-                                                      9u),
-                           .last_event = call->last_event };
+  struct adp_send send
+      = { .runner_id = runner->entry.id,
+          .budget_ms = (call->deadline - now) / 1000,
+          .phase = phase,
+          .urgency
+          = phase == ADP_RELAY ? -1 : (int)MIN (call->route->priority, 9u),
+          .last_event = call->last_event };
   GString *out = g_string_sized_new (call->size + 1024);
 
   if (call->memory[0] != '\0' && phase == ADP_WHOLE)
@@ -508,12 +502,11 @@
       gw->counts.relayed += phase == ADP_RELAY;
     }
   jlog ("sent", call->in.id,
-        "\"runner\":\"%s\",\"phase\":\"%s\",\"load\":%.1f,\"load_age_ms\":%"
-        G_GINT64_FORMAT ",\"unread\":%u,\"wait_ms\":%.0f,\"first_ms\":%.0f"
+        "\"runner\":\"%s\",\"phase\":\"%s\",\"load\":%.1f,\"load_age_ms\":"
+        "%" G_GINT64_FORMAT ",\"unread\":%u,\"wait_ms\":%.0f,\"first_ms\":%.0f"
         ",\"left_ms\":%" G_GINT64_FORMAT,
-        runner->entry.id, phase_names[phase],
-        memb_load (runner, now), (now - runner->told_us) / 1000, choice->unread,
-        choice->wait_us / 1000, choice->first_us / 1000,
-        send.budget_ms);
+        runner->entry.id, phase_names[phase], memb_load (runner, now),
+        (now - runner->told_us) / 1000, choice->unread, choice->wait_us / 1000,
+        choice->first_us / 1000, send.budget_ms);
   return 0;
 }
--- a/src/gw_set.h
+++ b/src/gw_set.h
@@ -18,18 +18,18 @@
   char listen_relay[32];   /* requests of other gateways; may be empty */
   char listen_load[32];    /* datagrams of other gateways; may be empty */
   char store[32];
-  int first_start;         /* the whole system starts for the first time */
-  double link_mbit;        /* of this VM */
-  double lease_ms;         /* least time between the orders of two holders */
-  double settled_ms;       /* within which changes are in force after trouble */
-  double grace_ms;         /* from SIGTERM to the end */
-  double repeat_ratio;     /* of all processes, for a service */
+  int first_start;     /* the whole system starts for the first time */
+  double link_mbit;    /* of this VM */
+  double lease_ms;     /* least time between the orders of two holders */
+  double settled_ms;   /* within which changes are in force after trouble */
+  double grace_ms;     /* from SIGTERM to the end */
+  double repeat_ratio; /* of all processes, for a service */
   double repeat_slack;
   double repeat_window_ms;
-  double prefill_share;    /* of the engines before any demand is known */
-  double admit_factor;     /* of the target for the first byte: a request that
-                              would wait longer is refused */
-  double direct_tokens;    /* a shorter prompt isn't read apart */
+  double prefill_share; /* of the engines before any demand is known */
+  double admit_factor;  /* of the target for the first byte: a request that
+                           would wait longer is refused */
+  double direct_tokens; /* a shorter prompt isn't read apart */
 };
 
 /* Reads PATH.  Returns 0, or -1 with the first error.  */
--- a/src/gw_share.c
+++ b/src/gw_share.c
@@ -62,10 +62,9 @@
       buf = uv_buf_init (word->str, (unsigned)word->len);
       for (i = 0; i < share->others->len; i++)
         /* A datagram that the socket doesn't take is as good as lost.  */
-        uv_udp_try_send (
-            &share->udp, &buf, 1,
-            (const struct sockaddr *)&g_array_index (share->others,
-                                                     struct sockaddr_in, i));
+        uv_udp_try_send (&share->udp, &buf, 1,
+                         (const struct sockaddr *)&g_array_index (
+                             share->others, struct sockaddr_in, i));
     }
   g_string_free (word, TRUE);
   tmr_add (gw->tmr, lshr_interval (gw->processes), 0, on_tell, gw);
--- a/src/gw_stage.c
+++ b/src/gw_stage.c
@@ -10,11 +10,11 @@
 {
   STEP_MS = 250,
   CONNECT_MS = 400,
-  ORDER_MS = 1500,     /* an answer that takes longer counts as lost */
-  QUIET_MS = 500,      /* beyond lease_ms, for delays of the last holder's */
-  CONFIRM_MS = 400,    /* age of the read of the key that an order needs */
-  ASKED_MS = 1000,     /* time constant of the prompts asked for */
-  ORDERED_MS = 15000    /* a change that isn't done by then has failed */
+  ORDER_MS = 1500,   /* an answer that takes longer counts as lost */
+  QUIET_MS = 500,    /* beyond lease_ms, for delays of the last holder's */
+  CONFIRM_MS = 400,  /* age of the read of the key that an order needs */
+  ASKED_MS = 1000,   /* time constant of the prompts asked for */
+  ORDERED_MS = 15000 /* a change that isn't done by then has failed */
 };
 
 struct gw_stage
@@ -22,10 +22,10 @@
   struct auth auth;
   int64_t token_since; /* 0 without a token */
   uint64_t token;
-  int64_t confirmed;   /* start of the last read that showed our token */
+  int64_t confirmed; /* start of the last read that showed our token */
   int confirming;
-  double asked_us;     /* engine time asked for since the last step */
-  double reading;      /* decaying average, in engines */
+  double asked_us; /* engine time asked for since the last step */
+  double reading;  /* decaying average, in engines */
   struct stgp_state plan;
   /* One order at a time.  */
   struct memb_runner *runner;
@@ -126,8 +126,8 @@
     case AUTH_DO_CAS:
       op->kind = AUTH_EV_CAS;
       n = auth_record_encode (&action->record, record, sizeof record, NULL);
-      gw->stor->put (gw->stor_ctx, AUTHORITY_KEY, 0, record, (size_t)MAX (n, 0),
-                     action->lease, on_auth_done, op);
+      gw->stor->put (gw->stor_ctx, AUTHORITY_KEY, 0, record,
+                     (size_t)MAX (n, 0), action->lease, on_auth_done, op);
       return;
     case AUTH_DO_RENEW:
       op->kind = AUTH_EV_RENEWED;
@@ -188,8 +188,7 @@
   stage->call = 0;
 }
 
-static int
-send_to_runner (struct gw *gw, const GString *request);
+static int send_to_runner (struct gw *gw, const GString *request);
 
 static void
 on_done (void *ctx, enum hcli_end end)
@@ -207,7 +206,7 @@
              != 0
       || report.busy || report.stage == stage->to
       || auth_token (&stage->auth, now) != stage->token
-      || now - stage->confirmed > CONFIRM_MS * 1000)
+      || now - stage->confirmed > gw_ms (CONFIRM_MS))
     {
       if (stage->ordering)
         jlog ("order", NULL,
@@ -244,9 +243,9 @@
   struct gw_stage *stage = gw->stage;
 
   stage->sent = gw_now (gw);
-  stage->call = hcli_call (gw->cli, stage->runner->entry.address,
-                           stage->runner->peer, request->str, request->len,
-                           CONNECT_MS, &ops, gw);
+  stage->call
+      = hcli_call (gw->cli, stage->runner->entry.address, stage->runner->peer,
+                   request->str, request->len, CONNECT_MS, &ops, gw);
   return stage->call != 0 ? 0 : -1;
 }
 
@@ -279,7 +278,7 @@
   if (reply->rc != STOR_OK || reply->n_items == 0
       || reply->items[0].created != stage->token)
     return;
-  stage->confirmed = MAX (asked, gw_now (gw) - CONFIRM_MS * 500);
+  stage->confirmed = MAX (asked, gw_now (gw) - gw_ms (CONFIRM_MS) / 2);
   step (gw);
 }
 
@@ -303,7 +302,7 @@
       if (at == MEMB_STAGE_ANY || !one->present || one->leaving)
         continue;
       if (one->ordered != MEMB_STAGE_ANY
-          && now - one->ordered_us > ORDERED_MS * 1000)
+          && now - one->ordered_us > gw_ms (ORDERED_MS))
         one->ordered = MEMB_STAGE_ANY;
       if (memb_changing (one))
         {
@@ -344,7 +343,7 @@
 
   if (stage->runner != NULL)
     {
-      if (now - stage->sent < ORDER_MS * 1000)
+      if (now - stage->sent < gw_ms (ORDER_MS))
         return;
       hcli_cancel (gw->cli, stage->call);
       if (stage->ordering)
@@ -360,7 +359,7 @@
                      >= (int64_t)((gw->set.lease_ms + QUIET_MS) * 1000);
   if (!next_change (gw, may_order, &runner, &to))
     return;
-  if (now - stage->confirmed > CONFIRM_MS * 500)
+  if (now - stage->confirmed > gw_ms (CONFIRM_MS) / 2)
     {
       if (stage->confirming)
         return;
@@ -380,7 +379,7 @@
   struct auth_event event = { .kind = AUTH_EV_TIME, .now_us = now };
 
   event.draw = draw (gw);
-  stage->reading += (stage->asked_us / (STEP_MS * 1000) - stage->reading)
+  stage->reading += (stage->asked_us / (gw_ms (STEP_MS)) - stage->reading)
                     * STEP_MS / ASKED_MS;
   stage->asked_us = 0;
   if (!gw->stopping)
@@ -421,6 +420,6 @@
   auth_init (&stage->auth, gw->set.node, gw_random (gw));
   stgp_init (&stage->plan);
   stage->body = g_string_new (NULL);
-  tmr_add (gw->tmr, STEP_MS * 1000, (int64_t)STEP_MS * 1000, on_step, gw);
+  tmr_add (gw->tmr, gw_ms (STEP_MS), gw_ms (STEP_MS), on_step, gw);
   return stage;
 }
--- a/src/gw_sync.c
+++ b/src/gw_sync.c
@@ -8,10 +8,10 @@
   WATCH_LEAST_MS = 1000,
   WATCH_SPARE_MS = 1000, /* a silent connection is noticed this long before the
                             configuration has to be in force */
-  GATHER_MS = 250,    /* changes that come close together share a call */
-  POLL_MS = 3000,     /* between two listings of the gateways */
+  GATHER_MS = 250,       /* changes that come close together share a call */
+  POLL_MS = 3000,        /* between two listings of the gateways */
   POLL_FIRST_MS = 600,
-  RETRY_MS = 200,     /* first pause after a failed call */
+  RETRY_MS = 200, /* first pause after a failed call */
   RETRY_MAX_MS = 800,
   PRESENCE_TTL_MS = 10000,
   PRESENCE_RENEW_MS = 3000
@@ -98,8 +98,8 @@
 {
   jlog ("runner", NULL,
         "\"runner\":\"%s\",\"service\":\"%s\",\"address\":\"%s\","
-        "\"present\":%d,\"leaving\":%d,\"stage\":%d,\"revision\":%"
-        G_GUINT64_FORMAT,
+        "\"present\":%d,\"leaving\":%d,\"stage\":%d,\"revision\":"
+        "%" G_GUINT64_FORMAT,
         runner->entry.id, runner->entry.service, runner->entry.address,
         runner->present, runner->leaving, runner->entry.stage, revision);
 }
@@ -213,8 +213,7 @@
 feed_retry (struct feed *feed)
 {
   struct gw *gw = feed->gw;
-  int64_t pause_ms
-      = feed->retry_ms + (int64_t)(gw_random (gw) % RETRY_MS);
+  int64_t pause_ms = feed->retry_ms + (int64_t)(gw_random (gw) % RETRY_MS);
 
   feed->retry_ms = MIN (feed->retry_ms * 2, RETRY_MAX_MS);
   tmr_add (gw->tmr, pause_ms * 1000, 0, on_retry, feed);
@@ -260,7 +259,7 @@
   if (feed->id == FEED_PROCESSES)
     {
       processes_changed (feed->gw);
-      tmr_add (feed->gw->tmr, POLL_MS * 1000, 0, on_poll, feed);
+      tmr_add (feed->gw->tmr, gw_ms (POLL_MS), 0, on_poll, feed);
     }
   else
     feed_watch (feed);
@@ -298,7 +297,7 @@
     feed_item[feed->id](feed, &reply->items[i]);
   feed->revision = MAX (feed->revision, reply->revision);
   if (reply->n_items > 0)
-    tmr_add (feed->gw->tmr, GATHER_MS * 1000, 0, on_retry, feed);
+    tmr_add (feed->gw->tmr, gw_ms (GATHER_MS), 0, on_retry, feed);
   else
     feed_watch (feed);
 }
@@ -308,10 +307,10 @@
 {
   struct gw *gw = feed->gw;
 
-  gw->stor->watch (gw->stor_ctx, feed->prefix, feed->revision,
-                   (int)MAX (gw->set.settled_ms - WATCH_SPARE_MS,
-                             WATCH_LEAST_MS),
-                   on_watched, feed);
+  gw->stor->watch (
+      gw->stor_ctx, feed->prefix, feed->revision,
+      (int)MAX (gw->set.settled_ms - WATCH_SPARE_MS, WATCH_LEAST_MS),
+      on_watched, feed);
 }
 
 /* Presence of this process.  */
@@ -333,7 +332,7 @@
   if (reply->rc == STOR_ABSENT)
     gw->sync->lease = 0;
   tmr_add (gw->tmr,
-           (reply->rc == STOR_ABSENT ? RETRY_MS : PRESENCE_RENEW_MS) * 1000, 0,
+           gw_ms (reply->rc == STOR_ABSENT ? RETRY_MS : PRESENCE_RENEW_MS), 0,
            on_presence_time, gw);
 }
 
@@ -345,7 +344,7 @@
   gw->counts.store_calls++;
   if (reply->rc != STOR_OK)
     gw->sync->lease = 0;
-  tmr_add (gw->tmr, PRESENCE_RENEW_MS * 1000, 0, on_presence_time, gw);
+  tmr_add (gw->tmr, gw_ms (PRESENCE_RENEW_MS), 0, on_presence_time, gw);
 }
 
 static void
@@ -358,7 +357,7 @@
   gw->counts.store_calls++;
   if (reply->rc != STOR_OK || gw->stopping)
     {
-      tmr_add (gw->tmr, PRESENCE_RENEW_MS * 1000, 0, on_presence_time, gw);
+      tmr_add (gw->tmr, gw_ms (PRESENCE_RENEW_MS), 0, on_presence_time, gw);
       return;
     }
   gw->sync->lease = reply->lease;
@@ -402,7 +401,7 @@
       if (i != FEED_PROCESSES)
         feed_list (&sync->feeds[i]);
     }
-  tmr_add (gw->tmr, POLL_FIRST_MS * 1000, 0, on_poll,
+  tmr_add (gw->tmr, gw_ms (POLL_FIRST_MS), 0, on_poll,
            &sync->feeds[FEED_PROCESSES]);
   presence_start (gw);
   return sync;
--- a/src/hcli.c
+++ b/src/hcli.c
@@ -166,8 +166,8 @@
 
   if (!http_should_keep_alive (&c->parser))
     return 0;
-  at = value.p == NULL ? NULL : g_strstr_len (value.p, (gssize)value.n,
-                                              "timeout=");
+  at = value.p == NULL ? NULL
+                       : g_strstr_len (value.p, (gssize)value.n, "timeout=");
   if (at == NULL)
     return IDLE_MS;
   digits.p = at + strlen ("timeout=");
@@ -289,10 +289,8 @@
         return;
     }
   c->keep_ms = 0;
-  if (n == 0 && c->in_body && !c->skipping
-      && ends_with_connection (&c->parser)
-      && http_parser_execute (&c->parser, &settings, NULL, 0) == 0
-      && c->whole)
+  if (n == 0 && c->in_body && !c->skipping && ends_with_connection (&c->parser)
+      && http_parser_execute (&c->parser, &settings, NULL, 0) == 0 && c->whole)
     conn_whole (c);
   else
     conn_fail (c);
--- a/src/hhead.c
+++ b/src/hhead.c
@@ -127,8 +127,10 @@
              struct hhead *head)
 {
   static const http_parser_settings settings
-      = { .on_url = on_url, .on_header_field = on_field,
-          .on_header_value = on_value, .on_message_complete = on_complete };
+      = { .on_url = on_url,
+          .on_header_field = on_field,
+          .on_header_value = on_value,
+          .on_message_complete = on_complete };
   void *owner = parser->data;
   size_t n;
 
@@ -199,11 +201,16 @@
 int
 hhead_is_hop (struct hspan name)
 {
-  static const char *const hop[]
-      = { "connection",         "keep-alive", "proxy-connection",
-          "te",                 "trailer",    "transfer-encoding",
-          "upgrade",            "expect",     "proxy-authenticate",
-          "proxy-authorization" };
+  static const char *const hop[] = { "connection",
+                                     "keep-alive",
+                                     "proxy-connection",
+                                     "te",
+                                     "trailer",
+                                     "transfer-encoding",
+                                     "upgrade",
+                                     "expect",
+                                     "proxy-authenticate",
+                                     "proxy-authorization" };
   size_t i;
 
   for (i = 0; i < G_N_ELEMENTS (hop); i++)
--- a/src/hsrv.c
+++ b/src/hsrv.c
@@ -8,8 +8,8 @@
 
 enum
 {
-  CONNS_MAX = 3600,        /* below the descriptor limit of a small VM */
-  AHEAD_MAX = 64 * 1024,   /* bytes read ahead of the request in progress */
+  CONNS_MAX = 3600,         /* below the descriptor limit of a small VM */
+  AHEAD_MAX = 64 * 1024,    /* bytes read ahead of the request in progress */
   UNSENT_MAX = 1024 * 1024, /* bytes that a slow reader may leave unsent */
   ENDING_MS = 1000 /* for a client to read the last answer and close */
 };
@@ -18,9 +18,9 @@
 {
   PHASE_HEAD,
   PHASE_BODY,
-  PHASE_BUSY,  /* the request is with its owner */
+  PHASE_BUSY,   /* the request is with its owner */
   PHASE_ANSWER, /* the answer has begun */
-  PHASE_ENDING /* the last answer is out; input is dropped */
+  PHASE_ENDING  /* the last answer is out; input is dropped */
 };
 
 struct conn
@@ -141,7 +141,7 @@
   /* Zero bytes would stand for the end of the connection.  */
   if (!c->whole && c->in->len > start)
     n = http_parser_execute (&c->parser, &settings, c->in->str + start,
-                           c->in->len - start);
+                             c->in->len - start);
   if (c->whole || HTTP_PARSER_ERRNO (&c->parser) == HPE_OK)
     g_string_erase (c->in, (gssize)start, (gssize)n);
   if (c->whole)
@@ -207,8 +207,7 @@
       refuse (c, 400, "fields or length");
       return;
     }
-  if (!(c->parser.flags & F_CHUNKED)
-      && c->parser.content_length != ULLONG_MAX
+  if (!(c->parser.flags & F_CHUNKED) && c->parser.content_length != ULLONG_MAX
       && c->parser.content_length > srv->limits.body_bytes)
     {
       refuse (c, 413, "length");
@@ -263,8 +262,8 @@
     read_head (c);
   if (!c->closing && c->phase == PHASE_BODY)
     read_body (c);
-  if (!c->closing && c->phase >= PHASE_BUSY && c->phase != PHASE_ENDING && c->in->len > AHEAD_MAX
-      && !c->paused)
+  if (!c->closing && c->phase >= PHASE_BUSY && c->phase != PHASE_ENDING
+      && c->in->len > AHEAD_MAX && !c->paused)
     {
       c->paused = 1;
       uv_read_stop (stream);
@@ -305,8 +304,7 @@
   {
     BACKLOG = 511
   };
-  static const struct hsrv_limits defaults
-      = { 16384, 4194304, 3000, 15000 };
+  static const struct hsrv_limits defaults = { 16384, 4194304, 3000, 15000 };
   struct sockaddr_in sa;
   struct hsrv *srv;
   int rc;
--- a/src/hsrv.h
+++ b/src/hsrv.h
@@ -40,8 +40,7 @@
 
 /* Listens on ADDRESS, "IP:PORT".  */
 struct hsrv *hsrv_new (uv_loop_t *loop, const char *address,
-                       const struct hsrv_ops *ops, void *ctx,
-                       struct err *err);
+                       const struct hsrv_ops *ops, void *ctx, struct err *err);
 void hsrv_limits_set (struct hsrv *srv, const struct hsrv_limits *limits);
 
 /* Sends a whole answer.  FIELDS holds further header lines, each with its line
--- a/src/jlog.c
+++ b/src/jlog.c
@@ -56,10 +56,10 @@
       state.dropped = 0;
       jlog ("log_dropped", NULL, "\"lines\":%u", n);
     }
-  g_string_append_printf (
-      state.waiting,
-      "{\"t\":%" G_GINT64_FORMAT ",\"node\":\"%s\",\"event\":\"%s\"",
-      now_us / 1000, state.process, event);
+  g_string_append_printf (state.waiting,
+                          "{\"t\":%" G_GINT64_FORMAT
+                          ",\"node\":\"%s\",\"event\":\"%s\"",
+                          now_us / 1000, state.process, event);
   if (id != NULL && *id != '\0')
     g_string_append_printf (state.waiting, ",\"id\":\"%s\"", id);
   if (*fmt != '\0')
--- a/src/jlog.h
+++ b/src/jlog.h
@@ -2,13 +2,14 @@
 #define JLOG_H
 /*
  * NAME
- *   jlog - decisions as JSON lines on standard output, bounded and not blocking
+ *   jlog - decisions as JSON lines on standard output, bounded and not
+ * blocking
  *
  * DESCRIPTION
  *   A line has the time of day in milliseconds, the process, the event, the
- *   request's id when there is one, and the fields given.  Lines wait in memory
- *   for jlog_flush.  Beyond JLOG_BYTES_PER_S they are dropped and counted; the
- *   count is in the next line "log_dropped".
+ *   request's id when there is one, and the fields given.  Lines wait in
+ * memory for jlog_flush.  Beyond JLOG_BYTES_PER_S they are dropped and
+ * counted; the count is in the next line "log_dropped".
  */
 #include <stdint.h>
 
--- a/src/lshr.c
+++ b/src/lshr.c
@@ -7,7 +7,7 @@
 {
   VERSION = 1,
   WORD_FIELDS = 5,
-  READING_SCALE = 1000, /* sent as a whole number */
+  READING_SCALE = 1000,    /* sent as a whole number */
   INTERVAL_EACH_US = 5000, /* bounds the datagrams received to 200/s */
   INTERVAL_LEAST_US = 20000
 };
@@ -107,8 +107,7 @@
 static int
 uint_of (const msgpack_object *object, uint64_t max, uint64_t *value)
 {
-  if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER
-      || object->via.u64 > max)
+  if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER || object->via.u64 > max)
     return -1;
   *value = object->via.u64;
   return 0;
--- a/src/lshr.h
+++ b/src/lshr.h
@@ -17,7 +17,8 @@
 #include "goldcresthatch/err.h"
 #include "memb.h"
 
-#define LSHR_SILENCE_US INT64_C (1000000) /* several intervals of a large fleet */
+#define LSHR_SILENCE_US                                                       \
+  INT64_C (1000000) /* several intervals of a large fleet */
 
 enum
 {
--- a/src/memb.c
+++ b/src/memb.c
@@ -7,7 +7,7 @@
 /* A first failure may be the runner's restart, which takes seconds.  */
 #define DOWN_FIRST_US INT64_C (250000)
 #define DOWN_MAX_US INT64_C (2000000)
-/* A refusal in a row may be a full moment; a change of stage takes seconds.  */
+/* A refusal in a row may be a full moment; a change of stage takes seconds. */
 #define REFUSED_FIRST_US INT64_C (50000)
 #define REFUSED_MAX_US INT64_C (800000)
 /* Load told by an answer is stale after a few answers' time.  */
@@ -69,8 +69,7 @@
     {
       struct memb_runner *runner = memb_at (memb, i);
       if (strcmp (runner->entry.id, id) == 0
-          && (found == NULL
-              || runner->entry.born_ms >= found->entry.born_ms))
+          && (found == NULL || runner->entry.born_ms >= found->entry.born_ms))
         found = runner;
     }
   return found;
@@ -262,8 +261,8 @@
 memb_refused (struct memb_runner *runner, int64_t now)
 {
   runner->refusals++;
-  runner->down_us = MAX (runner->down_us,
-                         now + refusal_pause (runner->refusals));
+  runner->down_us
+      = MAX (runner->down_us, now + refusal_pause (runner->refusals));
 }
 
 void
--- a/src/memb.h
+++ b/src/memb.h
@@ -55,20 +55,20 @@
   unsigned told;
   unsigned told_own;
   int64_t told_us;
-  double tokens;       /* prompt tokens sent and not yet known as read */
-  uint64_t hash;       /* of the lifetime's name */
+  double tokens; /* prompt tokens sent and not yet known as read */
+  uint64_t hash; /* of the lifetime's name */
   /* What other gateways have in progress there, as they tell.  */
   unsigned others_calls;
   double others_tokens;
-  int64_t others_us;   /* 0: never told */
+  int64_t others_us; /* 0: never told */
   enum memb_stage others_ordered;
-  unsigned refusals;   /* in a row, with room by what is known */
-  unsigned unmoved;    /* in a row: prompts whose memory no one could take */
+  unsigned refusals; /* in a row, with room by what is known */
+  unsigned unmoved;  /* in a row: prompts whose memory no one could take */
   /* Failures, told by this process's own calls.  */
-  unsigned failures;   /* in a row */
-  int64_t down_us;     /* no new work before this time */
-  double failing;      /* share of failed calls, decaying average */
-  double slow_us;      /* time of a call, decaying average */
+  unsigned failures;       /* in a row */
+  int64_t down_us;         /* no new work before this time */
+  double failing;          /* share of failed calls, decaying average */
+  double slow_us;          /* time of a call, decaying average */
   enum memb_stage ordered; /* stage it is changing to, or ANY */
   int64_t ordered_us;
 };
--- a/src/plc.c
+++ b/src/plc.c
@@ -232,9 +232,9 @@
         continue;
       load = memb_load (runner, now);
       if (runner->entry.slots > 0 && load >= runner->entry.slots)
-        choice.wait_us = (load - runner->entry.slots + 1)
-                         * (plc->speed.token_us
-                            + load * plc->speed.token_us_per_request);
+        choice.wait_us
+            = (load - runner->entry.slots + 1)
+              * (plc->speed.token_us + load * plc->speed.token_us_per_request);
       choice.first_us = choice.wait_us + plc->speed.transfer_us
                         + plc->speed.token_us
                         + load * plc->speed.token_us_per_request;
--- a/src/plc.h
+++ b/src/plc.h
@@ -77,8 +77,8 @@
 struct plc_where
 {
   const char *service;
-  const char *zone;            /* preferred */
-  enum memb_stage stage;       /* ANY for a plain service */
+  const char *zone;      /* preferred */
+  enum memb_stage stage; /* ANY for a plain service */
   const struct memb_runner *const *excluded;
   size_t n_excluded;
 };
--- a/src/rtab.c
+++ b/src/rtab.c
@@ -35,8 +35,8 @@
   table->version = version;
   table->routes = g_ptr_array_new_with_free_func (route_free);
   table->services = g_ptr_array_new_with_free_func (service_free);
-  table->hosts = g_hash_table_new_full (
-      g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
+  table->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                        (GDestroyNotify)g_ptr_array_unref);
   return table;
 }
 
--- a/src/rtab.h
+++ b/src/rtab.h
@@ -26,8 +26,8 @@
   char *name;
   unsigned connections_max; /* to one runner, from all callers together */
   int is_engine;
-  double kv_tokens;       /* memory of an engine */
-  double handle_ttl_s;    /* for which a prompt's memory is kept for a taker */
+  double kv_tokens;    /* memory of an engine */
+  double handle_ttl_s; /* for which a prompt's memory is kept for a taker */
   double stage_change_s;
 };
 
@@ -43,12 +43,12 @@
   char *host;
   char *prefix;
   enum rtab_kind kind;
-  int resumable;        /* a stream may go on at another runner */
-  int64_t timeout_ms;   /* longest time without a final answer */
-  int64_t target_ms;    /* for the first byte of the answer */
-  int64_t gap_ms;       /* between two events of a stream */
-  unsigned priority;    /* 0 is the highest */
-  unsigned attempts;    /* runners to which one request may be sent */
+  int resumable;      /* a stream may go on at another runner */
+  int64_t timeout_ms; /* longest time without a final answer */
+  int64_t target_ms;  /* for the first byte of the answer */
+  int64_t gap_ms;     /* between two events of a stream */
+  unsigned priority;  /* 0 is the highest */
+  unsigned attempts;  /* runners to which one request may be sent */
   struct rtab_target *targets;
   size_t n_targets;
 };
@@ -88,7 +88,8 @@
 /* Returns the service for a request with this hash.  */
 const char *rtab_pick (const struct rtab_route *route, uint64_t hash);
 
-/* Replaces *HELD by NEXT, taking its reference, when NEXT is newer.  Returns 1,
-   or 0 after dropping NEXT.  A process never returns to an older version.  */
+/* Replaces *HELD by NEXT, taking its reference, when NEXT is newer.  Returns
+   1, or 0 after dropping NEXT.  A process never returns to an older version.
+ */
 int rtab_adopt (struct rtab **held, struct rtab *next);
 #endif
--- a/src/stgp.c
+++ b/src/stgp.c
@@ -29,7 +29,8 @@
 void
 stgp_see (struct stgp_state *state, const struct stgp_view *view, int64_t now)
 {
-  double elapsed_s = state->last_us < 0 ? 0 : (double)(now - state->last_us) / 1e6;
+  double elapsed_s
+      = state->last_us < 0 ? 0 : (double)(now - state->last_us) / 1e6;
   double keep;
 
   state->last_us = now;
@@ -79,9 +80,8 @@
   /* Before any demand no one is served, and changes needn't wait.  */
   if (state->seen_s <= 0 ? fabs (off) < 0.5
                          : fabs (off) < worth_a_change
-                               || view->changing + 1
-                                      > fmax (1, changing_share
-                                                     * view->engines))
+                               || view->changing + 1 > fmax (
+                                      1, changing_share * view->engines))
     return 0;
   state->changed_us = now;
   *to = off > 0 ? MEMB_STAGE_PREFILL : MEMB_STAGE_DECODE;
--- a/src/stgp.h
+++ b/src/stgp.h
@@ -8,9 +8,10 @@
  *   Engines are shared out so that both stages are used alike: in proportion
  *   to the engines that reading the prompts asked for would keep busy, and to
  *   those whose slots the generations asked for would fill.  Before any demand
- *   is known the share is a setting, which the demand outweighs within minutes.
- *   A change takes an engine out for seconds, and many more until its streams
- *   have ended, so a change must be worth an engine.  Pure; times are in microseconds.
+ *   is known the share is a setting, which the demand outweighs within
+ * minutes. A change takes an engine out for seconds, and many more until its
+ * streams have ended, so a change must be worth an engine.  Pure; times are in
+ * microseconds.
  */
 #include <stdint.h>
 
@@ -18,13 +19,13 @@
 
 struct stgp_view
 {
-  unsigned engines;  /* with a stage, usable */
-  unsigned prefill;  /* that read prompts, or will once changed */
+  unsigned engines; /* with a stage, usable */
+  unsigned prefill; /* that read prompts, or will once changed */
   unsigned changing;
-  double share;          /* wanted before any demand, for 32 slots */
-  double slots;          /* of an engine */
-  double reading;        /* engines kept busy by the prompts asked for now */
-  double generating;     /* engines whose slots are taken or waited for */
+  double share;      /* wanted before any demand, for 32 slots */
+  double slots;      /* of an engine */
+  double reading;    /* engines kept busy by the prompts asked for now */
+  double generating; /* engines whose slots are taken or waited for */
 };
 
 struct stgp_state
--- a/src/stor.h
+++ b/src/stor.h
@@ -55,8 +55,8 @@
                  int wait_ms, stor_done *done, void *ctx);
   /* Writes KEY where its revision is EXPECTED, 0 meaning absent.  */
   void (*put) (void *stor, const char *key, uint64_t expected,
-               const char *value, size_t size, uint64_t lease,
-               stor_done *done, void *ctx);
+               const char *value, size_t size, uint64_t lease, stor_done *done,
+               void *ctx);
   /* Writes KEY whatever it holds.  */
   void (*set) (void *stor, const char *key, const char *value, size_t size,
                uint64_t lease, stor_done *done, void *ctx);
--- a/tests/gw_headers.hh
+++ b/tests/gw_headers.hh
@@ -33,9 +33,6 @@
   return e;
 }
 
-struct hspan inline span (const char *text)
-{
-  return { text, strlen (text) };
-}
+struct hspan inline span (const char *text) { return { text, strlen (text) }; }
 
 }
--- a/tests/unit_hhead.cc
+++ b/tests/unit_hhead.cc
@@ -40,9 +40,9 @@
   EXPECT_EQ (scan (""), HHEAD_PARTIAL);
   EXPECT_EQ (scan ("GET / HTTP/1.1\r\nHost: a\r\n"), HHEAD_PARTIAL);
   EXPECT_EQ (scan (std::string (1001, 'a')), HHEAD_TOO_LARGE);
-  EXPECT_EQ (scan ("GET / HTTP/1.1\r\nHost: " + std::string (1000, 'a')
-                   + "\r\n\r\n"),
-             HHEAD_TOO_LARGE);
+  EXPECT_EQ (
+      scan ("GET / HTTP/1.1\r\nHost: " + std::string (1000, 'a') + "\r\n\r\n"),
+      HHEAD_TOO_LARGE);
 }
 
 // Guards against spans that miss or include white space, and a bodiless
--- /dev/null
+++ b/tests/unit_http_io.cc
@@ -0,0 +1,457 @@
+// The HTTP server and client against raw sockets on the loopback.
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <functional>
+#include <gtest/gtest.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+#include "gw_headers.hh"
+
+namespace
+{
+
+// Runs the loop until DONE or a generous limit.
+bool
+run_until (uv_loop_t *loop, const std::function<bool ()> &done)
+{
+  for (int i = 0; i < 20000; i++)
+    {
+      if (done ())
+        return true;
+      uv_run (loop, UV_RUN_NOWAIT);
+      usleep (1000);
+    }
+  return false;
+}
+
+int
+listen_raw (std::string *address)
+{
+  struct sockaddr_in sa = {};
+  socklen_t size = sizeof sa;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  sa.sin_family = AF_INET;
+  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  bind (fd, reinterpret_cast<struct sockaddr *> (&sa), sizeof sa);
+  listen (fd, 10);
+  getsockname (fd, reinterpret_cast<struct sockaddr *> (&sa), &size);
+  *address = "127.0.0.1:" + std::to_string (ntohs (sa.sin_port));
+  return fd;
+}
+
+int
+connect_raw (const std::string &address)
+{
+  struct sockaddr_in sa;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  hnet_address (address.c_str (), &sa);
+  EXPECT_EQ (
+      connect (fd, reinterpret_cast<struct sockaddr *> (&sa), sizeof sa), 0);
+  return fd;
+}
+
+void
+put (int fd, const std::string &text)
+{
+  EXPECT_EQ (write (fd, text.data (), text.size ()),
+             static_cast<ssize_t> (text.size ()));
+}
+
+void
+reset (int fd)
+{
+  struct linger linger = { 1, 0 };
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  close (fd);
+}
+
+std::string
+free_address ()
+{
+  std::string address;
+  close (listen_raw (&address));
+  return address;
+}
+
+class Server : public testing::Test
+{
+protected:
+  uv_loop_t loop;
+  struct hsrv *srv;
+  std::string address = free_address ();
+  std::vector<std::string> requests; // method, target and body
+  uint64_t conn = 0;
+  int left = 0;
+  int unread = 0;
+  std::function<void ()> on_request_hook;
+
+  static void
+  on_request (void *ctx, uint64_t conn, const struct hhead *head,
+              const char *body, size_t size)
+  {
+    auto *self = static_cast<Server *> (ctx);
+    self->conn = conn;
+    self->requests.push_back (std::string (head->method.p, head->method.n)
+                              + " "
+                              + std::string (head->target.p, head->target.n)
+                              + " " + std::string (body, size));
+    if (self->on_request_hook)
+      self->on_request_hook ();
+  }
+  static void
+  on_left (void *ctx, uint64_t)
+  {
+    static_cast<Server *> (ctx)->left++;
+  }
+  static void
+  on_unread (void *ctx, int status, const char *)
+  {
+    static_cast<Server *> (ctx)->unread = status;
+  }
+
+  void
+  SetUp () override
+  {
+    static const struct hsrv_ops ops = { on_request, on_left, on_unread };
+    signal (SIGPIPE, SIG_IGN);
+    uv_loop_init (&loop);
+    srv = hsrv_new (&loop, address.c_str (), &ops, this, nullptr);
+    ASSERT_NE (srv, nullptr);
+  }
+
+  // Reads until TEXT has come or the connection has ended.
+  std::string
+  get (int fd, const std::string &text)
+  {
+    std::string got;
+    char buffer[4096];
+    fcntl (fd, F_SETFL, O_NONBLOCK);
+    run_until (&loop, [&] {
+      ssize_t n = read (fd, buffer, sizeof buffer);
+      if (n > 0)
+        got.append (buffer, static_cast<size_t> (n));
+      return n == 0 || got.find (text) != std::string::npos;
+    });
+    return got;
+  }
+
+  bool
+  wait_requests (size_t n)
+  {
+    return run_until (&loop, [&] { return requests.size () >= n; });
+  }
+};
+
+// Guards against a request that waits for ever when its body comes after its
+// head, or in pieces.
+TEST_F (Server, BodyAfterItsHead)
+{
+  int fd = connect_raw (address);
+  put (fd, "POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n");
+  // The head alone reaches the server before the body is sent.
+  ASSERT_TRUE (run_until (&loop, [&] { return hsrv_connections (srv) == 1; }));
+  for (int i = 0; i < 20; i++)
+    uv_run (&loop, UV_RUN_NOWAIT);
+  EXPECT_EQ (unread, 0);
+  put (fd, "ab");
+  put (fd, "cd");
+  ASSERT_TRUE (wait_requests (1));
+  EXPECT_EQ (requests[0], "POST /p abcd");
+  close (fd);
+}
+
+// Guards against bodies in chunks that are cut, joined or read as a request,
+// and against requests ahead that overtake.
+TEST_F (Server, ChunksAndRequestsAhead)
+{
+  int fd = connect_raw (address);
+  put (fd, "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+           "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE (wait_requests (1));
+  EXPECT_EQ (requests[0], "POST /1 abcde");
+  EXPECT_EQ (requests.size (), 1U);
+  hsrv_answer (srv, conn, 200, nullptr, "x", 1);
+  ASSERT_TRUE (wait_requests (2));
+  EXPECT_EQ (requests[1], "GET /2 ");
+  hsrv_start (srv, conn, 200, nullptr, -1);
+  hsrv_send (srv, conn, "yz", 2);
+  hsrv_finish (srv, conn);
+  std::string got = get (fd, "0\r\n\r\n");
+  EXPECT_NE (got.find ("Content-Length: 1\r\n\r\nx"), std::string::npos);
+  EXPECT_NE (got.find ("2\r\nyz\r\n0\r\n\r\n"), std::string::npos);
+  close (fd);
+}
+
+// Guards against requests whose length can be read in two ways.
+TEST_F (Server, TwoLengths)
+{
+  static const char *const fields[] = {
+    "Content-Length: 3\r\nContent-Length: 4\r\n",
+    "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+    "Content-Length: 3, 4\r\n",
+    "Content-Length: +3\r\n",
+    "Transfer-Encoding: gzip, chunked\r\n",
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: xchunked\r\n",
+  };
+  for (const char *field : fields)
+    {
+      int fd = connect_raw (address);
+      put (fd, std::string ("POST / HTTP/1.1\r\nHost: a\r\n") + field
+                   + "\r\nabcd");
+      EXPECT_EQ (get (fd, "\r\n").substr (0, 12), "HTTP/1.1 400") << field;
+      close (fd);
+    }
+  EXPECT_TRUE (requests.empty ());
+}
+
+// Guards against a body beyond the limit that is kept in memory.
+TEST_F (Server, Limits)
+{
+  struct hsrv_limits limits = { 200, 10, 3000, 15000 };
+  hsrv_limits_set (srv, &limits);
+  int fd = connect_raw (address);
+  put (fd, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n");
+  EXPECT_EQ (get (fd, "\r\n").substr (9, 3), "413");
+  close (fd);
+  fd = connect_raw (address);
+  put (fd, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "b\r\nabcdefghijk\r\n0\r\n\r\n");
+  EXPECT_EQ (get (fd, "\r\n").substr (9, 3), "413");
+  close (fd);
+  fd = connect_raw (address);
+  put (fd, "GET / HTTP/1.1\r\nHost: " + std::string (300, 'a'));
+  EXPECT_EQ (get (fd, "\r\n").substr (9, 3), "431");
+  close (fd);
+  EXPECT_TRUE (requests.empty ());
+}
+
+// Guards against ending a request inside of the call that sends its answer:
+// its owner would go on with freed memory.
+TEST_F (Server, LostClientIsToldLater)
+{
+  int fd = connect_raw (address);
+  int during = -1;
+  on_request_hook = [&] {
+    reset (fd);
+    usleep (20000);
+    hsrv_start (srv, conn, 200, nullptr, -1);
+    for (int i = 0; i < 10; i++)
+      hsrv_send (srv, conn, "abc", 3);
+    during = left;
+  };
+  put (fd, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE (wait_requests (1));
+  EXPECT_EQ (during, 0);
+  EXPECT_TRUE (run_until (&loop, [&] { return left == 1; }));
+}
+
+// Guards against a client that leaves unnoticed while its request runs.
+TEST_F (Server, ClosedClientIsTold)
+{
+  int fd = connect_raw (address);
+  put (fd, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE (wait_requests (1));
+  close (fd);
+  EXPECT_TRUE (run_until (&loop, [&] { return left == 1; }));
+}
+
+// Guards against an answer lost in a stop: the last one ends the connection in
+// order, and what follows isn't taken.
+TEST_F (Server, DrainEndsAfterTheAnswer)
+{
+  int fd = connect_raw (address);
+  put (fd, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE (wait_requests (1));
+  hsrv_drain (srv);
+  put (fd, "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  hsrv_answer (srv, conn, 200, nullptr, "x", 1);
+  std::string got = get (fd, "no such text");
+  EXPECT_NE (got.find ("Connection: close\r\n\r\nx"), std::string::npos);
+  EXPECT_EQ (requests.size (), 1U);
+  close (fd);
+}
+
+class Client : public testing::Test
+{
+protected:
+  uv_loop_t loop;
+  struct hcli *cli;
+  std::string address;
+  int listener = listen_raw (&address);
+  std::string body;
+  int heads = 0;
+  int skip = 0;
+  int ended = -1;
+
+  static enum hcli_take
+  on_head (void *ctx, const struct hhead *)
+  {
+    auto *self = static_cast<Client *> (ctx);
+    self->heads++;
+    return self->skip-- > 0 ? HCLI_SKIP : HCLI_TAKE;
+  }
+  static void
+  on_body (void *ctx, const char *data, size_t size)
+  {
+    static_cast<Client *> (ctx)->body.append (data, size);
+  }
+  static void
+  on_done (void *ctx, enum hcli_end end)
+  {
+    static_cast<Client *> (ctx)->ended = end;
+  }
+
+  void
+  SetUp () override
+  {
+    signal (SIGPIPE, SIG_IGN);
+    uv_loop_init (&loop);
+    cli = hcli_new (&loop);
+  }
+  void
+  TearDown () override
+  {
+    close (listener);
+  }
+
+  // Calls and returns the peer's end of a new connection.
+  int
+  call_new ()
+  {
+    int fd = -1;
+    call ();
+    fcntl (listener, F_SETFL, O_NONBLOCK);
+    run_until (&loop, [&] {
+      fd = fd < 0 ? accept (listener, nullptr, nullptr) : fd;
+      return fd >= 0;
+    });
+    wait_request (fd);
+    return fd;
+  }
+  void
+  call ()
+  {
+    static const struct hcli_ops ops = { on_head, on_body, on_done };
+    static const char request[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    ended = -1;
+    body.clear ();
+    EXPECT_NE (hcli_call (cli, address.c_str (), "peer", request,
+                          sizeof request - 1, 400, &ops, this),
+               0U);
+  }
+  void
+  wait_request (int fd)
+  {
+    char buffer[1000];
+    fcntl (fd, F_SETFL, O_NONBLOCK);
+    EXPECT_TRUE (run_until (
+        &loop, [&] { return read (fd, buffer, sizeof buffer) > 0; }));
+  }
+  int
+  end ()
+  {
+    run_until (&loop, [&] { return ended >= 0; });
+    return ended;
+  }
+  unsigned
+  connections ()
+  {
+    unsigned busy;
+    return hcli_connections (cli, "peer", &busy);
+  }
+};
+
+// Guards against an answer without a length that was reset and looks whole:
+// the loop reports an end for both when bytes come with the reset.
+TEST_F (Client, ResetIsNotAnEnd)
+{
+  int fd = call_new ();
+  put (fd, "HTTP/1.1 200 OK\r\n\r\nhalf");
+  reset (fd);
+  EXPECT_EQ (end (), HCLI_BROKEN);
+  fd = call_new ();
+  put (fd, "HTTP/1.1 200 OK\r\n\r\nwhole");
+  close (fd);
+  EXPECT_EQ (end (), HCLI_WHOLE);
+  EXPECT_EQ (body, "whole");
+}
+
+// Guards against answers that end early and look complete.
+TEST_F (Client, EarlyEnds)
+{
+  static const char *const cut[] = {
+    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhalf",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Le",
+    "",
+  };
+  for (const char *text : cut)
+    {
+      int fd = call_new ();
+      put (fd, text);
+      close (fd);
+      EXPECT_EQ (end (), HCLI_BROKEN) << text;
+    }
+}
+
+// Guards against bytes of one answer that reach the next request.
+TEST_F (Client, OddConnectionsAreNotKept)
+{
+  int fd = call_new ();
+  put (fd, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\n");
+  EXPECT_EQ (end (), HCLI_WHOLE);
+  EXPECT_EQ (connections (), 0U);
+  close (fd);
+  fd = call_new ();
+  put (fd, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+  EXPECT_EQ (end (), HCLI_WHOLE);
+  EXPECT_EQ (connections (), 1U);
+  put (fd, "late");
+  EXPECT_TRUE (run_until (&loop, [&] { return connections () == 0; }));
+  close (fd);
+}
+
+// Guards against the answer to another request that arrives first.
+TEST_F (Client, SkipsAForeignAnswer)
+{
+  int fd = call_new ();
+  skip = 1;
+  put (fd, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\n"
+           "Content-Length: 3\r\n\r\nnew");
+  EXPECT_EQ (end (), HCLI_WHOLE);
+  EXPECT_EQ (body, "new");
+  close (fd);
+}
+
+// Guards against a refused connection that counts as a sent request.
+TEST_F (Client, UnreachedIsNotSent)
+{
+  close (listener);
+  call ();
+  EXPECT_EQ (end (), HCLI_NOT_SENT);
+}
+
+// Guards against a kept connection that isn't used again, and one that is used
+// beyond the server's timeout.
+TEST_F (Client, KeepsConnections)
+{
+  int fd = call_new ();
+  put (fd, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\n"
+           "Content-Length: 0\r\n\r\n");
+  EXPECT_EQ (end (), HCLI_WHOLE);
+  call ();
+  wait_request (fd);
+  EXPECT_EQ (connections (), 1U);
+  put (fd, "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+           "Content-Length: 0\r\n\r\n");
+  EXPECT_EQ (end (), HCLI_WHOLE);
+  EXPECT_EQ (connections (), 0U);
+  close (fd);
+}
+
+}
--- /dev/null
+++ b/tests/unit_platform.cc
@@ -0,0 +1,222 @@
+// The adapter: what it decodes and what it sends.
+#include <gtest/gtest.h>
+#include <string>
+
+#include "gw_headers.hh"
+
+extern "C"
+{
+#include "pf.h"
+}
+
+namespace
+{
+
+struct hhead
+parse (std::string *text, enum http_parser_type type)
+{
+  http_parser parser;
+  struct hhead head;
+  http_parser_init (&parser, type);
+  EXPECT_EQ (hhead_parse (&parser, text->data (), text->size (), &head), 0);
+  return head;
+}
+
+const char *const request_text
+    = "POST /a/b?c HTTP/1.1\r\nHost: h.example\r\n"
+      "X-Goldcresthatch-Request-Id: 0123abcd\r\n"
+      "X-Goldcresthatch-Deadline-Ms: 2000\r\n"
+      "X-Goldcresthatch-Token-Count: 1460,80\r\n"
+      "X-Goldcresthatch-Prompt-Prefix: 5c:800,91:410,e4:250\r\n"
+      "X-Goldcresthatch-Kv-Source: 1.2.3.4:5/stolen\r\n"
+      "X-Goldcresthatch-Kv-Hold: 7\r\n"
+      "x-goldcresthatch-request-priority: 0\r\n"
+      "X-Goldcresthatch-Expect-Instance: other\r\n"
+      "Connection: keep-alive\r\nAccept: */*\r\n"
+      "Content-Length: 4\r\n\r\n";
+
+// Guards against a misread request.
+TEST (Platform, ReadsARequest)
+{
+  std::string text = request_text;
+  struct hhead head = parse (&text, HTTP_REQUEST);
+  struct adp_request request;
+  ASSERT_EQ (pf_adapter.request_read (&head, &request), 0);
+  EXPECT_STREQ (request.id, "0123abcd");
+  EXPECT_EQ (request.budget_ms, 2000);
+  EXPECT_TRUE (request.has_prompt);
+  EXPECT_EQ (request.prompt.tokens, 1460U);
+  EXPECT_EQ (request.prompt.output_tokens, 80U);
+  ASSERT_EQ (request.prompt.n_parts, 3U);
+  EXPECT_EQ (request.prompt.parts[1].id, 0x91U);
+  EXPECT_EQ (request.prompt.parts[2].tokens, 250U);
+}
+
+TEST (Platform, RefusesMalformedFields)
+{
+  for (const char *field :
+       { "Deadline-Ms: soon", "Token-Count: 12", "Token-Count: a,b" })
+    {
+      std::string text = "GET / HTTP/1.1\r\nHost: h\r\nX-Goldcresthatch-";
+      text += std::string (field) + "\r\n\r\n";
+      struct hhead head = parse (&text, HTTP_REQUEST);
+      struct adp_request request;
+      EXPECT_EQ (pf_adapter.request_read (&head, &request), -1) << field;
+    }
+}
+
+std::string
+sent (const struct adp_send &send)
+{
+  std::string text = request_text;
+  struct hhead head = parse (&text, HTTP_REQUEST);
+  GString *out = g_string_new (nullptr);
+  pf_adapter.request_write (out, &head, "body", 4, &send);
+  std::string result (out->str, out->len);
+  g_string_free (out, TRUE);
+  return result;
+}
+
+// Guards against fields that only the system may set, against a runner that
+// isn't named, and against a changed request.
+TEST (Platform, WritesARequest)
+{
+  EXPECT_EQ (sent ({ "i-1", 1500, ADP_WHOLE, "9.9.9.9:1/mine", 3, 0 }),
+             "POST /a/b?c HTTP/1.1\r\nHost: h.example\r\n"
+             "X-Goldcresthatch-Request-Id: 0123abcd\r\n"
+             "X-Goldcresthatch-Token-Count: 1460,80\r\n"
+             "X-Goldcresthatch-Prompt-Prefix: 5c:800,91:410,e4:250\r\n"
+             "Accept: */*\r\n"
+             "X-Goldcresthatch-Deadline-Ms: 1500\r\n"
+             "X-Goldcresthatch-Expect-Instance: i-1\r\n"
+             "X-Goldcresthatch-Kv-Source: 9.9.9.9:1/mine\r\n"
+             "X-Goldcresthatch-Request-Priority: 3\r\n"
+             "Content-Length: 4\r\n\r\nbody");
+}
+
+// Guards against a relayed request that names a runner or carries what the
+// client may not set.
+TEST (Platform, WritesARelay)
+{
+  std::string text = sent ({ nullptr, 1500, ADP_RELAY, nullptr, -1, 0 });
+  EXPECT_EQ (text.find ("Expect-Instance"), std::string::npos);
+  EXPECT_EQ (text.find ("Kv-"), std::string::npos);
+  EXPECT_EQ (text.find ("riority"), std::string::npos);
+}
+
+TEST (Platform, ReadsAnAnswer)
+{
+  std::string text = "HTTP/1.1 503 No\r\nX-Goldcresthatch-Not-Run: 1\r\n"
+                     "X-Goldcresthatch-Server-Load: 3,1,8\r\n"
+                     "Content-Length: 0\r\n\r\n";
+  struct hhead head = parse (&text, HTTP_RESPONSE);
+  struct adp_answer answer;
+  pf_adapter.answer_read (&head, &answer);
+  EXPECT_TRUE (answer.not_run);
+  EXPECT_FALSE (answer.stamped);
+  ASSERT_TRUE (answer.has_load);
+  EXPECT_EQ (answer.running, 3U);
+  EXPECT_EQ (answer.waiting, 1U);
+}
+
+int
+runner (const std::string &value, struct memb_entry *entry)
+{
+  return pf_adapter.runner_read ("i-1", value.data (), value.size (), entry,
+                                 nullptr);
+}
+
+// Guards against entries of other writers that would name a runner.
+TEST (Platform, ReadsRunners)
+{
+  struct memb_entry entry;
+  const std::string sound
+      = R"({"service":"s","address":"1.2.3.4:80","zone":"z","slots":4,)"
+        R"("state":"draining","stage":"prefill","born":17})";
+  ASSERT_EQ (runner (sound, &entry), 0);
+  EXPECT_TRUE (entry.draining);
+  EXPECT_EQ (entry.stage, MEMB_STAGE_PREFILL);
+  EXPECT_EQ (entry.born_ms, 17);
+  for (const char *value :
+       { "", "7", "[1]", "{", R"({"service":"s"})",
+         R"({"service":"s","address":7,"zone":"z","slots":4,"state":"ready"})",
+         R"({"service":"s","address":"a","zone":"z","slots":4,"state":"up"})",
+         R"({"service":"s","address":"a","zone":"z","state":"ready"})",
+         "\xff\xfe" })
+    EXPECT_EQ (runner (value, &entry), -1) << value;
+}
+
+// Guards against a configuration that is half read.
+TEST (Platform, ReadsAConfiguration)
+{
+  const std::string text
+      = R"({"version":7,"routes":[{"name":"r","host":"H.example",)"
+        R"("prefix":"/a/","kind":"streaming","timeout_ms":2000,"slo_ms":150,)"
+        R"("priority":1,"attempts":2,"resumable":true,"weighted_services":)"
+        R"([{"service":"s","weight":90},{"service":"t","weight":10}]}],)"
+        R"("services":[{"name":"s","max_conns":30,"engine":{"switch_s":3}}],)"
+        R"("limits":{"max_header_bytes":100}})";
+  struct err err;
+  struct rtab *table
+      = pf_adapter.config_read (text.data (), text.size (), &err);
+  ASSERT_NE (table, nullptr);
+  EXPECT_EQ (table->version, 7U);
+  EXPECT_EQ (table->header_bytes, 100U);
+  const struct rtab_route *route
+      = rtab_find (table, gw_test::span ("h.example"), gw_test::span ("/a/x"));
+  ASSERT_NE (route, nullptr);
+  EXPECT_EQ (route->kind, RTAB_STREAM);
+  EXPECT_TRUE (route->resumable);
+  EXPECT_EQ (route->target_ms, 150);
+  EXPECT_EQ (route->n_targets, 2U);
+  EXPECT_TRUE (rtab_service_find (table, "s")->is_engine);
+  rtab_unref (table);
+  for (const char *bad : { "", "{}", R"({"routes":[{}],"services":[]})" })
+    EXPECT_EQ (pf_adapter.config_read (bad, strlen (bad), &err), nullptr);
+}
+
+// Guards against an order that is carried out after a later one.
+TEST (Platform, WritesAnOrder)
+{
+  struct adp_order order = { MEMB_STAGE_PREFILL, "gw", 41, 3 };
+  GString *out = g_string_new (nullptr);
+  pf_adapter.order_write (out, "1.2.3.4:80", "i-1", &order);
+  std::string text (out->str, out->len);
+  EXPECT_NE (text.find ("Expect-Instance: i-1\r\n"), std::string::npos);
+  EXPECT_NE (text.find (R"({"op":"stage","stage":"prefill","holder":"gw",)"
+                        R"("fence":41,"expected":3})"),
+             std::string::npos);
+  g_string_free (out, TRUE);
+}
+
+// Guards against a crash on any bytes.
+TEST (Platform, AnyBytes)
+{
+  unsigned random = 7;
+  struct memb_entry entry;
+  struct adp_report report;
+  struct err err;
+  char handle[64];
+  for (int i = 0; i < 5000; i++)
+    {
+      std::string text
+          = R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/"}],)"
+            R"("services":[{"name":"s"}],"handle":"a","seq":1,"stage":"x"})";
+      for (int k = 0; k < 4; k++)
+        {
+          random = random * 1664525 + 1013904223;
+          text[(random >> 8) % text.size ()]
+              = static_cast<char> (random >> 16);
+        }
+      struct rtab *table
+          = pf_adapter.config_read (text.data (), text.size (), &err);
+      if (table != nullptr)
+        rtab_unref (table);
+      runner (text, &entry);
+      pf_adapter.report_read (text.data (), text.size (), &report);
+      pf_adapter.handle_read (text.data (), text.size (), handle,
+                              sizeof handle);
+    }
+}
+
+}
