--- a/src/gw_run.c
+++ b/src/gw_run.c
@@ -10,7 +10,7 @@
 enum
 {
   FLUSH_MS = 200,
-  TICK_MS = 250,
+  TICK_MS = 100, /* also the precision of connection timeouts */
   /* The balancer takes a process out after two checks a second apart.  */
   NOTICE_MS = 2600,
   EXIT_SPARE_MS = 700,  /* left of the grace time at the end */
--- a/src/gw_sync.c
+++ b/src/gw_sync.c
@@ -13,8 +13,11 @@
   POLL_MS = 3000,        /* between two listings of the gateways */
   POLL_FIRST_MS = 600,
   MOST_MS = 60000, /* several times the life of an entry */
-  RETRY_MS = 200,  /* first pause after a failed call */
-  RETRY_MAX_MS = 800,
+  /* Pauses after a failed call.  A silent service may be back at any moment,
+     and what it tells binds soon after; one that refuses is told by its
+     answers.  */
+  RETRY_SILENT_MS = 100,
+  RETRY_REFUSED_MS = 400,
   PRESENCE_TTL_MS = 10000,
   PRESENCE_RENEW_MS = 3000
 };
@@ -39,7 +42,6 @@
   char *after;            /* last key of the page before */
   int listed;
   int failing;
-  int64_t retry_ms;
 };
 
 struct gw_sync
@@ -219,12 +221,13 @@
 }
 
 static void
-feed_retry (struct feed *feed)
+feed_retry (struct feed *feed, enum stor_rc rc)
 {
   struct gw *gw = feed->gw;
-  int64_t pause_ms = feed->retry_ms + (int64_t)(gw_random (gw) % RETRY_MS);
+  int64_t least_ms = rc == STOR_REFUSED ? RETRY_REFUSED_MS : RETRY_SILENT_MS;
+  /* Spread, so that a fleet doesn't return at one moment.  */
+  int64_t pause_ms = least_ms + (int64_t)(gw_random (gw) % (uint64_t)least_ms);
 
-  feed->retry_ms = MIN (feed->retry_ms * 2, RETRY_MAX_MS);
   tmr_add (gw->tmr, pause_ms * 1000, 0, on_retry, feed);
 }
 
@@ -239,10 +242,9 @@
   if (reply->rc != STOR_OK)
     {
       g_clear_pointer (&feed->after, g_free);
-      feed_retry (feed);
+      feed_retry (feed, reply->rc);
       return;
     }
-  feed->retry_ms = RETRY_MS;
   if (feed->after == NULL)
     {
       feed->list_revision = reply->revision;
@@ -298,10 +300,9 @@
     }
   if (reply->rc != STOR_OK)
     {
-      feed_retry (feed);
+      feed_retry (feed, reply->rc);
       return;
     }
-  feed->retry_ms = RETRY_MS;
   for (i = 0; i < reply->n_items; i++)
     feed_item[feed->id](feed, &reply->items[i]);
   feed->revision = MAX (feed->revision, reply->revision);
@@ -340,9 +341,10 @@
   gw->counts.store_calls++;
   if (reply->rc == STOR_ABSENT)
     gw->sync->lease = 0;
-  tmr_add (gw->tmr,
-           gw_ms (reply->rc == STOR_ABSENT ? RETRY_MS : PRESENCE_RENEW_MS), 0,
-           on_presence_time, gw);
+  tmr_add (
+      gw->tmr,
+      gw_ms (reply->rc == STOR_ABSENT ? RETRY_REFUSED_MS : PRESENCE_RENEW_MS),
+      0, on_presence_time, gw);
 }
 
 static void
@@ -423,7 +425,6 @@
     {
       sync->feeds[i].gw = gw;
       sync->feeds[i].id = (enum feed_id)i;
-      sync->feeds[i].retry_ms = RETRY_MS;
       if (i != FEED_PROCESSES)
         feed_list (&sync->feeds[i]);
     }
--- /dev/null
+++ b/tests/unit_gw_sync.cc
@@ -0,0 +1,394 @@
+// Configuration and runners as the store tells them, with a store that is cut
+// off, refuses, loses its history or comes back.
+#include <algorithm>
+#include <functional>
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+#include "gw_headers.hh"
+
+extern "C"
+{
+#include "gw.h"
+#include "pf.h"
+}
+
+namespace
+{
+
+const int64_t ms = 1000;
+
+// What the platform lets pass: how long an unreachable store keeps a call.
+const int64_t silence_us = 300 * ms;
+
+struct item
+{
+  std::string key;
+  std::string value;
+  uint64_t revision;
+  bool deleted;
+};
+
+class Sync : public testing::Test
+{
+protected:
+  struct gw gw = {};
+  std::vector<item> log; // all changes, oldest first
+  uint64_t revision = 100;
+  uint64_t compacted = 0;
+  enum stor_rc fails = STOR_OK; // of every call
+  struct watch
+  {
+    Sync *self;
+    std::string prefix;
+    uint64_t after;
+    stor_done *done;
+    void *ctx;
+  };
+
+  void
+  SetUp () override
+  {
+    static const struct stor_ops ops
+        = { get, list, watch_, put, set, grant, renew, end };
+    uv_loop_init (&gw.loop);
+    gw.tmr = tmr_new_virtual (1000000);
+    gw.adp = &pf_adapter;
+    gw.stor = &ops;
+    gw.stor_ctx = this;
+    gw.cli = hcli_new (&gw.loop);
+    gw.memb = memb_new ();
+    gw.processes = 1;
+    gw.seed = 7;
+    g_strlcpy (gw.set.node, "gw", sizeof gw.set.node);
+    gw.set.settled_ms = 3000;
+    gw.set.lease_ms = 3000;
+    ASSERT_EQ (gw_share_open (&gw, nullptr), 0);
+    gw_relay_new (&gw);
+    gw_stage_new (&gw);
+  }
+
+  void
+  start ()
+  {
+    gw_sync_new (&gw);
+    pass (2000);
+  }
+  void
+  pass (int64_t span_ms)
+  {
+    int64_t end_us = tmr_now (gw.tmr) + span_ms * ms;
+    while (tmr_now (gw.tmr) < end_us)
+      {
+        tmr_advance (gw.tmr, std::min (end_us, tmr_now (gw.tmr) + 100 * ms));
+        memb_tick (gw.memb, tmr_now (gw.tmr));
+      }
+  }
+
+  void
+  change (const std::string &key, const std::string &value,
+          bool deleted = false)
+  {
+    log.push_back ({ key, value, ++revision, deleted });
+  }
+  void
+  runner (const std::string &id, const std::string &state)
+  {
+    change ("servers/" + id,
+            R"({"service":"s","address":"1.2.3.4:80","zone":"z","slots":4,)"
+            R"("born":1,"state":")"
+                + state + "\"}");
+  }
+  void
+  config (int version)
+  {
+    change ("op/config", R"({"version":)" + std::to_string (version)
+                             + R"(,"routes":[],"services":[]})");
+  }
+  bool
+  usable (const char *id)
+  {
+    struct memb_runner *r = memb_find (gw.memb, id);
+    return r != nullptr && memb_usable (r, tmr_now (gw.tmr));
+  }
+
+  // Answers after a moment, or fails after the time that this takes.
+  void
+  later (int64_t delay, std::function<void ()> fn)
+  {
+    auto *heap = new std::function<void ()> (std::move (fn));
+    tmr_add (
+        gw.tmr, delay, 0,
+        [] (void *ctx, int64_t) {
+          auto *f = static_cast<std::function<void ()> *> (ctx);
+          (*f) ();
+          delete f;
+        },
+        heap);
+  }
+  bool
+  failing (stor_done *done, void *ctx)
+  {
+    enum stor_rc rc = fails;
+    if (rc == STOR_OK)
+      return false;
+    later (rc == STOR_UNKNOWN ? silence_us : 4 * ms, [=] {
+      struct stor_reply reply = {};
+      reply.rc = rc;
+      done (ctx, &reply);
+    });
+    return true;
+  }
+  static void
+  reply_items (const std::vector<item> &items, uint64_t revision,
+               stor_done *done, void *ctx)
+  {
+    std::vector<struct stor_item> out;
+    for (const item &i : items)
+      out.push_back ({ i.key.c_str (), i.value.data (), i.value.size (),
+                       i.revision, i.revision, i.deleted });
+    struct stor_reply reply = {};
+    reply.items = out.data ();
+    reply.n_items = out.size ();
+    reply.revision = revision;
+    done (ctx, &reply);
+  }
+
+  static void
+  list (void *stor, const char *prefix, const char *, int, stor_done *done,
+        void *ctx)
+  {
+    auto *self = static_cast<Sync *> (stor);
+    if (self->failing (done, ctx))
+      return;
+    std::string p = prefix;
+    self->later (4 * ms, [=] {
+      std::vector<item> now;
+      for (const item &i : self->log)
+        if (i.key.compare (0, p.size (), p) == 0)
+          {
+            for (size_t k = 0; k < now.size (); k++)
+              if (now[k].key == i.key)
+                now.erase (now.begin () + static_cast<long> (k));
+            if (!i.deleted)
+              now.push_back (i);
+          }
+      reply_items (now, self->revision, done, ctx);
+    });
+  }
+  // Looks for changes every few milliseconds, like a service that waits.
+  static void
+  look (const watch &w, int64_t until)
+  {
+    Sync *self = w.self;
+    std::vector<item> events;
+    if (self->fails != STOR_OK)
+      {
+        self->failing (w.done, w.ctx);
+        return;
+      }
+    if (w.after < self->compacted)
+      {
+        struct stor_reply reply = {};
+        reply.rc = STOR_COMPACTED;
+        w.done (w.ctx, &reply);
+        return;
+      }
+    for (const item &i : self->log)
+      if (i.revision > w.after
+          && i.key.compare (0, w.prefix.size (), w.prefix) == 0)
+        events.push_back (i);
+    if (!events.empty () || tmr_now (self->gw.tmr) >= until)
+      reply_items (events, self->revision, w.done, w.ctx);
+    else
+      self->later (4 * ms, [=] { look (w, until); });
+  }
+  static void
+  watch_ (void *stor, const char *prefix, uint64_t after, int wait_ms,
+          stor_done *done, void *ctx)
+  {
+    auto *self = static_cast<Sync *> (stor);
+    if (self->failing (done, ctx))
+      return;
+    int64_t until = tmr_now (self->gw.tmr) + wait_ms * ms;
+    watch w = { self, prefix, after, done, ctx };
+    self->later (4 * ms, [=] { look (w, until); });
+  }
+  static void
+  get (void *stor, const char *, stor_done *done, void *ctx)
+  {
+    absent (stor, done, ctx);
+  }
+  static void
+  put (void *stor, const char *, uint64_t, const char *, size_t, uint64_t,
+       stor_done *done, void *ctx)
+  {
+    absent (stor, done, ctx);
+  }
+  static void
+  set (void *stor, const char *key, const char *value, size_t size, uint64_t,
+       stor_done *done, void *ctx)
+  {
+    static_cast<Sync *> (stor)->change (key, std::string (value, size));
+    granted (stor, done, ctx);
+  }
+  static void
+  grant (void *stor, int64_t, stor_done *done, void *ctx)
+  {
+    granted (stor, done, ctx);
+  }
+  static void
+  renew (void *stor, uint64_t, stor_done *done, void *ctx)
+  {
+    granted (stor, done, ctx);
+  }
+  static void
+  end (void *stor, uint64_t, stor_done *done, void *ctx)
+  {
+    granted (stor, done, ctx);
+  }
+  static void
+  absent (void *stor, stor_done *done, void *ctx)
+  {
+    auto *self = static_cast<Sync *> (stor);
+    if (!self->failing (done, ctx))
+      self->later (4 * ms, [=] {
+        struct stor_reply reply = {};
+        reply.rc = STOR_ABSENT;
+        done (ctx, &reply);
+      });
+  }
+  static void
+  granted (void *stor, stor_done *done, void *ctx)
+  {
+    auto *self = static_cast<Sync *> (stor);
+    if (!self->failing (done, ctx))
+      self->later (4 * ms, [=] {
+        struct stor_reply reply = {};
+        reply.lease = 9;
+        done (ctx, &reply);
+      });
+  }
+};
+
+// Guards against readiness without a configuration or a view of the runners.
+TEST_F (Sync, ReadyWithBoth)
+{
+  gw_sync_new (&gw);
+  pass (1000);
+  EXPECT_FALSE (gw_is_ready (&gw));
+  config (3);
+  pass (1000);
+  EXPECT_TRUE (gw_is_ready (&gw));
+  EXPECT_EQ (gw.table->version, 3U);
+  gw.stopping = 1;
+  EXPECT_FALSE (gw_is_ready (&gw));
+}
+
+// Guards against a change that takes longer to be in force than the platform
+// allows, and against one that is taken back by an older word.
+TEST_F (Sync, ChangesComeInTime)
+{
+  config (3);
+  runner ("a", "ready");
+  start ();
+  EXPECT_TRUE (usable ("a"));
+  for (int version = 5; version < 60; version += 3)
+    {
+      config (version);
+      runner ("a", version % 2 ? "draining" : "ready");
+      pass (350);
+      EXPECT_EQ (gw.table->version, static_cast<uint64_t> (version));
+      EXPECT_FALSE (usable ("a")) << "leaving holds for the lifetime";
+    }
+}
+
+// Guards against changes that are lost with the history.
+TEST_F (Sync, LostHistoryIsListedAgain)
+{
+  config (3);
+  runner ("a", "ready");
+  runner ("b", "ready");
+  start ();
+  fails = STOR_UNKNOWN;
+  pass (3000);
+  config (9);
+  runner ("a", "draining");
+  change ("servers/b", "", true);
+  compacted = revision;
+  log.erase (log.begin (), log.begin () + 2);
+  fails = STOR_OK;
+  pass (3000);
+  EXPECT_EQ (gw.table->version, 9U);
+  EXPECT_FALSE (usable ("a"));
+  EXPECT_FALSE (usable ("b"));
+}
+
+// Guards against a runner that is used on although it went while this gateway
+// alone was cut off: a machine counts as settled after stable_ms.  Seen as a
+// request 3.37 s after the runner's end.
+TEST_F (Sync, RemovalsDuringACutHoldOnceSettled)
+{
+  for (enum stor_rc rc : { STOR_UNKNOWN, STOR_REFUSED })
+    for (int64_t heal_ms = 4000; heal_ms < 5000; heal_ms += 37)
+      {
+        std::string id
+            = "r" + std::to_string (rc) + "-" + std::to_string (heal_ms);
+        if (gw.sync == nullptr)
+          {
+            config (3);
+            start ();
+          }
+        runner (id, "ready");
+        pass (3000);
+        ASSERT_TRUE (usable (id.c_str ()));
+        fails = rc;
+        pass (heal_ms / 2);
+        change ("servers/" + id, "", true);
+        pass (heal_ms / 2);
+        fails = STOR_OK;
+        pass (3000);
+        EXPECT_FALSE (usable (id.c_str ())) << id;
+        pass (1000);
+      }
+}
+
+// Guards against a fleet that is given up because its entries lapsed while the
+// store was away.
+TEST_F (Sync, LapsedEntriesComeBack)
+{
+  config (3);
+  runner ("a", "ready");
+  start ();
+  fails = STOR_REFUSED;
+  pass (6000);
+  change ("servers/a", "", true);
+  fails = STOR_OK;
+  for (int i = 0; i < 17; i++)
+    {
+      pass (100);
+      EXPECT_TRUE (usable ("a")) << i;
+    }
+  runner ("a", "ready");
+  pass (5000);
+  EXPECT_TRUE (usable ("a"));
+}
+
+// Guards against an entry of another writer that stops the feed.
+TEST_F (Sync, MalformedEntriesAreSkipped)
+{
+  config (3);
+  change ("servers/x", "\xff");
+  change ("servers/y", "[]");
+  runner ("a", "ready");
+  start ();
+  EXPECT_TRUE (usable ("a"));
+  EXPECT_EQ (memb_count (gw.memb), 1U);
+  change ("op/config", "{");
+  config (4);
+  pass (500);
+  EXPECT_EQ (gw.table->version, 4U);
+}
+
+}
