--- a/src/ctl.h
+++ b/src/ctl.h
@@ -81,6 +81,9 @@
 /* ctl_keys.c */
 int ctl_keys (struct ctl *ctl);
 
+/* ctl_explain.c */
+int ctl_explain (struct ctl *ctl);
+
 /* ctl_pages.c */
 int ctl_warnings (struct ctl *ctl);
 int ctl_trace (struct ctl *ctl);
--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -125,6 +125,23 @@
   return 0;
 }
 
+/* Refuses a request whose best CHOICE is beyond LIMIT microseconds.  */
+static void
+refuse_late (struct gw_call *call, const struct plc_choice *choice,
+             double limit)
+{
+  const struct memb_runner *runner = choice->runner;
+  int64_t now = gw_now (call->gw);
+
+  jlog ("predicted", call->in.id,
+        "\"runner\":\"%s\",\"load\":%.1f,\"load_age_ms\":%" G_GINT64_FORMAT
+        ",\"unread\":%u,\"wait_ms\":%.0f,\"first_ms\":%.0f,\"limit_ms\":%.0f",
+        runner->entry.id, memb_load (runner, now),
+        memb_load_age (runner, now) / 1000, choice->unread,
+        choice->wait_us / 1000, choice->first_us / 1000, limit / 1000);
+  gw_call_refuse (call, (int64_t)(choice->first_us - limit) / 1000, "late");
+}
+
 static void
 place_generation (struct gw_call *call, struct plc_where *where)
 {
@@ -167,8 +184,8 @@
   if (choice.runner == NULL)
     gw_call_refuse (call, NO_RUNNER_MS, "no runner");
   else if (call->memory[0] == '\0' && call->outc.sends == 0
-           && choice.first_us > limit)
-    gw_call_refuse (call, (int64_t)(choice.first_us - limit) / 1000, "late");
+           && plc_is_late (&choice, limit))
+    refuse_late (call, &choice, limit);
   else if (gw_send (call, &choice, phase) != 0)
     gw_call_refuse (call, NO_RUNNER_MS, "no connection");
 }
@@ -199,7 +216,7 @@
     gw_call_refuse (call, NO_RUNNER_MS, "no runner");
   else if (call->outc.sends == 0
            && choice.first_us > (double)(call->deadline - gw_now (gw)))
-    gw_call_refuse (call, (int64_t)choice.wait_us / 1000, "late");
+    refuse_late (call, &choice, (double)(call->deadline - gw_now (gw)));
   else if (gw_send (call, &choice, ADP_WHOLE) != 0)
     gw_call_refuse (call, NO_RUNNER_MS, "no connection");
 }
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -509,7 +509,7 @@
         "%" G_GINT64_FORMAT ",\"unread\":%u,\"wait_ms\":%.0f,\"first_ms\":%.0f"
         ",\"left_ms\":%" G_GINT64_FORMAT,
         runner->entry.id, phase_names[phase], memb_load (runner, now),
-        (now - runner->told_us) / 1000, choice->unread, choice->wait_us / 1000,
-        choice->first_us / 1000, send.budget_ms);
+        memb_load_age (runner, now) / 1000, choice->unread,
+        choice->wait_us / 1000, choice->first_us / 1000, send.budget_ms);
   return 0;
 }
--- a/src/memb.c
+++ b/src/memb.c
@@ -233,6 +233,12 @@
   return (double)runner->calls + others * exp2 (-age / told_half_life_us);
 }
 
+int64_t
+memb_load_age (const struct memb_runner *runner, int64_t now)
+{
+  return now - MAX (runner->told_us, runner->others_us);
+}
+
 void
 memb_told (struct memb_runner *runner, unsigned running, unsigned waiting,
            int64_t now)
--- a/src/memb.h
+++ b/src/memb.h
@@ -110,6 +110,9 @@
 /* Returns the estimated number of requests at RUNNER from all callers.  */
 double memb_load (const struct memb_runner *runner, int64_t now);
 
+/* Returns the age of what memb_load rests on beside our own requests.  */
+int64_t memb_load_age (const struct memb_runner *runner, int64_t now);
+
 void memb_told (struct memb_runner *runner, unsigned running, unsigned waiting,
                 int64_t now);
 enum memb_failure
--- a/src/plc.c
+++ b/src/plc.c
@@ -289,3 +289,11 @@
     }
   return best;
 }
+
+int
+plc_is_late (const struct plc_choice *choice, double limit)
+{
+  double own = choice->first_us - choice->wait_us;
+
+  return choice->wait_us + MIN (own, limit / 2) > limit;
+}
--- a/src/plc.h
+++ b/src/plc.h
@@ -74,6 +74,11 @@
   uint32_t unread;
 };
 
+/* Returns nonzero when a request placed by CHOICE would start later than LIMIT
+   microseconds from now.  A long prompt takes most of a limit by itself: it is
+   late by its wait, or it would never be served.  */
+int plc_is_late (const struct plc_choice *choice, double limit);
+
 struct plc_where
 {
   const char *service;
--- a/tests/unit_plc.cc
+++ b/tests/unit_plc.cc
@@ -189,6 +189,24 @@
   EXPECT_NE (plc_call (memb, &where, 0, 0).runner, sound);
 }
 
+// The largest prompts: guards against refusing what is late by its own size
+// alone, and against taking it into a queue.
+TEST_F (Plc, LongPromptsAreLateByTheirWait)
+{
+  const double limit = 120 * ms;
+  struct plc_choice choice = {};
+  choice.first_us = 200 * ms;
+  EXPECT_FALSE (plc_is_late (&choice, limit));
+  choice.wait_us = 61 * ms;
+  choice.first_us = 261 * ms;
+  EXPECT_TRUE (plc_is_late (&choice, limit));
+  choice.wait_us = 100 * ms;
+  choice.first_us = 110 * ms;
+  EXPECT_FALSE (plc_is_late (&choice, limit));
+  choice.first_us = 125 * ms;
+  EXPECT_TRUE (plc_is_late (&choice, limit));
+}
+
 // Guards against a choice that was excluded, and against one made of nothing.
 TEST_F (Plc, ExcludedAndNone)
 {
