--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -5,7 +5,11 @@
 
 enum
 {
-  CONNECT_MS = 400,       /* many times the delay between two zones */
+  CONNECT_MS = 400, /* many times the delay between two zones */
+  /* Rest of a kept connection before it is used again.  Runners were seen to
+     forget connections after 300 ms; what may run once only is then lost.  */
+  REST_ONCE_MS = 200,
+  REST_REPEATABLE_MS = 10000,
   BUFFER_MAX = 256 * 1024 /* of an answer that isn't streamed */
 };
 
@@ -77,7 +81,7 @@
   out = g_string_new (NULL);
   call->gw->adp->handle_free_write (out, call->memory, slash + 1);
   hcli_call (call->gw->cli, call->memory, call->memory, out->str, out->len,
-             CONNECT_MS, &ops, NULL);
+             CONNECT_MS, REST_REPEATABLE_MS, &ops, NULL);
   g_string_free (out, TRUE);
   call->memory[0] = '\0';
 }
@@ -478,7 +482,11 @@
     send.memory = call->memory;
   gw->adp->request_write (out, call->head, call->body, call->size, &send);
   call->call = hcli_call (gw->cli, runner->entry.address, runner->peer,
-                          out->str, out->len, CONNECT_MS, &ops, call);
+                          out->str, out->len, CONNECT_MS,
+                          gw_call_idempotent (call) || phase == ADP_PROMPT_ONLY
+                              ? REST_REPEATABLE_MS
+                              : REST_ONCE_MS,
+                          &ops, call);
   g_string_free (out, TRUE);
   if (call->call == 0)
     return -1;
--- a/src/gw_stage.c
+++ b/src/gw_stage.c
@@ -245,7 +245,7 @@
   stage->sent = gw_now (gw);
   stage->call
       = hcli_call (gw->cli, stage->runner->entry.address, stage->runner->peer,
-                   request->str, request->len, CONNECT_MS, &ops, gw);
+                   request->str, request->len, CONNECT_MS, 0, &ops, gw);
   return stage->call != 0 ? 0 : -1;
 }
 
--- a/src/hcli.c
+++ b/src/hcli.c
@@ -42,6 +42,7 @@
   struct hcli_ops ops;
   void *ctx;
   uint64_t connect_by_ms;
+  uint64_t idle_since_ms;
   uint64_t idle_until_ms;
   int64_t keep_ms;
 };
@@ -125,6 +126,7 @@
       tab_remove (c->cli->calls, c->call);
       c->call = 0;
       c->peer->busy--;
+      c->idle_since_ms = uv_now (c->cli->loop);
       c->idle_until_ms = uv_now (c->cli->loop) + (uint64_t)c->keep_ms;
       g_string_free (c->in, TRUE);
       c->in = NULL;
@@ -412,12 +414,18 @@
 uint64_t
 hcli_call (struct hcli *cli, const char *address, const char *peer_name,
            const char *request, size_t size, int64_t connect_ms,
-           const struct hcli_ops *ops, void *ctx)
+           int64_t rest_ms, const struct hcli_ops *ops, void *ctx)
 {
   struct peer *peer = peer_get (cli, peer_name);
-  struct conn *c = g_queue_pop_head (&peer->idle);
+  struct conn *c = g_queue_peek_head (&peer->idle);
   uint64_t call;
 
+  /* The head of the queue has rested the least.  */
+  if (c != NULL && uv_now (cli->loop) - c->idle_since_ms > (uint64_t)rest_ms)
+    c = NULL;
+  if (c != NULL)
+    g_queue_pop_head (&peer->idle);
+
   if (c == NULL)
     c = conn_open (cli, peer, address, connect_ms);
   if (c == NULL)
--- a/src/hcli.h
+++ b/src/hcli.h
@@ -41,12 +41,14 @@
 struct hcli *hcli_new (uv_loop_t *loop);
 
 /* Sends the SIZE bytes of REQUEST to ADDRESS, "IP:PORT".  PEER names the
-   lifetime of the process expected there; connections are kept for each.
+   lifetime of the process expected there; connections are kept for each.  One
+   that has rested for longer than REST_MS is not used: its peer may have
+   dropped it without a word, and the request would be lost.
    Returns the call's handle, which is 0 when nothing was sent and DONE will
    not be called.  */
 uint64_t hcli_call (struct hcli *cli, const char *address, const char *peer,
                     const char *request, size_t size, int64_t connect_ms,
-                    const struct hcli_ops *ops, void *ctx);
+                    int64_t rest_ms, const struct hcli_ops *ops, void *ctx);
 
 /* Ends a call without DONE and closes its connection.  */
 void hcli_cancel (struct hcli *cli, uint64_t call);
--- a/tests/unit_http_io.cc
+++ b/tests/unit_http_io.cc
@@ -221,6 +221,7 @@
   int heads = 0;
   int skip = 0;
   int ended = -1;
+  int64_t rest_ms = 10000;
 
   static enum hcli_take
   on_head (void *ctx, const struct hhead *)
@@ -275,7 +276,7 @@
     ended = -1;
     body.clear ();
     EXPECT_NE (hcli_call (cli, address.c_str (), "peer", request,
-                          sizeof request - 1, 400, &ops, this),
+                          sizeof request - 1, 400, rest_ms, &ops, this),
                0U);
   }
   void
@@ -370,6 +371,24 @@
   EXPECT_EQ (end (), HCLI_NOT_SENT);
 }
 
+// Guards against a request that may run only once on a connection that its
+// peer has forgotten meanwhile.
+TEST_F (Client, RestedConnectionIsNotUsedForOnce)
+{
+  int fd = call_new ();
+  put (fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_EQ (end (), HCLI_WHOLE);
+  usleep (30000);
+  uv_update_time (&loop);
+  rest_ms = 10;
+  int other = call_new ();
+  put (other, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_EQ (end (), HCLI_WHOLE);
+  EXPECT_EQ (connections (), 2U);
+  close (fd);
+  close (other);
+}
+
 // Guards against a kept connection that isn't used again, and one that is used
 // beyond the server's timeout.
 TEST_F (Client, KeepsConnections)
