Bring engines back to a stage that has none

Causes: a holder that lost touch gave up a lease that the store had kept; a lease of 10 s and a wait after it; prompts went on being read for no decode engine, then refused by prefill engines, whose refusals kept them from being ordered. Now a renewal that is accepted gives the token back, the lease is 4 s, nothing is read that can't go on, and refusing engines are ordered too. The check of auth that expiry leads to AUTH_LOST is replaced: expiry leads to no token, and a new test holds what a renewal after it may do.

--- a/include/goldcresthatch/auth.h
+++ b/include/goldcresthatch/auth.h
@@ -112,8 +112,23 @@
   struct auth_record record;
 };
 
+/* Times that a deployment may set, in microseconds.  */
+struct auth_times
+{
+  int64_t lease_us;
+  int64_t renew_us;
+  int64_t retry_us;  /* after a failed call of the service */
+  int64_t poll_us;   /* least time between a follower's reads */
+  int64_t margin_us; /* before the end of the lease, without orders */
+  int64_t wait_us;   /* from the acquisition to the first order */
+};
+
+/* AUTH_LEASE_US and so on.  */
+extern const struct auth_times auth_times_default;
+
 struct auth
 {
+  struct auth_times times;
   enum auth_state state;
   char holder[MSG_NAME_MAX + 1];
   uint64_t incarnation;
@@ -136,6 +151,9 @@
    the shard's zone.  */
 void auth_init (struct auth *auth, const char *holder, uint64_t incarnation);
 
+/* Sets times other than the default ones; to be called before any event.  */
+void auth_times_set (struct auth *auth, const struct auth_times *times);
+
 /* Returns the place of the entry SELF among the COUNT addresses PEERS in the
    order for the shard ZONE, or COUNT when it isn't listed.  */
 size_t auth_place (const char *zone, const char *self,
--- a/src/auth.c
+++ b/src/auth.c
@@ -5,13 +5,29 @@
 #include <stdio.h>
 #include <string.h>
 
+const struct auth_times auth_times_default = {
+  .lease_us = AUTH_LEASE_US,
+  .renew_us = AUTH_RENEW_US,
+  .retry_us = AUTH_RETRY_US,
+  .poll_us = AUTH_POLL_US,
+  .margin_us = AUTH_MARGIN_US,
+  .wait_us = AUTH_WAIT_US,
+};
+
+void
+auth_times_set (struct auth *auth, const struct auth_times *times)
+{
+  auth->times = *times;
+  auth->poll_us = times->poll_us;
+}
+
 void
 auth_init (struct auth *auth, const char *holder, uint64_t incarnation)
 {
   memset (auth, 0, sizeof *auth);
   snprintf (auth->holder, sizeof auth->holder, "%s", holder);
   auth->incarnation = incarnation;
-  auth->poll_us = AUTH_POLL_US;
+  auth_times_set (auth, &auth_times_default);
 }
 
 uint64_t
@@ -19,7 +35,7 @@
 {
   if (auth->state != AUTH_HOLDER)
     return 0;
-  return auth->certain_us - now_us >= AUTH_MARGIN_US ? auth->token : 0;
+  return auth->certain_us - now_us >= auth->times.margin_us ? auth->token : 0;
 }
 
 static void
@@ -59,7 +75,7 @@
 {
   auth->state = AUTH_WAITING;
   auth->token = revision;
-  auth->orders_us = now_us + AUTH_WAIT_US;
+  auth->orders_us = now_us + auth->times.wait_us;
   auth->next_us = now_us;
 }
 
@@ -100,11 +116,11 @@
 {
   if (ev->rc < 0)
     {
-      follow (auth, ev->now_us + AUTH_RETRY_US);
+      follow (auth, ev->now_us + auth->times.retry_us);
       return;
     }
   auth->lease = ev->lease;
-  auth->certain_us = auth->sent_us + AUTH_LEASE_US;
+  auth->certain_us = auth->sent_us + auth->times.lease_us;
   auth->write_id = ev->draw;
   begin (auth, AUTH_DO_CAS, ev->now_us, act);
   snprintf (act->record.holder, sizeof act->record.holder, "%s", auth->holder);
@@ -124,9 +140,9 @@
       && msg_id_equal (ev->record->write_id, auth->write_id))
     acquire (auth, ev->revision, ev->now_us);
   else if (ev->rc == 1)
-    follow (auth, ev->now_us + AUTH_POLL_US);
+    follow (auth, ev->now_us + auth->times.poll_us);
   else
-    auth->next_us = ev->now_us + AUTH_RETRY_US;
+    auth->next_us = ev->now_us + auth->times.retry_us;
 }
 
 static void
@@ -167,11 +183,11 @@
   if (ev->rc == 0)
     lose (auth, act);
   else if (ev->rc < 0)
-    auth->next_us = ev->now_us + AUTH_RETRY_US;
+    auth->next_us = ev->now_us + auth->times.retry_us;
   else
     {
-      auth->certain_us = auth->sent_us + AUTH_LEASE_US;
-      auth->next_us = auth->sent_us + AUTH_RENEW_US;
+      auth->certain_us = auth->sent_us + auth->times.lease_us;
+      auth->next_us = auth->sent_us + auth->times.renew_us;
       /* A key that was removed would leave two entries that plan for the
          shard, as the lease lives on without it.  */
       begin (auth, AUTH_DO_READ, ev->now_us, act);
@@ -192,10 +208,16 @@
     return;
   if (ev->now_us >= auth->certain_us)
     {
-      lose (auth, act);
-      return;
+      /* The lease may have ended, or the service is away and keeps it.  A
+         renewal tells: a lease that can be renewed has never ended, so no one
+         else held the key meanwhile.  */
+      if (auth->state == AUTH_HOLDER)
+        act->kind = AUTH_DO_STOP;
+      auth->state = AUTH_WAITING;
+      if (act->kind == AUTH_DO_STOP)
+        return;
     }
-  if (auth->state == AUTH_WAITING && ev->now_us >= auth->orders_us)
+  else if (auth->state == AUTH_WAITING && ev->now_us >= auth->orders_us)
     auth->state = AUTH_HOLDER;
   if (!auth->pending && ev->now_us >= auth->next_us)
     begin (auth, AUTH_DO_RENEW, ev->now_us, act);
@@ -207,7 +229,7 @@
 {
   (void)act;
   if (ev->kind == AUTH_EV_TIME)
-    follow (auth, ev->now_us + AUTH_POLL_US);
+    follow (auth, ev->now_us + auth->times.poll_us);
 }
 
 void
--- a/src/auth_stand.c
+++ b/src/auth_stand.c
@@ -36,8 +36,8 @@
 {
   int64_t home_us = (int64_t)count * AUTH_POLL_PEER_US;
 
-  if (home_us < AUTH_POLL_US)
-    home_us = AUTH_POLL_US;
+  if (home_us < auth->times.poll_us)
+    home_us = auth->times.poll_us;
   if (home)
     {
       auth->poll_us = home_us;
@@ -48,5 +48,5 @@
   if (count > 0 && place >= count)
     auth->poll_us = AUTH_POLL_LAST_US;
   /* Longer than any poll in the zone with its spread of a third.  */
-  auth->wait_us = home_us + home_us / 3 + AUTH_RETRY_US;
+  auth->wait_us = home_us + home_us / 3 + auth->times.retry_us;
 }
--- a/src/gw.h
+++ b/src/gw.h
@@ -129,6 +129,8 @@
 
 /* gw_stage.c: authority and the stages of the engines */
 struct gw_stage *gw_stage_new (struct gw *gw);
+/* Gives up the authority; no order is given any more.  */
+void gw_stage_resign (struct gw *gw);
 /* Tells the place of this gateway among COUNT, by name: the first ones stand
    by to take over the authority, the others look rarely.  */
 void gw_stage_place (struct gw *gw, size_t place, size_t count);
--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -107,9 +107,10 @@
   gw_call_give_up (ctx, 1, "deadline");
 }
 
-/* Returns nonzero when engines of the service read prompts apart.  */
+/* Returns nonzero when the service has a runner of STAGE, or with ANY one of
+   either stage; USABLE asks for one that takes work now.  */
 static int
-has_stage (const struct gw_call *call, enum memb_stage stage)
+has_stage (const struct gw_call *call, enum memb_stage stage, int usable)
 {
   const struct memb *memb = call->gw->memb;
   int64_t now = gw_now (call->gw);
@@ -118,7 +119,9 @@
   for (i = 0; i < memb_count (memb); i++)
     {
       const struct memb_runner *runner = memb_at (memb, i);
-      if (runner->entry.stage == stage && memb_usable (runner, now)
+      enum memb_stage at = runner->entry.stage;
+      if ((stage == MEMB_STAGE_ANY ? at != MEMB_STAGE_ANY : at == stage)
+          && runner->present && (!usable || memb_usable (runner, now))
           && strcmp (runner->entry.service, call->service_name) == 0)
         return 1;
     }
@@ -155,7 +158,7 @@
   struct plc_choice choice;
   enum adp_phase phase = ADP_WHOLE;
 
-  where->stage = has_stage (call, MEMB_STAGE_DECODE) ? MEMB_STAGE_DECODE
+  where->stage = has_stage (call, MEMB_STAGE_ANY, 0) ? MEMB_STAGE_DECODE
                                                      : MEMB_STAGE_ANY;
   if (call->memory[0] != '\0')
     {
@@ -164,7 +167,7 @@
     }
   else if (prompt->tokens >= (uint32_t)gw->set.direct_tokens
            && where->stage == MEMB_STAGE_DECODE && call->last_event == 0
-           && has_stage (call, MEMB_STAGE_PREFILL)
+           && has_stage (call, MEMB_STAGE_PREFILL, 1)
            && (!call->prompt_read || gw_send_budget (call)))
     {
       struct plc_choice decode
@@ -172,6 +175,9 @@
       where->stage = MEMB_STAGE_PREFILL;
       choice = plc_prefill (gw->plc, gw->memb, where, prompt, now);
       choice.first_us += decode.first_us;
+      /* A prompt that no engine can go on with is read in vain.  */
+      if (decode.runner == NULL)
+        choice.runner = NULL;
       if (call->outc.sends == 0 && call->n_excluded == 0)
         gw_stage_demand (gw, choice.unread);
       phase = ADP_PROMPT_ONLY;
--- a/src/gw_run.c
+++ b/src/gw_run.c
@@ -168,6 +168,7 @@
     return;
   gw->stopping = 1;
   gw_sync_withdraw (gw);
+  gw_stage_resign (gw);
   jlog ("stopping", NULL, "\"active\":%zu", gw->active);
   for (i = 0; i < GW_DOOR_MAX; i++)
     if (gw->doors[i].srv != NULL)
--- a/src/gw_stage.c
+++ b/src/gw_stage.c
@@ -20,7 +20,7 @@
 struct gw_stage
 {
   struct auth auth;
-  int64_t token_since; /* 0 without a token */
+  int placed; /* among the gateways that are registered */
   uint64_t token;
   int64_t confirmed; /* start of the last read that showed our token */
   int confirming;
@@ -121,7 +121,8 @@
       return;
     case AUTH_DO_GRANT:
       op->kind = AUTH_EV_GRANTED;
-      gw->stor->grant (gw->stor_ctx, AUTH_LEASE_US / 1000, on_auth_done, op);
+      gw->stor->grant (gw->stor_ctx, gw->stage->auth.times.lease_us / 1000,
+                       on_auth_done, op);
       return;
     case AUTH_DO_CAS:
       op->kind = AUTH_EV_CAS;
@@ -154,7 +155,6 @@
             "\"token\":%" G_GUINT64_FORMAT ",\"before\":%" G_GUINT64_FORMAT,
             token, stage->token);
       stage->token = token;
-      stage->token_since = gw_now (gw);
       stage->confirmed = 0;
     }
   auth_do (gw, &action);
@@ -313,22 +313,17 @@
       view.engines++;
       view.slots += (one->entry.slots - view.slots) / view.engines;
       view.prefill += at == MEMB_STAGE_PREFILL;
+      if (!memb_changing (one) && memb_usable (one, now))
+        *(one->entry.stage == MEMB_STAGE_PREFILL ? &view.prefill_now
+                                                 : &view.decode_now)
+            += 1;
       if (one->entry.stage == MEMB_STAGE_DECODE)
         view.generating += memb_load (one, now) / MAX (one->entry.slots, 1u);
     }
   stgp_see (&stage->plan, &view, now);
   if (!may_order || !stgp_next (&stage->plan, &view, now, to))
     return 0;
-  *runner = NULL;
-  for (i = 0; i < memb_count (gw->memb); i++)
-    {
-      struct memb_runner *one = memb_at (gw->memb, i);
-      if (one->entry.stage == MEMB_STAGE_ANY || one->entry.stage == *to
-          || !memb_usable (one, now) || memb_changing (one))
-        continue;
-      if (*runner == NULL || one->calls < (*runner)->calls)
-        *runner = one;
-    }
+  *runner = stgp_pick (gw->memb, *to);
   return *runner != NULL;
 }
 
@@ -354,9 +349,7 @@
       order_over (gw);
     }
   may_order = stage->token != 0 && !gw->stopping
-              && auth_token (&stage->auth, now) == stage->token
-              && now - stage->token_since
-                     >= (int64_t)((gw->set.lease_ms + QUIET_MS) * 1000);
+              && auth_token (&stage->auth, now) == stage->token;
   if (!next_change (gw, may_order, &runner, &to))
     return;
   if (now - stage->confirmed > gw_ms (CONFIRM_MS) / 2)
@@ -382,7 +375,7 @@
   stage->reading += (stage->asked_us / (gw_ms (STEP_MS)) - stage->reading)
                     * STEP_MS / ASKED_MS;
   stage->asked_us = 0;
-  if (!gw->stopping)
+  if (!gw->stopping && stage->placed)
     auth_step (gw, &event);
   step (gw);
 }
@@ -395,7 +388,9 @@
     NEAR = 3 /* gateways that are quick to take over */
   };
 
-  auth_stand_set (&gw->stage->auth, place < NEAR, place, count);
+  (void)count;
+  gw->stage->placed = 1;
+  auth_stand_set (&gw->stage->auth, place < NEAR, place, NEAR);
 }
 
 void
@@ -411,13 +406,40 @@
   return gw->stage->reading;
 }
 
+static void
+on_resigned (void *ctx, const struct stor_reply *reply)
+{
+  struct gw *gw = ctx;
+
+  gw->counts.store_calls++;
+  jlog ("resigned", NULL, "\"outcome\":%d", reply->rc);
+}
+
+void
+gw_stage_resign (struct gw *gw)
+{
+  uint64_t lease = gw->stage->auth.lease;
+
+  if (lease != 0)
+    gw->stor->end (gw->stor_ctx, lease, on_resigned, gw);
+}
+
 struct gw_stage *
 gw_stage_new (struct gw *gw)
 {
+  /* An order leaves the holder right after a read of the key, so it needs
+     little of the lease; a short lease lets another one follow soon.  */
+  struct auth_times times = { .lease_us = gw_ms (4000),
+                              .renew_us = gw_ms (1000),
+                              .retry_us = gw_ms (300),
+                              .poll_us = gw_ms (1000),
+                              .margin_us = gw_ms (1000) };
   struct gw_stage *stage = g_new0 (struct gw_stage, 1);
 
   gw->stage = stage;
   auth_init (&stage->auth, gw->set.node, gw_random (gw));
+  times.wait_us = (int64_t)(gw->set.lease_ms * 1000) + gw_ms (QUIET_MS);
+  auth_times_set (&stage->auth, &times);
   stgp_init (&stage->plan);
   stage->body = g_string_new (NULL);
   tmr_add (gw->tmr, gw_ms (STEP_MS), gw_ms (STEP_MS), on_step, gw);
--- a/src/stgp.c
+++ b/src/stgp.c
@@ -77,13 +77,34 @@
   if (view->engines < 2)
     return 0;
   off = stgp_target (state, view) - view->prefill;
-  /* Before any demand no one is served, and changes needn't wait.  */
-  if (state->seen_s <= 0 ? fabs (off) < 0.5
-                         : fabs (off) < worth_a_change
-                               || view->changing + 1 > fmax (
-                                      1, changing_share * view->engines))
+  if (fabs (off) < 0.5)
+    return 0;
+  /* Without an engine in one stage nothing is served, as before any demand:
+     the changes needn't wait for each other.  */
+  if (state->seen_s > 0 && view->prefill_now > 0 && view->decode_now > 0
+      && (fabs (off) < worth_a_change
+          || view->changing + 1 > fmax (1, changing_share * view->engines)))
     return 0;
   state->changed_us = now;
   *to = off > 0 ? MEMB_STAGE_PREFILL : MEMB_STAGE_DECODE;
   return 1;
 }
+
+struct memb_runner *
+stgp_pick (const struct memb *memb, enum memb_stage to)
+{
+  struct memb_runner *best = NULL;
+  size_t i;
+
+  for (i = 0; i < memb_count (memb); i++)
+    {
+      struct memb_runner *one = memb_at (memb, i);
+      if (one->entry.stage == MEMB_STAGE_ANY || one->entry.stage == to
+          || !one->present || one->leaving || memb_changing (one))
+        continue;
+      if (best == NULL || one->failures < best->failures
+          || (one->failures == best->failures && one->calls < best->calls))
+        best = one;
+    }
+  return best;
+}
--- a/src/stgp.h
+++ b/src/stgp.h
@@ -22,6 +22,8 @@
   unsigned engines; /* with a stage, usable */
   unsigned prefill; /* that read prompts, or will once changed */
   unsigned changing;
+  unsigned prefill_now; /* in their stage and not changing */
+  unsigned decode_now;
   double share;      /* wanted before any demand, for 32 slots */
   double slots;      /* of an engine */
   double reading;    /* engines kept busy by the prompts asked for now */
@@ -50,4 +52,8 @@
 /* Returns 1 with the stage that one more engine is to get, or 0.  */
 int stgp_next (struct stgp_state *state, const struct stgp_view *view,
                int64_t now, enum memb_stage *to);
+/* Returns the engine that is best changed to the stage TO, or null: one
+   without failures and with few requests.  An engine that refuses requests is
+   as good as another, since it may refuse for want of the other stage.  */
+struct memb_runner *stgp_pick (const struct memb *memb, enum memb_stage to);
 #endif
--- a/tests/unit_auth.cc
+++ b/tests/unit_auth.cc
@@ -57,7 +57,31 @@
   EXPECT_EQ (auth_token (&a, 8 * S), 42u);
   EXPECT_EQ (auth_token (&a, 8 * S + 1), 0u);
   EXPECT_EQ (send (AUTH_EV_TIME, 12 * S, 0), AUTH_DO_STOP);
+  EXPECT_EQ (auth_token (&a, 12 * S), 0u);
+  EXPECT_NE (a.state, AUTH_HOLDER);
+}
+
+// Guards against orders after the lease was certain, and against a long time
+// without a holder after an outage in which the service kept the lease: only a
+// renewal that it accepts gives the token back, a refused one loses it.
+TEST_F (Auth, RenewalAfterAnOutageTells)
+{
+  send (AUTH_EV_CAS, 0, 1, 42);
+  EXPECT_EQ (send (AUTH_EV_TIME, 2 * S, 0), AUTH_DO_RENEW);
+  EXPECT_EQ (send (AUTH_EV_RENEWED, 3 * S, -1), AUTH_DO_NOTHING);
+  EXPECT_EQ (send (AUTH_EV_TIME, 4 * S, 0), AUTH_DO_RENEW);
+  EXPECT_EQ (send (AUTH_EV_RENEWED, 11 * S, -1), AUTH_DO_STOP);
+  EXPECT_EQ (auth_token (&a, 11 * S), 0u);
+  EXPECT_EQ (send (AUTH_EV_TIME, 20 * S, 0), AUTH_DO_RENEW);
+  EXPECT_EQ (auth_token (&a, 20 * S), 0u);
+  struct auth renewing = a;
+  EXPECT_EQ (send (AUTH_EV_RENEWED, 20 * S, 0), AUTH_DO_STOP);
   EXPECT_EQ (a.state, AUTH_LOST);
+  a = renewing;
+  EXPECT_EQ (send (AUTH_EV_RENEWED, 20 * S, 1), AUTH_DO_READ);
+  EXPECT_EQ (auth_token (&a, 20 * S), 42u);
+  EXPECT_EQ (send (AUTH_EV_READ, 20 * S, 1, 43), AUTH_DO_STOP);
+  EXPECT_EQ (auth_token (&a, 20 * S), 0u);
 }
 
 // Guards against a holder that goes on after the service ended its lease, or
--- a/tests/unit_gw_rules.cc
+++ b/tests/unit_gw_rules.cc
@@ -152,6 +152,8 @@
   struct stgp_view v = {};
   v.engines = 10;
   v.prefill = prefill;
+  v.prefill_now = prefill;
+  v.decode_now = 10 - prefill;
   v.share = 0.7;
   v.slots = 32;
   v.reading = reading;
@@ -208,6 +210,23 @@
   EXPECT_EQ (to, MEMB_STAGE_DECODE);
 }
 
+// The engines of one stage all left: guards against changing the others one by
+// one, for seconds each, while nothing is served.
+TEST (Stgp, NoEngineLeftInAStage)
+{
+  struct stgp_state state;
+  enum memb_stage to;
+  stgp_init (&state);
+  struct stgp_view v = view (10, 4, 0);
+  stgp_see (&state, &v, 0);
+  stgp_see (&state, &v, 1000000);
+  for (v.changing = 0; v.changing < 3; v.changing++, v.prefill--)
+    {
+      ASSERT_TRUE (stgp_next (&state, &v, 1000000, &to)) << v.changing;
+      EXPECT_EQ (to, MEMB_STAGE_DECODE);
+    }
+}
+
 // Guards against more engines out at once than the others can make up for.
 TEST (Stgp, OneAtATimeUnderLoad)
 {
@@ -222,4 +241,28 @@
   EXPECT_FALSE (stgp_next (&state, &v, 1000000, &to));
 }
 
+// All decode engines were taken away: guards against leaving it so because the
+// others refuse, which they do for want of a decode engine.  Seen as a service
+// that answered nothing for 20 s.
+TEST (Stgp, RefusingEnginesAreChanged)
+{
+  struct memb *memb = memb_new ();
+  for (const char *id : { "a", "b", "c" })
+    {
+      struct memb_entry e = gw_test::entry (id, 1, MEMB_STAGE_PREFILL);
+      memb_put (memb, &e, 1, 0);
+      for (int i = 0; i < 20; i++)
+        memb_refused (memb_find (memb, id), 0);
+    }
+  EXPECT_FALSE (memb_usable (memb_at (memb, 0), 1));
+  EXPECT_NE (stgp_pick (memb, MEMB_STAGE_DECODE), nullptr);
+  EXPECT_EQ (stgp_pick (memb, MEMB_STAGE_PREFILL), nullptr);
+  memb_find (memb, "a")->leaving = 1;
+  memb_find (memb, "b")->failures = 1;
+  EXPECT_EQ (stgp_pick (memb, MEMB_STAGE_DECODE), memb_find (memb, "c"));
+  memb_find (memb, "c")->others_ordered = MEMB_STAGE_DECODE;
+  EXPECT_EQ (stgp_pick (memb, MEMB_STAGE_DECODE), memb_find (memb, "b"));
+  memb_free (memb);
+}
+
 }
