--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 LDFLAGS = $(SAN_FLAGS) -pthread
 
 PROGRAMS = goldcresthatch-entry goldcresthatch-agent goldcresthatchctl
-STANDINS = standin-kv standin-runner standin-service load-client fuzz-frames \
+STANDINS = soak-world standin-kv standin-runner standin-service load-client fuzz-frames \
 	standin-link
 MAIN_goldcresthatch-entry = entry_main
 MAIN_goldcresthatch-agent = agent_main
@@ -46,7 +46,7 @@
 	tests/*.h bench/*.c bench/*.h)
 CC_FILES = $(wildcard tests/*.cc tests/*.hh)
 
-.PHONY: all deps programs platform tests check check-format check-lint demo bench \
+.PHONY: all soak deps programs platform tests check check-format check-lint demo bench \
 	bench-capacity check-tsan install clean
 .SECONDARY:
 
@@ -56,7 +56,7 @@
 deps:
 	@scripts/install-deps
 
-programs: $(HAVE_MAIN) $(HAVE_STANDIN)
+programs: $(HAVE_MAIN) $(HAVE_STANDIN) $(BUILD)/goldcresthatch-gateway
 
 tests: programs $(BUILD)/unit-tests $(if $(DIFF_SRC),$(BUILD)/diff-tests)
 
@@ -145,6 +145,13 @@
 	done
 	@echo "no race seen in: $(TSAN_RUNS)"
 
+# A fault soak by hand: make soak SEED=n [SOAK_SECONDS=n].
+SEED ?= 1
+SOAK_SECONDS ?= 40
+soak: deps
+	@$(MAKE) -s -j$$(nproc) programs
+	@BUILD=$(BUILD) tests/soak.sh $(SEED) $(SOAK_SECONDS)
+
 demo: all
 	BUILD=$(BUILD) scripts/demo
 
--- /dev/null
+++ b/tests/soak_world.c
@@ -0,0 +1,936 @@
+/* The world around the gateways in a fault soak: the key-value service, the
+   runners and the callers, in one process that sees both ends of each request.
+
+   usage: soak-world NET SEED SECONDS GATEWAYS
+
+   Faults of the service and the runners are drawn from SEED and end some
+   seconds before the run does.  Prints each promise that was broken; exits 0
+   when there is none.  */
+#include <glib.h>
+#include <json-c/json.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "goldcresthatch/tmr.h"
+#include "hcli.h"
+#include "hsrv.h"
+
+enum
+{
+  RUNNERS = 7,
+  ENGINES = 5,
+  CALL_MS = 6,      /* between two requests of the callers */
+  BUDGET_MS = 1500, /* that a caller waits */
+  CALM_MS = 9000,   /* at the end, without faults */
+  JUDGED_MS = 3000, /* at the end, in which most must be served */
+  FAULT_MS = 500,   /* between two faults */
+  EVENTS = 4,       /* of a stream */
+  SERVED_LEAST = 90 /* in 100, of the requests judged */
+};
+
+enum mode
+{
+  MODE_SOUND,
+  MODE_DEAD,  /* resets each connection */
+  MODE_LOSES, /* runs requests and resets the connection */
+  MODE_CUTS,  /* breaks off in the middle of the answer */
+  MODE_REFUSES,
+  MODE_HANGS,
+  MODE_MAX
+};
+
+struct runner
+{
+  int index;
+  char address[32];
+  char id[32];
+  const char *service;
+  const char *stage; /* null for a plain service */
+  int draining;
+  int orders;
+  enum mode mode;
+  struct hsrv *srv;
+};
+
+/* What became of one request of the callers.  */
+struct record
+{
+  char id[24];
+  int idempotent;
+  int stream;
+  int runs;
+  int status; /* 0 without a whole answer */
+  int whole;
+  int expected_event;
+  GString *body;
+  int judged;
+  uint64_t timer;
+  uint64_t call;
+};
+
+struct item
+{
+  char *key;
+  char *value; /* base64 */
+  uint64_t revision;
+  uint64_t created;
+  uint64_t lease;
+  int deleted;
+};
+
+struct watcher
+{
+  uint64_t conn;
+  char *prefix;
+  uint64_t after;
+};
+
+struct job
+{
+  struct runner *runner;
+  uint64_t conn;
+  struct record *record;
+  int event;
+};
+
+static uv_loop_t loop;
+static struct tmr *tmr;
+static struct hcli *cli;
+static struct hsrv *store;
+static enum mode store_mode;
+static struct runner runners[RUNNERS];
+static GHashTable *records; /* id -> struct record */
+static GPtrArray *items;    /* all states, oldest first */
+static GPtrArray *watchers;
+static GHashTable *leases; /* id -> end, in microseconds */
+static uint64_t revision = 10;
+static uint64_t next_lease = 100;
+static int config_version;
+static int net;
+static int gateways;
+static int seconds;
+static GRand *rand_state;
+static int broken;
+static int judged;
+static int judged_served;
+
+static void
+promise (int kept, const char *what, const char *id)
+{
+  if (kept)
+    return;
+  printf ("broken: %s (%s)\n", what, id);
+  broken++;
+}
+
+/* The key-value service.  */
+
+static struct item *
+item_find (const char *key)
+{
+  guint i;
+
+  for (i = items->len; i > 0; i--)
+    {
+      struct item *item = g_ptr_array_index (items, i - 1);
+      if (strcmp (item->key, key) == 0)
+        return item->deleted ? NULL : item;
+    }
+  return NULL;
+}
+
+static struct json_object *
+item_json (const struct item *item)
+{
+  struct json_object *out = json_object_new_object ();
+
+  json_object_object_add (out, "key", json_object_new_string (item->key));
+  json_object_object_add (out, "revision",
+                          json_object_new_uint64 (item->revision));
+  if (item->deleted)
+    json_object_object_add (out, "deleted", json_object_new_boolean (1));
+  else
+    {
+      json_object_object_add (out, "value",
+                              json_object_new_string (item->value));
+      json_object_object_add (out, "created_rev",
+                              json_object_new_uint64 (item->created));
+      json_object_object_add (out, "lease",
+                              json_object_new_uint64 (item->lease));
+    }
+  return out;
+}
+
+static void
+store_answer (uint64_t conn, int status, struct json_object *body)
+{
+  const char *text
+      = body != NULL
+            ? json_object_to_json_string_ext (body, JSON_C_TO_STRING_PLAIN)
+            : "";
+
+  hsrv_answer (store, conn, status, NULL, text, strlen (text));
+  json_object_put (body);
+}
+
+/* Answers a watch when there are events, or when FORCED.  */
+static int
+watch_answer (const struct watcher *w, int forced)
+{
+  struct json_object *body = json_object_new_object ();
+  struct json_object *events = json_object_new_array ();
+  guint i;
+
+  for (i = 0; i < items->len; i++)
+    {
+      const struct item *item = g_ptr_array_index (items, i);
+      if (item->revision > w->after
+          && strncmp (item->key, w->prefix, strlen (w->prefix)) == 0)
+        json_object_array_add (events, item_json (item));
+    }
+  forced = forced || json_object_array_length (events) > 0;
+  json_object_object_add (body, "events", events);
+  json_object_object_add (body, "store_revision",
+                          json_object_new_uint64 (revision));
+  if (forced)
+    store_answer (w->conn, 200, body);
+  else
+    json_object_put (body);
+  return forced;
+}
+
+static void
+watch_all (uint64_t conn, int forced)
+{
+  guint i = 0;
+
+  while (i < watchers->len)
+    {
+      struct watcher *w = g_ptr_array_index (watchers, i);
+      if ((conn == 0 || w->conn == conn) && watch_answer (w, forced))
+        g_ptr_array_remove_index_fast (watchers, i);
+      else
+        i++;
+    }
+}
+
+static void
+item_write (const char *key, const char *value, uint64_t lease)
+{
+  struct item *before = item_find (key);
+  struct item *item = g_new0 (struct item, 1);
+
+  item->key = g_strdup (key);
+  item->value = g_strdup (value);
+  item->revision = ++revision;
+  item->created = before != NULL ? before->created : revision;
+  item->lease = lease;
+  item->deleted = value == NULL;
+  g_ptr_array_add (items, item);
+}
+
+static void
+item_write_text (const char *key, const char *text)
+{
+  char *value = g_base64_encode ((const guchar *)text, strlen (text));
+
+  item_write (key, value, 0);
+  g_free (value);
+  watch_all (0, 0);
+}
+
+static void
+leases_tick (void)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer end;
+  guint i;
+
+  g_hash_table_iter_init (&iter, leases);
+  while (g_hash_table_iter_next (&iter, &key, &end))
+    {
+      uint64_t lease = GPOINTER_TO_SIZE (key);
+      if ((int64_t)GPOINTER_TO_SIZE (end) > tmr_now (tmr))
+        continue;
+      for (i = 0; i < items->len; i++)
+        {
+          const struct item *item = g_ptr_array_index (items, i);
+          if (item->lease == lease && item_find (item->key) == item)
+            item_write (item->key, NULL, 0);
+        }
+      g_hash_table_iter_remove (&iter);
+    }
+  watch_all (0, 0);
+}
+
+static void
+lease_set (uint64_t lease, int64_t ttl_ms)
+{
+  g_hash_table_insert (leases, GSIZE_TO_POINTER (lease),
+                       GSIZE_TO_POINTER (tmr_now (tmr) + ttl_ms * 1000));
+}
+
+static const char *
+member (struct json_object *object, const char *name)
+{
+  struct json_object *value;
+
+  return json_object_object_get_ex (object, name, &value)
+             ? json_object_get_string (value)
+             : "";
+}
+
+static void
+store_txn (uint64_t conn, struct json_object *in)
+{
+  struct json_object *rows = json_object_object_get (in, "expected");
+  struct json_object *writes = json_object_object_get (in, "writes");
+  struct json_object *body = json_object_new_object ();
+  size_t i;
+
+  for (i = 0; i < json_object_array_length (rows); i++)
+    {
+      struct json_object *row = json_object_array_get_idx (rows, i);
+      const struct item *item = item_find (member (row, "key"));
+      if ((item != NULL ? item->revision : 0)
+          != g_ascii_strtoull (member (row, "revision"), NULL, 10))
+        {
+          store_answer (conn, 412, body);
+          return;
+        }
+    }
+  for (i = 0; i < json_object_array_length (writes); i++)
+    {
+      struct json_object *row = json_object_array_get_idx (writes, i);
+      item_write (member (row, "key"), member (row, "value"),
+                  g_ascii_strtoull (member (row, "lease"), NULL, 10));
+    }
+  json_object_object_add (body, "revision", json_object_new_uint64 (revision));
+  store_answer (conn, 200, body);
+  watch_all (0, 0);
+}
+
+static void
+store_post (uint64_t conn, const char *path, const char *text, size_t size)
+{
+  struct json_object *in = size > 0 ? json_tokener_parse (text) : NULL;
+  struct json_object *body = json_object_new_object ();
+  uint64_t lease = 0;
+
+  if (strcmp (path, "/-/kv-txn") == 0 && in != NULL)
+    {
+      json_object_put (body);
+      store_txn (conn, in);
+      json_object_put (in);
+      return;
+    }
+  if (strcmp (path, "/-/kv-lease") == 0 && in != NULL)
+    {
+      lease = ++next_lease;
+      lease_set (lease, atoi (member (in, "ttl_ms")));
+      json_object_object_add (body, "lease", json_object_new_uint64 (lease));
+    }
+  else if (g_str_has_prefix (path, "/-/kv-keep/"))
+    {
+      lease = g_ascii_strtoull (path + strlen ("/-/kv-keep/"), NULL, 10);
+      if (g_hash_table_contains (leases, GSIZE_TO_POINTER (lease)))
+        lease_set (lease, 4000);
+      else
+        lease = 0;
+    }
+  json_object_put (in);
+  store_answer (conn, lease != 0 ? 200 : 404, body);
+}
+
+static void
+store_list (uint64_t conn, const char *prefix)
+{
+  struct json_object *body = json_object_new_object ();
+  struct json_object *list = json_object_new_array ();
+  guint i;
+
+  for (i = 0; i < items->len; i++)
+    {
+      const struct item *item = g_ptr_array_index (items, i);
+      if (g_str_has_prefix (item->key, prefix)
+          && item_find (item->key) == item)
+        json_object_array_add (list, item_json (item));
+    }
+  json_object_object_add (body, "items", list);
+  json_object_object_add (body, "more_pages", json_object_new_boolean (0));
+  json_object_object_add (body, "store_revision",
+                          json_object_new_uint64 (revision));
+  store_answer (conn, 200, body);
+}
+
+struct watch_end
+{
+  uint64_t conn;
+};
+
+static void
+on_watch_end (void *ctx, int64_t now)
+{
+  struct watch_end *end = ctx;
+
+  (void)now;
+  watch_all (end->conn, 1);
+  g_free (end);
+}
+
+static void
+store_watch (uint64_t conn, GHashTable *query)
+{
+  struct watcher *w = g_new0 (struct watcher, 1);
+  struct watch_end *end = g_new0 (struct watch_end, 1);
+
+  w->conn = conn;
+  w->prefix = g_strdup (g_hash_table_lookup (query, "prefix"));
+  w->after = g_ascii_strtoull (g_hash_table_lookup (query, "after"), NULL, 10);
+  g_ptr_array_add (watchers, w);
+  end->conn = conn;
+  tmr_add (tmr,
+           g_ascii_strtoll (g_hash_table_lookup (query, "wait_ms"), NULL, 10)
+               * 1000,
+           0, on_watch_end, end);
+  watch_all (conn, 0);
+}
+
+static void
+on_store (void *ctx, uint64_t conn, const struct hhead *head, const char *body,
+          size_t size)
+{
+  char *target = g_strndup (head->target.p, head->target.n);
+  char *mark = strchr (target, '?');
+  GHashTable *query;
+  const struct item *item;
+
+  (void)ctx;
+  if (mark != NULL)
+    *mark = '\0';
+  query = g_uri_parse_params (mark != NULL ? mark + 1 : "", -1, "&",
+                              G_URI_PARAMS_NONE, NULL);
+  if (store_mode == MODE_HANGS)
+    ;
+  else if (store_mode == MODE_DEAD)
+    hsrv_abort (store, conn);
+  else if (store_mode == MODE_REFUSES)
+    store_answer (conn, 503, NULL);
+  else if (hspan_same (head->method, "POST"))
+    store_post (conn, target, body, size);
+  else if (strcmp (target, "/-/kv-range") == 0)
+    store_list (conn, g_hash_table_lookup (query, "prefix"));
+  else if (strcmp (target, "/-/kv-watch") == 0)
+    store_watch (conn, query);
+  else if (strcmp (target, "/-/kv-key") == 0)
+    {
+      item = item_find (g_hash_table_lookup (query, "key"));
+      store_answer (conn, item != NULL ? 200 : 404,
+                    item != NULL ? item_json (item) : NULL);
+    }
+  else
+    store_answer (conn, 200, json_object_new_object ());
+  g_hash_table_destroy (query);
+  g_free (target);
+}
+
+static void
+on_store_left (void *ctx, uint64_t conn)
+{
+  guint i;
+
+  (void)ctx;
+  for (i = 0; i < watchers->len; i++)
+    if (((struct watcher *)g_ptr_array_index (watchers, i))->conn == conn)
+      {
+        g_ptr_array_remove_index_fast (watchers, i);
+        return;
+      }
+}
+
+static void
+config_write (void)
+{
+  char *text;
+
+  config_version += 3;
+  text = g_strdup_printf (
+      "{\"version\":%d,\"routes\":["
+      "{\"name\":\"order\",\"host\":\"h\",\"prefix\":\"/order/\",\"kind\":"
+      "\"non_idempotent\",\"timeout_ms\":1200,\"service\":\"app\","
+      "\"attempts\":1},"
+      "{\"name\":\"read\",\"host\":\"h\",\"prefix\":\"/read/\",\"kind\":"
+      "\"idempotent\",\"timeout_ms\":1200,\"service\":\"app\",\"attempts\":2},"
+      "{\"name\":\"check\",\"host\":\"h\",\"prefix\":\"/check/\",\"kind\":"
+      "\"streaming\",\"timeout_ms\":1500,\"slo_ms\":1000,\"service\":\"llm\","
+      "\"attempts\":2,\"resumable\":true},"
+      "{\"name\":\"chat\",\"host\":\"h\",\"prefix\":\"/chat/\",\"kind\":"
+      "\"streaming\",\"timeout_ms\":1500,\"slo_ms\":1000,\"service\":\"llm\","
+      "\"attempts\":1}],"
+      "\"services\":[{\"name\":\"app\",\"max_conns\":50},"
+      "{\"name\":\"llm\",\"max_conns\":50,\"engine\":{\"switch_s\":0.5}}]}",
+      config_version);
+  item_write_text ("op/config", text);
+  g_free (text);
+}
+
+/* The runners.  */
+
+static void
+runner_write (const struct runner *r)
+{
+  char *key = g_strconcat ("servers/", r->id, NULL);
+  char *text = g_strdup_printf (
+      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\",\"slots\":8,"
+      "\"born\":1,\"state\":\"%s\"%s%s%s}",
+      r->service, r->address, r->draining ? "draining" : "ready",
+      r->stage ? ",\"stage\":\"" : "", r->stage ? r->stage : "",
+      r->stage ? "\"" : "");
+
+  item_write_text (key, text);
+  g_free (text);
+  g_free (key);
+}
+
+static void
+stage_done (void *ctx, int64_t now)
+{
+  struct runner *r = ctx;
+
+  (void)now;
+  r->stage = strcmp (r->stage, "prefill") == 0 ? "decode" : "prefill";
+  runner_write (r);
+}
+
+static void
+job_step (void *ctx, int64_t now)
+{
+  enum
+  {
+    STEP_US = 4000
+  };
+  struct job *job = ctx;
+  struct runner *r = job->runner;
+  char *text;
+
+  (void)now;
+  if (!job->record->stream)
+    {
+      text = g_strdup_printf ("X-Goldcresthatch-Request-Id: %s\r\n"
+                              "X-Goldcresthatch-Server-Stamp: s\r\n",
+                              job->record->id);
+      hsrv_answer (r->srv, job->conn, 200, text, job->record->id,
+                   strlen (job->record->id));
+      g_free (text);
+      g_free (job);
+      return;
+    }
+  job->event++;
+  text = g_strdup_printf ("id: %d\ndata: %s\n\n", job->event, job->record->id);
+  if (r->mode == MODE_CUTS && job->event == 3)
+    {
+      hsrv_send (r->srv, job->conn, text, strlen (text) / 2);
+      hsrv_abort (r->srv, job->conn);
+      job->event = EVENTS;
+    }
+  else
+    {
+      hsrv_send (r->srv, job->conn, text, strlen (text));
+      if (job->event == EVENTS)
+        hsrv_finish (r->srv, job->conn);
+    }
+  g_free (text);
+  if (job->event < EVENTS)
+    tmr_add (tmr, STEP_US, 0, job_step, job);
+  else
+    g_free (job);
+}
+
+static void
+run (struct runner *r, uint64_t conn, struct record *record,
+     const struct hhead *head)
+{
+  enum
+  {
+    WORK_US = 8000
+  };
+  struct hspan resume = hhead_get (head, "last-event-id");
+  struct job *job;
+  long long after = 0;
+  char *text;
+
+  record->runs++;
+  if (r->mode == MODE_LOSES)
+    {
+      hsrv_abort (r->srv, conn);
+      return;
+    }
+  hspan_number (resume, &after);
+  job = g_new0 (struct job, 1);
+  job->runner = r;
+  job->conn = conn;
+  job->record = record;
+  job->event = (int)after;
+  if (record->stream)
+    {
+      text = g_strdup_printf ("Content-Type: text/event-stream\r\n"
+                              "X-Goldcresthatch-Request-Id: %s\r\n"
+                              "X-Goldcresthatch-Server-Stamp: s\r\n",
+                              record->id);
+      hsrv_start (r->srv, conn, 200, text, -1);
+      g_free (text);
+    }
+  tmr_add (tmr, WORK_US, 0, job_step, job);
+}
+
+/* Answers the calls that aren't requests.  Returns 0 for a request.  */
+static int
+runner_page (struct runner *r, uint64_t conn, const struct hhead *head)
+{
+  char *text;
+
+  if (hspan_same (head->target, "/-/report"))
+    {
+      text = g_strdup_printf ("{\"stage\":\"%s\",\"busy\":false,\"seq\":%d}",
+                              r->stage, r->orders);
+      hsrv_answer (r->srv, conn, 200, NULL, text, strlen (text));
+      g_free (text);
+      return 1;
+    }
+  if (hspan_same (head->target, "/-/order"))
+    {
+      r->orders++;
+      tmr_add (tmr, 500000, 0, stage_done, r);
+      hsrv_answer (r->srv, conn, 202, NULL, "", 0);
+      return 1;
+    }
+  if (head->target.n > 3 && memcmp (head->target.p, "/-/", 3) == 0)
+    {
+      hsrv_answer (r->srv, conn, 200, NULL, "", 0);
+      return 1;
+    }
+  return 0;
+}
+
+static void
+on_runner (void *ctx, uint64_t conn, const struct hhead *head,
+           const char *body, size_t size)
+{
+  static const char refusal[] = "X-Goldcresthatch-Not-Run: 1\r\n";
+  struct runner *r = ctx;
+  struct hspan id = hhead_get (head, "x-goldcresthatch-request-id");
+  char *name;
+  struct record *record;
+
+  (void)body;
+  (void)size;
+  if (r->mode == MODE_DEAD)
+    {
+      hsrv_abort (r->srv, conn);
+      return;
+    }
+  if (r->mode == MODE_HANGS || runner_page (r, conn, head))
+    return;
+  name = g_strndup (id.p, id.n);
+  record = g_hash_table_lookup (records, name);
+  promise (record != NULL, "a request that no caller sent", name);
+  g_free (name);
+  if (!hspan_same (hhead_get (head, "x-goldcresthatch-expect-instance"),
+                   r->id))
+    hsrv_answer (r->srv, conn, 421, NULL, "", 0);
+  else if (r->mode == MODE_REFUSES || record == NULL)
+    hsrv_answer (r->srv, conn, 503, refusal, "", 0);
+  else if (hspan_same (hhead_get (head, "x-goldcresthatch-stage"), "prefill"))
+    hsrv_answer (r->srv, conn, 200, NULL, "{\"handle\":\"h1\"}", 15);
+  else
+    run (r, conn, record, head);
+}
+
+static void
+on_left (void *ctx, uint64_t conn)
+{
+  (void)ctx;
+  (void)conn;
+}
+
+/* The callers.  */
+
+static enum hcli_take
+on_head (void *ctx, const struct hhead *head)
+{
+  struct record *record = ctx;
+
+  record->status = head->status;
+  return HCLI_TAKE;
+}
+
+static void
+on_body (void *ctx, const char *data, size_t size)
+{
+  struct record *record = ctx;
+
+  g_string_append_len (record->body, data, (gssize)size);
+}
+
+static void
+judge_body (struct record *record)
+{
+  GString *expected = g_string_new (NULL);
+  int i;
+
+  if (!record->stream)
+    g_string_append (expected, record->id);
+  else
+    for (i = 1; i <= EVENTS; i++)
+      g_string_append_printf (expected, "id: %d\ndata: %s\n\n", i, record->id);
+  promise (strcmp (expected->str, record->body->str) == 0,
+           "an answer that isn't its request's whole one", record->id);
+  g_string_free (expected, TRUE);
+}
+
+static void
+on_done (void *ctx, enum hcli_end end)
+{
+  struct record *record = ctx;
+
+  tmr_cancel (tmr, record->timer);
+  record->call = 0;
+  record->whole = end == HCLI_WHOLE;
+  if (record->whole && record->status == 200)
+    {
+      judge_body (record);
+      judged_served += record->judged;
+    }
+  if (!record->whole)
+    record->status = 0;
+}
+
+static void
+on_caller_leaves (void *ctx, int64_t now)
+{
+  struct record *record = ctx;
+
+  (void)now;
+  hcli_cancel (cli, record->call);
+  record->call = 0;
+  record->status = 0;
+}
+
+static void
+call (int is_judged)
+{
+  static const struct
+  {
+    const char *method;
+    const char *path;
+    int idempotent;
+    int stream;
+    const char *fields;
+  } kinds[] = {
+    { "POST", "/order/1", 0, 0, "" },
+    { "GET", "/read/1", 1, 0, "" },
+    { "POST", "/check/1", 1, 1,
+      "X-Goldcresthatch-Token-Count: 2000,4\r\n"
+      "X-Goldcresthatch-Prompt-Prefix: a:900,b:1100\r\n" },
+    { "POST", "/chat/1", 0, 1, "X-Goldcresthatch-Token-Count: 90,4\r\n" },
+  };
+  static const struct hcli_ops ops = { on_head, on_body, on_done };
+  static unsigned number;
+  struct record *record = g_new0 (struct record, 1);
+  int kind = g_rand_int_range (rand_state, 0, G_N_ELEMENTS (kinds));
+  char address[32];
+  char *text;
+
+  g_snprintf (record->id, sizeof record->id, "%08x", ++number);
+  record->idempotent = kinds[kind].idempotent;
+  record->stream = kinds[kind].stream;
+  record->judged = is_judged;
+  judged += is_judged;
+  record->body = g_string_new (NULL);
+  g_hash_table_insert (records, record->id, record);
+  g_snprintf (address, sizeof address, "127.%d.4.%d:8000", net,
+              g_rand_int_range (rand_state, 1, gateways + 1));
+  text = g_strdup_printf (
+      "%s %s HTTP/1.1\r\nHost: h\r\nX-Goldcresthatch-Request-Id: %s\r\n"
+      "X-Goldcresthatch-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
+      kinds[kind].method, kinds[kind].path, record->id, BUDGET_MS,
+      kinds[kind].fields, kind == 1 ? 0 : 4, kind == 1 ? "" : "body");
+  record->timer = tmr_add (tmr, BUDGET_MS * 1000, 0, on_caller_leaves, record);
+  record->call = hcli_call (cli, address, address, text, strlen (text), 300,
+                            BUDGET_MS, &ops, record);
+  g_free (text);
+}
+
+/* Faults and the end.  */
+
+static void
+fault (void)
+{
+  struct runner *r = &runners[g_rand_int_range (rand_state, 0, RUNNERS)];
+
+  switch (g_rand_int_range (rand_state, 0, 8))
+    {
+    case 0:
+    case 1:
+      store_mode = g_rand_int_range (rand_state, 0, MODE_MAX);
+      break;
+    case 2:
+      store_mode = MODE_SOUND;
+      break;
+    case 3:
+      config_write ();
+      break;
+    case 4:
+      /* It leaves and starts again under another name.  */
+      r->draining = 1;
+      runner_write (r);
+      g_snprintf (r->id, sizeof r->id, "r%d-%" G_GUINT64_FORMAT, r->index,
+                  revision);
+      r->draining = 0;
+      r->orders = 0;
+      runner_write (r);
+      break;
+    default:
+      r->mode = g_rand_int_range (rand_state, 0, MODE_MAX);
+      break;
+    }
+}
+
+static void
+calm (void)
+{
+  int i;
+
+  store_mode = MODE_SOUND;
+  for (i = 0; i < RUNNERS; i++)
+    runners[i].mode = MODE_SOUND;
+}
+
+static int
+finish (void)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, records);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct record *record = value;
+      promise (record->idempotent || record->runs <= 1,
+               "a request that ran twice", record->id);
+      promise (record->idempotent || record->runs == 0
+                   || (record->status != 503 && record->status != 429
+                       && record->status != 408 && record->status != 421),
+               "a refused request that ran", record->id);
+    }
+  fprintf (stderr, "%u requests, of the last %d %d served\n",
+           g_hash_table_size (records), judged, judged_served);
+  promise (judged_served * 100 >= judged * SERVED_LEAST,
+           "most requests served after the faults", "all");
+  puts (broken == 0 ? "promises kept" : "promises broken");
+  return broken == 0 ? 0 : 1;
+}
+
+static void
+on_tick (uv_timer_t *timer)
+{
+  static int64_t start;
+  static int64_t next_call;
+  static int64_t next_fault;
+  int64_t now = (int64_t)(uv_hrtime () / 1000);
+  int64_t left_ms;
+
+  (void)timer;
+  tmr_advance (tmr, now);
+  if (start == 0)
+    start = next_call = next_fault = now + 2000000;
+  left_ms = ((int64_t)seconds * 1000000 - (now - start)) / 1000;
+  if (left_ms < 0)
+    exit (finish ());
+  if (now >= next_call)
+    {
+      next_call = now + CALL_MS * 1000;
+      call (left_ms < JUDGED_MS && left_ms > BUDGET_MS);
+    }
+  if (left_ms < CALM_MS)
+    calm ();
+  else if (now >= next_fault)
+    {
+      next_fault = now + g_rand_int_range (rand_state, 0, 2 * FAULT_MS) * 1000;
+      fault ();
+    }
+  leases_tick ();
+  hcli_tick (cli);
+}
+
+static struct hsrv *
+open_server (const char *address, const struct hsrv_ops *ops, void *ctx)
+{
+  struct err err;
+  struct hsrv *srv = hsrv_new (&loop, address, ops, ctx, &err);
+
+  if (srv == NULL)
+    {
+      fprintf (stderr, "soak-world: %s: %s\n", err.peer, err.text);
+      exit (2);
+    }
+  return srv;
+}
+
+static void
+runners_open (void)
+{
+  static const struct hsrv_ops ops = { on_runner, on_left, NULL };
+  int i;
+
+  for (i = 0; i < RUNNERS; i++)
+    {
+      struct runner *r = &runners[i];
+      r->index = i;
+      r->service = i < ENGINES ? "llm" : "app";
+      if (i < ENGINES)
+        r->stage = i % 2 ? "decode" : "prefill";
+      g_snprintf (r->id, sizeof r->id, "r%d", i);
+      g_snprintf (r->address, sizeof r->address, "127.%d.3.%d:8000", net,
+                  i + 10);
+      r->srv = open_server (r->address, &ops, r);
+      runner_write (r);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct hsrv_ops store_ops = { on_store, on_store_left, NULL };
+  uv_timer_t timer;
+  char address[32];
+
+  if (argc != 5)
+    {
+      fputs ("usage: soak-world NET SEED SECONDS GATEWAYS\n", stderr);
+      return 2;
+    }
+  net = atoi (argv[1]);
+  rand_state = g_rand_new_with_seed ((guint32)atoi (argv[2]));
+  seconds = atoi (argv[3]);
+  gateways = atoi (argv[4]);
+  signal (SIGPIPE, SIG_IGN);
+  uv_loop_init (&loop);
+  tmr = tmr_new_virtual ((int64_t)(uv_hrtime () / 1000));
+  cli = hcli_new (&loop);
+  records = g_hash_table_new (g_str_hash, g_str_equal);
+  leases = g_hash_table_new (g_direct_hash, g_direct_equal);
+  items = g_ptr_array_new ();
+  watchers = g_ptr_array_new ();
+  g_snprintf (address, sizeof address, "127.%d.3.1:7000", net);
+  store = open_server (address, &store_ops, NULL);
+  runners_open ();
+  config_write ();
+  uv_timer_init (&loop, &timer);
+  uv_timer_start (&timer, on_tick, 2, 2);
+  uv_run (&loop, UV_RUN_DEFAULT);
+  return 0;
+}
