Never refuse in the middle of an answer, nor what may have run

A refusal now asks the request's outcome first. Tests of one request with raw callers and runners failed before.

--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -71,6 +71,12 @@
 void
 gw_call_refuse (struct gw_call *call, int64_t after_ms, const char *why)
 {
+  /* Only what certainly has not run is refused.  */
+  if (outc_status (&call->outc, 0) != 503)
+    {
+      gw_call_give_up (call, 0, why);
+      return;
+    }
   after_ms = CLAMP (after_ms, RETURN_MIN_MS, RETURN_MAX_MS)
              + (int64_t)(gw_random (call->gw) % RETURN_SPREAD_MS);
   answer_failure (call, 503, after_ms, why);
--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -52,8 +52,10 @@
 int gw_call_idempotent (const struct gw_call *call);
 /* Chooses a runner and sends, or refuses.  */
 void gw_call_place (struct gw_call *call);
-/* Ends the call with a failure of our own.  */
+/* Ends the call with a failure of our own, or cuts an answer that has begun.
+ */
 void gw_call_give_up (struct gw_call *call, int time_over, const char *why);
+/* The same with a time to return, where the request has not run.  */
 void gw_call_refuse (struct gw_call *call, int64_t after_ms, const char *why);
 void gw_call_end (struct gw_call *call);
 
--- /dev/null
+++ b/tests/unit_gw_call.cc
@@ -0,0 +1,372 @@
+// One request through the gateway: a raw caller, raw runners and no store.
+#include <csignal>
+#include <gtest/gtest.h>
+#include <string>
+
+#include "raw_socket.hh"
+
+extern "C"
+{
+#include "gw.h"
+#include "pf.h"
+}
+
+using namespace raw_socket;
+
+namespace
+{
+
+class GatewayCall : public testing::Test
+{
+protected:
+  struct gw gw = {};
+  std::string front = free_address ();
+  std::string addresses[3];
+  int listeners[3] = { -1, -1, -1 };
+  int client = -1;
+  std::string got;
+
+  void
+  SetUp () override
+  {
+    signal (SIGPIPE, SIG_IGN);
+    uv_loop_init (&gw.loop);
+    gw.tmr = tmr_new_virtual (1000000);
+    gw.adp = &pf_adapter;
+    gw.cli = hcli_new (&gw.loop);
+    gw.memb = memb_new ();
+    gw.plc = plc_new (&plc_speed_default, 1000);
+    gw.budgets
+        = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+    gw.processes = 1;
+    gw.seed = 7;
+    gw.set.admit_factor = 1;
+    gw.set.direct_tokens = 1000;
+    gw.set.repeat_slack = 100;
+    gw.set.repeat_window_ms = 10000;
+    gw.set.link_mbit = 1000;
+    g_strlcpy (gw.set.zone, "z", sizeof gw.set.zone);
+    gw_share_open (&gw, nullptr);
+    gw_relay_new (&gw);
+    gw_stage_new (&gw);
+    struct gw_door *door = &gw.doors[GW_DOOR_CLIENTS];
+    door->gw = &gw;
+    door->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
+    door->srv
+        = hsrv_new (&gw.loop, front.c_str (), &gw_call_ops, door, nullptr);
+    ASSERT_NE (door->srv, nullptr);
+    gw.table = table ();
+  }
+  void
+  TearDown () override
+  {
+    for (int fd : listeners)
+      close (fd);
+    close (client);
+  }
+
+  static struct rtab *
+  table ()
+  {
+    static const struct
+    {
+      const char *name;
+      enum rtab_kind kind;
+      int resumable;
+      unsigned attempts;
+      const char *service;
+    } rows[] = { { "order", RTAB_NON_IDEMPOTENT, 0, 1, "app" },
+                 { "read", RTAB_IDEMPOTENT, 0, 2, "app" },
+                 { "check", RTAB_STREAM, 1, 2, "llm" },
+                 { "chat", RTAB_STREAM, 0, 1, "llm" } };
+    struct rtab *t = rtab_new (1);
+    for (const auto &row : rows)
+      {
+        struct rtab_route *route = rtab_route_add (t, 1);
+        route->name = g_strdup (row.name);
+        route->host = g_strdup ("h");
+        route->prefix = g_strdup_printf ("/%s/", row.name);
+        route->kind = row.kind;
+        route->resumable = row.resumable;
+        route->timeout_ms = 5000;
+        route->target_ms = 1000;
+        route->attempts = row.attempts;
+        route->targets[0].service = g_strdup (row.service);
+        route->targets[0].weight = 1;
+      }
+    for (const char *name : { "app", "llm" })
+      {
+        struct rtab_service *service = rtab_service_add (t);
+        service->name = g_strdup (name);
+        service->is_engine = *name == 'l';
+      }
+    rtab_seal (t);
+    return t;
+  }
+
+  void
+  runner (int i, const char *service, enum memb_stage stage = MEMB_STAGE_ANY)
+  {
+    struct memb_entry e = {};
+    listeners[i] = listen_raw (&addresses[i]);
+    fcntl (listeners[i], F_SETFL, O_NONBLOCK);
+    g_snprintf (e.id, sizeof e.id, "r%d", i);
+    g_strlcpy (e.service, service, sizeof e.service);
+    g_strlcpy (e.address, addresses[i].c_str (), sizeof e.address);
+    g_strlcpy (e.zone, i == 0 ? "z" : "y", sizeof e.zone);
+    e.slots = 8;
+    e.stage = stage;
+    memb_put (gw.memb, &e, 1, 0);
+  }
+
+  void
+  ask (const std::string &path, const std::string &fields = "")
+  {
+    client = connect_raw (front);
+    fcntl (client, F_SETFL, O_NONBLOCK);
+    put (client, "POST " + path
+                     + " HTTP/1.1\r\nHost: h\r\n"
+                       "X-Goldcresthatch-Request-Id: me\r\n"
+                     + fields + "Content-Length: 4\r\n\r\nbody");
+  }
+  // Waits for a request at the runner I; returns it and its connection.
+  std::string
+  at_runner (int i, int *fd)
+  {
+    std::string text;
+    *fd = -1;
+    run_until (&gw.loop, [&] {
+      char buffer[4000];
+      if (*fd < 0)
+        *fd = accept (listeners[i], nullptr, nullptr);
+      if (*fd < 0)
+        return false;
+      fcntl (*fd, F_SETFL, O_NONBLOCK);
+      ssize_t n = read (*fd, buffer, sizeof buffer);
+      if (n > 0)
+        text.append (buffer, static_cast<size_t> (n));
+      return text.find ("\r\n\r\nbody") != std::string::npos;
+    });
+    return text;
+  }
+  bool
+  client_has (const std::string &text)
+  {
+    return run_until (&gw.loop,
+                      [&] {
+                        char buffer[4000];
+                        ssize_t n = read (client, buffer, sizeof buffer);
+                        if (n > 0)
+                          got.append (buffer, static_cast<size_t> (n));
+                        return got.find (text) != std::string::npos || n == 0
+                               || (n < 0 && errno == ECONNRESET);
+                      })
+           && got.find (text) != std::string::npos;
+  }
+  bool
+  client_closed ()
+  {
+    return run_until (&gw.loop, [&] {
+      char buffer[4000];
+      ssize_t n = read (client, buffer, sizeof buffer);
+      if (n > 0)
+        got.append (buffer, static_cast<size_t> (n));
+      return n == 0 || (n < 0 && errno == ECONNRESET);
+    });
+  }
+  static std::string
+  head (int status, const std::string &more)
+  {
+    return "HTTP/1.1 " + std::to_string (status)
+           + " X\r\nX-Goldcresthatch-Request-Id: me\r\n" + more;
+  }
+};
+
+const char *const stamp = "X-Goldcresthatch-Server-Stamp: s\r\n";
+const char *const chunked = "Transfer-Encoding: chunked\r\n\r\n";
+const std::string event1 = "id: 1\ndata: a\n\n";
+const std::string event2 = "id: 2\ndata: b\n\n";
+
+std::string
+chunk (const std::string &text)
+{
+  char size[20];
+  g_snprintf (size, sizeof size, "%zx\r\n", text.size ());
+  return size + text + "\r\n";
+}
+
+// Guards against a status line in the middle of a stream, when it can't go on
+// anywhere.  Seen with reset connections.
+TEST_F (GatewayCall, BrokenStreamIsCut)
+{
+  int fd;
+  runner (0, "llm");
+  ask ("/check/1", "X-Goldcresthatch-Token-Count: 90,4\r\n");
+  at_runner (0, &fd);
+  put (fd, head (200, stamp + std::string (chunked)) + chunk (event1));
+  ASSERT_TRUE (client_has (event1));
+  reset (fd);
+  EXPECT_TRUE (client_closed ());
+  EXPECT_EQ (got.find ("HTTP/1.1", 1), std::string::npos);
+  EXPECT_EQ (got.find ("\r\n0\r\n"), std::string::npos);
+}
+
+// Guards against a stream that misses an event, has one twice or ends early
+// when another runner goes on with it.
+TEST_F (GatewayCall, ResumedStreamIsWhole)
+{
+  int fd;
+  runner (0, "llm");
+  runner (1, "llm");
+  ask ("/check/1", "X-Goldcresthatch-Token-Count: 90,4\r\n");
+  at_runner (0, &fd);
+  put (fd, head (200, stamp + std::string (chunked))
+               + chunk (event1 + "id: 2\nda"));
+  ASSERT_TRUE (client_has (event1));
+  reset (fd);
+  std::string again = at_runner (1, &fd);
+  EXPECT_NE (again.find ("Last-Event-Id: 1\r\n"), std::string::npos);
+  put (fd, head (200, stamp + std::string (chunked)) + chunk (event2)
+               + "0\r\n\r\n");
+  ASSERT_TRUE (client_has ("\r\n0\r\n\r\n"));
+  EXPECT_NE (got.find (chunk (event1) + chunk (event2)), std::string::npos);
+}
+
+// Guards against "not run" for a request that may have run and finds no other
+// runner, be it idempotent or not.
+TEST_F (GatewayCall, LostIsNotRefused)
+{
+  int fd;
+  runner (0, "app");
+  for (const char *path : { "/order/1", "/read/1" })
+    {
+      got.clear ();
+      memb_find (gw.memb, "r0")->down_us = 0;
+      ask (path);
+      at_runner (0, &fd);
+      reset (fd);
+      EXPECT_TRUE (client_has ("HTTP/1.1 502")) << path << got;
+      close (client);
+    }
+}
+
+// Guards against an unknown outcome where the runner says that it did not run
+// the request, and against a refusal without a time to return.
+TEST_F (GatewayCall, NotRunIsRefused)
+{
+  int fd;
+  runner (0, "app");
+  ask ("/order/1");
+  at_runner (0, &fd);
+  put (fd, head (503, "X-Goldcresthatch-Not-Run: 1\r\n"
+                      "Content-Length: 0\r\n\r\n"));
+  EXPECT_TRUE (client_has ("HTTP/1.1 503"));
+  EXPECT_TRUE (client_has ("\r\nRetry-After: 0."));
+}
+
+// Guards against the answer to another request.
+TEST_F (GatewayCall, ForeignAnswerIsSkipped)
+{
+  int fd;
+  runner (0, "app");
+  ask ("/order/1");
+  at_runner (0, &fd);
+  put (fd, std::string ("HTTP/1.1 200 X\r\nX-Goldcresthatch-Request-Id: x\r\n")
+               + stamp + "Content-Length: 5\r\n\r\nstale"
+               + head (200, stamp + std::string ("Content-Length: 3\r\n\r\n"))
+               + "new");
+  EXPECT_TRUE (client_has ("new"));
+  EXPECT_EQ (got.find ("stale"), std::string::npos);
+}
+
+// Guards against a success that no runner has signed.
+TEST_F (GatewayCall, UnstampedSuccessIsNotPassedOn)
+{
+  int fd;
+  runner (0, "app");
+  ask ("/order/1");
+  at_runner (0, &fd);
+  put (fd, head (200, "Content-Length: 3\r\n\r\nnew"));
+  EXPECT_TRUE (client_has ("HTTP/1.1 502"));
+}
+
+// Guards against work that goes on for a caller that has left.
+TEST_F (GatewayCall, LeavingEndsTheRun)
+{
+  int fd;
+  char byte;
+  runner (0, "llm");
+  ask ("/chat/1", "X-Goldcresthatch-Token-Count: 90,4\r\n");
+  at_runner (0, &fd);
+  put (fd, head (200, stamp + std::string (chunked)) + chunk (event1));
+  ASSERT_TRUE (client_has (event1));
+  close (client);
+  client = -1;
+  EXPECT_TRUE (run_until (&gw.loop, [&] {
+    ssize_t n = read (fd, &byte, 1);
+    return n == 0 || (n < 0 && errno == ECONNRESET);
+  }));
+  EXPECT_EQ (memb_find (gw.memb, "r0")->calls, 0U);
+}
+
+// Guards against a prompt that is read though no engine could go on with it.
+TEST_F (GatewayCall, NoPromptIsReadInVain)
+{
+  runner (0, "llm", MEMB_STAGE_PREFILL);
+  ask ("/check/1", "X-Goldcresthatch-Token-Count: 2000,4\r\n"
+                   "X-Goldcresthatch-Prompt-Prefix: a:900,b:1100\r\n");
+  EXPECT_TRUE (client_has ("HTTP/1.1 503"));
+  EXPECT_EQ (accept (listeners[0], nullptr, nullptr), -1);
+}
+
+// Guards against a prompt whose memory isn't handed on, or is offered twice.
+TEST_F (GatewayCall, PromptIsReadApart)
+{
+  int fd;
+  runner (0, "llm", MEMB_STAGE_PREFILL);
+  runner (1, "llm", MEMB_STAGE_DECODE);
+  ask ("/check/1", "X-Goldcresthatch-Token-Count: 2000,4\r\n"
+                   "X-Goldcresthatch-Prompt-Prefix: a:900,b:1100\r\n");
+  std::string first = at_runner (0, &fd);
+  EXPECT_NE (first.find ("Stage: prefill\r\n"), std::string::npos);
+  put (fd, head (200, "Content-Length: 15\r\n\r\n{\"handle\":\"h1\"}"));
+  std::string second = at_runner (1, &fd);
+  EXPECT_NE (second.find ("Kv-Source: " + addresses[0] + "/h1\r\n"),
+             std::string::npos);
+  EXPECT_EQ (second.find ("Stage"), std::string::npos);
+  put (fd, head (200, stamp + std::string (chunked)) + chunk (event1)
+               + "0\r\n\r\n");
+  EXPECT_TRUE (client_has ("\r\n0\r\n\r\n"));
+  EXPECT_EQ (memb_find (gw.memb, "r0")->calls, 0U);
+  EXPECT_EQ (memb_find (gw.memb, "r0")->references, 0U);
+}
+
+// Guards against an answer after the route's time, and one that promises what
+// isn't known.
+TEST_F (GatewayCall, DeadlineEndsIt)
+{
+  int fd;
+  runner (0, "app");
+  ask ("/order/1", "X-Goldcresthatch-Deadline-Ms: 300\r\n");
+  at_runner (0, &fd);
+  tmr_advance (gw.tmr, tmr_now (gw.tmr) + 360000);
+  EXPECT_TRUE (client_has ("HTTP/1.1 504"));
+}
+
+// Guards against a failed answer of an idempotent call that another runner
+// could give, and against hiding it when there is none.
+TEST_F (GatewayCall, FailedReadIsAskedElsewhere)
+{
+  int fd;
+  runner (0, "app");
+  runner (1, "app");
+  ask ("/read/1");
+  std::string first = at_runner (0, &fd);
+  put (fd, head (500, stamp + std::string ("Content-Length: 3\r\n\r\nbad")));
+  at_runner (1, &fd);
+  put (fd, head (500, stamp + std::string ("Content-Length: 5\r\n\r\nworse")));
+  EXPECT_TRUE (client_has ("worse"));
+  EXPECT_NE (got.find ("HTTP/1.1 500"), std::string::npos);
+}
+
+}
--- a/tests/unit_http_io.cc
+++ b/tests/unit_http_io.cc
@@ -10,7 +10,7 @@
 namespace
 {
 
-class Server : public testing::Test
+class HttpServer : public testing::Test
 {
 protected:
   uv_loop_t loop;
@@ -26,7 +26,7 @@
   on_request (void *ctx, uint64_t conn, const struct hhead *head,
               const char *body, size_t size)
   {
-    auto *self = static_cast<Server *> (ctx);
+    auto *self = static_cast<HttpServer *> (ctx);
     self->conn = conn;
     self->requests.push_back (std::string (head->method.p, head->method.n)
                               + " "
@@ -38,12 +38,12 @@
   static void
   on_left (void *ctx, uint64_t)
   {
-    static_cast<Server *> (ctx)->left++;
+    static_cast<HttpServer *> (ctx)->left++;
   }
   static void
   on_unread (void *ctx, int status, const char *)
   {
-    static_cast<Server *> (ctx)->unread = status;
+    static_cast<HttpServer *> (ctx)->unread = status;
   }
 
   void
@@ -81,7 +81,7 @@
 
 // Guards against a request that waits for ever when its body comes after its
 // head, or in pieces.
-TEST_F (Server, BodyAfterItsHead)
+TEST_F (HttpServer, BodyAfterItsHead)
 {
   int fd = connect_raw (address);
   put (fd, "POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n");
@@ -99,7 +99,7 @@
 
 // Guards against bodies in chunks that are cut, joined or read as a request,
 // and against requests ahead that overtake.
-TEST_F (Server, ChunksAndRequestsAhead)
+TEST_F (HttpServer, ChunksAndRequestsAhead)
 {
   int fd = connect_raw (address);
   put (fd, "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -121,7 +121,7 @@
 }
 
 // Guards against requests whose length can be read in two ways.
-TEST_F (Server, TwoLengths)
+TEST_F (HttpServer, TwoLengths)
 {
   static const char *const fields[] = {
     "Content-Length: 3\r\nContent-Length: 4\r\n",
@@ -144,7 +144,7 @@
 }
 
 // Guards against a body beyond the limit that is kept in memory.
-TEST_F (Server, Limits)
+TEST_F (HttpServer, Limits)
 {
   struct hsrv_limits limits = { 200, 10, 3000, 15000 };
   hsrv_limits_set (srv, &limits);
@@ -166,7 +166,7 @@
 
 // Guards against ending a request inside of the call that sends its answer:
 // its owner would go on with freed memory.
-TEST_F (Server, LostClientIsToldLater)
+TEST_F (HttpServer, LostClientIsToldLater)
 {
   int fd = connect_raw (address);
   int during = -1;
@@ -185,7 +185,7 @@
 }
 
 // Guards against a client that leaves unnoticed while its request runs.
-TEST_F (Server, ClosedClientIsTold)
+TEST_F (HttpServer, ClosedClientIsTold)
 {
   int fd = connect_raw (address);
   put (fd, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -196,7 +196,7 @@
 
 // Guards against an answer lost in a stop: the last one ends the connection in
 // order, and what follows isn't taken.
-TEST_F (Server, DrainEndsAfterTheAnswer)
+TEST_F (HttpServer, DrainEndsAfterTheAnswer)
 {
   int fd = connect_raw (address);
   put (fd, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
@@ -210,7 +210,7 @@
   close (fd);
 }
 
-class Client : public testing::Test
+class HttpClient : public testing::Test
 {
 protected:
   uv_loop_t loop;
@@ -226,19 +226,19 @@
   static enum hcli_take
   on_head (void *ctx, const struct hhead *)
   {
-    auto *self = static_cast<Client *> (ctx);
+    auto *self = static_cast<HttpClient *> (ctx);
     self->heads++;
     return self->skip-- > 0 ? HCLI_SKIP : HCLI_TAKE;
   }
   static void
   on_body (void *ctx, const char *data, size_t size)
   {
-    static_cast<Client *> (ctx)->body.append (data, size);
+    static_cast<HttpClient *> (ctx)->body.append (data, size);
   }
   static void
   on_done (void *ctx, enum hcli_end end)
   {
-    static_cast<Client *> (ctx)->ended = end;
+    static_cast<HttpClient *> (ctx)->ended = end;
   }
 
   void
@@ -303,7 +303,7 @@
 
 // Guards against an answer without a length that was reset and looks whole:
 // the loop reports an end for both when bytes come with the reset.
-TEST_F (Client, ResetIsNotAnEnd)
+TEST_F (HttpClient, ResetIsNotAnEnd)
 {
   int fd = call_new ();
   put (fd, "HTTP/1.1 200 OK\r\n\r\nhalf");
@@ -317,7 +317,7 @@
 }
 
 // Guards against answers that end early and look complete.
-TEST_F (Client, EarlyEnds)
+TEST_F (HttpClient, EarlyEnds)
 {
   static const char *const cut[] = {
     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhalf",
@@ -335,7 +335,7 @@
 }
 
 // Guards against bytes of one answer that reach the next request.
-TEST_F (Client, OddConnectionsAreNotKept)
+TEST_F (HttpClient, OddConnectionsAreNotKept)
 {
   int fd = call_new ();
   put (fd, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\n");
@@ -352,7 +352,7 @@
 }
 
 // Guards against the answer to another request that arrives first.
-TEST_F (Client, SkipsAForeignAnswer)
+TEST_F (HttpClient, SkipsAForeignAnswer)
 {
   int fd = call_new ();
   skip = 1;
@@ -364,7 +364,7 @@
 }
 
 // Guards against a refused connection that counts as a sent request.
-TEST_F (Client, UnreachedIsNotSent)
+TEST_F (HttpClient, UnreachedIsNotSent)
 {
   close (listener);
   call ();
@@ -373,7 +373,7 @@
 
 // Guards against a request that may run only once on a connection that its
 // peer has forgotten meanwhile.
-TEST_F (Client, RestedConnectionIsNotUsedForOnce)
+TEST_F (HttpClient, RestedConnectionIsNotUsedForOnce)
 {
   int fd = call_new ();
   put (fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
@@ -391,7 +391,7 @@
 
 // Guards against a kept connection that isn't used again, and one that is used
 // beyond the server's timeout.
-TEST_F (Client, KeepsConnections)
+TEST_F (HttpClient, KeepsConnections)
 {
   int fd = call_new ();
   put (fd, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\n"
