--- a/Makefile
+++ b/Makefile
@@ -173,7 +173,7 @@
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib \
 	  $(DESTDIR)$(PREFIX)/include/goldcresthatch \
 	  $(DESTDIR)$(PREFIX)/share/man/man8
-	install $(HAVE_MAIN) $(DESTDIR)$(PREFIX)/bin
+	install $(HAVE_MAIN) $(BUILD)/goldcresthatch-gateway $(DESTDIR)$(PREFIX)/bin
 	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
 	install -m 644 include/goldcresthatch/*.h \
 	  $(DESTDIR)$(PREFIX)/include/goldcresthatch
--- a/src/ctl_explain.c
+++ b/src/ctl_explain.c
@@ -51,6 +51,7 @@
 struct found
 {
   long long t; /* milliseconds */
+  guint number;
   struct json_object *line;
 };
 
@@ -68,7 +69,9 @@
   const struct found *x = a;
   const struct found *y = b;
 
-  return (x->t > y->t) - (x->t < y->t);
+  if (x->t != y->t)
+    return x->t < y->t ? -1 : 1;
+  return (x->number > y->number) - (x->number < y->number);
 }
 
 /* Adds LINE when it is one of the request's; a collector may have put its own
@@ -91,6 +94,7 @@
       return;
     }
   found.t = ctl_number (object, "t");
+  found.number = lines->len;
   found.line = object;
   g_array_append_val (lines, found);
 }
--- /dev/null
+++ b/tests/scripts/log_names.sh
@@ -0,0 +1,15 @@
+# Guards against log lines and metrics that the operators' page doesn't list,
+# and against names listed that no longer exist.
+events=$(cat src/gw_*.c src/jlog.c | tr '\n' ' ' \
+  | grep -oE 'jlog \([^"]*"[a-z_]+"( : "[a-z_]+")?' | grep -oE '"[a-z_]+"' \
+  | tr -d '"' | sort -u)
+listed=$(sed -n '/^| event /,/^$/p' docs/OPERATIONS.md | cut -d'|' -f2 \
+  | grep -oE '`[a-z_]+`' | tr -d '`' | sort -u)
+echo "events not in one of both:"
+comm -3 <(echo "$events") <(echo "$listed")
+metrics=$(grep -oE '^ +\{ "[a-z_]+",' src/gw_page.c | grep -oE '[a-z_]+' \
+  | sort -u)
+listed=$(sed -n '/^| name /,/^$/p' docs/OPERATIONS.md | cut -d'|' -f2 \
+  | grep -oE '`[a-z_]+`' | tr -d '`' | grep -v '^answer_seconds$' | sort -u)
+echo "metrics not in one of both:"
+comm -3 <(echo "$metrics") <(echo "$listed")
