--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -313,7 +313,7 @@
     {
       g_snprintf (call->memory, sizeof call->memory, "%s/%s",
                   runner->entry.address, handle);
-      memb_answered (runner, gw_now (gw) - call->sent);
+      memb_answered (runner, gw_now (gw) - call->sent, gw_now (gw));
       call->prompt_read = 1;
       gw_send_source (call, runner);
       gw_call_place (call);
@@ -446,7 +446,7 @@
     }
   else
     {
-      memb_answered (runner, now - call->sent);
+      memb_answered (runner, now - call->sent, now);
       note_moved (call, 1);
     }
   if (call->answer.status < 300 && !call->answer.stamped)
--- a/src/memb.c
+++ b/src/memb.c
@@ -12,6 +12,8 @@
 #define REFUSED_MAX_US INT64_C (800000)
 /* Load told by an answer is stale after a few answers' time.  */
 static const double told_half_life_us = 150000;
+/* A faulty runner was seen to recover within seconds.  */
+static const double failing_half_life_us = 3e6;
 static const double average_keep = 0.9;
 
 enum
@@ -287,13 +289,28 @@
          || runner->others_ordered != MEMB_STAGE_ANY;
 }
 
+double
+memb_failing (const struct memb_runner *runner, int64_t now)
+{
+  return runner->failing
+         * exp2 (-(double)(now - runner->failing_us) / failing_half_life_us);
+}
+
+static void
+note_failing (struct memb_runner *runner, int failed, int64_t now)
+{
+  runner->failing = memb_failing (runner, now) * average_keep
+                    + failed * (1 - average_keep);
+  runner->failing_us = now;
+}
+
 void
-memb_answered (struct memb_runner *runner, int64_t took_us)
+memb_answered (struct memb_runner *runner, int64_t took_us, int64_t now)
 {
   runner->failures = 0;
   runner->refusals = 0;
   runner->down_us = 0;
-  runner->failing *= average_keep;
+  note_failing (runner, 0, now);
   runner->slow_us = runner->slow_us <= 0
                         ? (double)took_us
                         : runner->slow_us * average_keep
@@ -307,7 +324,7 @@
   int64_t pause = DOWN_FIRST_US;
   unsigned i;
 
-  runner->failing = runner->failing * average_keep + (1 - average_keep);
+  note_failing (runner, 1, now);
   if (failure == MEMB_ERROR)
     return;
   runner->failures++;
--- a/src/memb.h
+++ b/src/memb.h
@@ -68,6 +68,7 @@
   unsigned failures;       /* in a row */
   int64_t down_us;         /* no new work before this time */
   double failing;          /* share of failed calls, decaying average */
+  int64_t failing_us;      /* when that was last changed */
   double slow_us;          /* time of a call, decaying average */
   enum memb_stage ordered; /* stage it is changing to, or ANY */
   int64_t ordered_us;
@@ -110,6 +111,10 @@
 /* Returns the estimated number of requests at RUNNER from all callers.  */
 double memb_load (const struct memb_runner *runner, int64_t now);
 
+/* Returns the share of calls at RUNNER that fail, by what was seen lately: one
+   that is avoided for its failures is tried again after some seconds.  */
+double memb_failing (const struct memb_runner *runner, int64_t now);
+
 /* Returns the age of what memb_load rests on beside our own requests.  */
 int64_t memb_load_age (const struct memb_runner *runner, int64_t now);
 
@@ -129,7 +134,7 @@
 void memb_moved (struct memb_runner *runner, int taken, int64_t now);
 
 /* Notes how a call ended: answered in TOOK_US, or failed.  */
-void memb_answered (struct memb_runner *runner, int64_t took_us);
+void memb_answered (struct memb_runner *runner, int64_t took_us, int64_t now);
 void memb_failed (struct memb_runner *runner, enum memb_failure failure,
                   int64_t now);
 #endif
--- a/src/plc.c
+++ b/src/plc.c
@@ -12,7 +12,12 @@
 {
   HOMES = 2,            /* engines among which a session is placed */
   OTHER_ZONE_US = 1500, /* added to a choice outside the zone */
-  CALL_US = 30000       /* time of a plain call that isn't known yet */
+  CALL_US = 30000,      /* time of a plain call that isn't known yet */
+  /* What a failure costs beside its time: a prompt is read elsewhere, a
+     generation may not be sent again, nor may most plain calls.  */
+  PROMPT_FAILED_US = 60000,
+  DECODE_FAILED_US = 100000,
+  CALL_FAILED_US = 300000
 };
 
 const struct plc_speed plc_speed_default = {
@@ -176,6 +181,8 @@
   struct memb_runner *home[HOMES] = { NULL };
   uint64_t weight[HOMES] = { 0 };
   struct plc_choice best = { NULL, 0, 0, 0 };
+  double best_cost = 0;
+  double cost;
   size_t i;
   int k;
 
@@ -207,8 +214,12 @@
       choice.wait_us = backlog_us (plc, home[k], now);
       choice.first_us = choice.wait_us + plc->speed.prompt_us
                         + choice.unread / plc->speed.read_tokens_per_us;
-      if (best.runner == NULL || choice.first_us < best.first_us)
-        best = choice;
+      cost = choice.first_us + memb_failing (home[k], now) * PROMPT_FAILED_US;
+      if (best.runner == NULL || cost < best_cost)
+        {
+          best = choice;
+          best_cost = cost;
+        }
     }
   return best;
 }
@@ -242,7 +253,7 @@
         choice.first_us += prompt->tokens / plc->speed.read_tokens_per_us
                            * plc->speed.decode_read_slowdown;
       cost = choice.first_us + load * plc->speed.token_us
-             + runner->failing * 100000;
+             + memb_failing (runner, now) * DECODE_FAILED_US;
       if (strcmp (runner->entry.zone, where->zone) != 0)
         cost += OTHER_ZONE_US;
       if (best.runner == NULL || cost < best_cost)
@@ -278,7 +289,7 @@
         choice.wait_us = (load - slots + 1) / slots * CALL_US;
       choice.first_us = choice.wait_us + CALL_US;
       cost = each * (1 + load / slots) + choice.wait_us
-             + runner->failing * 300000;
+             + memb_failing (runner, now) * CALL_FAILED_US;
       if (strcmp (runner->entry.zone, where->zone) != 0)
         cost += OTHER_ZONE_US;
       if (best.runner == NULL || cost < best_cost)
--- a/tests/unit_memb.cc
+++ b/tests/unit_memb.cc
@@ -112,7 +112,7 @@
   memb_failed (runner, MEMB_UNREACHED, 0);
   EXPECT_FALSE (memb_usable (runner, 1000));
   EXPECT_TRUE (memb_usable (runner, 3 * second));
-  memb_answered (runner, 1000);
+  memb_answered (runner, 1000, 0);
   EXPECT_TRUE (memb_usable (runner, 1000));
   // Failures that the runner itself answers are part of its work.
   for (int i = 0; i < 20; i++)
@@ -137,7 +137,7 @@
         memb_refused (runner, now);
       }
   EXPECT_LE (sent, 12);
-  memb_answered (runner, 1000);
+  memb_answered (runner, 1000, 0);
   memb_refused (runner, now);
   EXPECT_TRUE (memb_usable (runner, now));
 }
--- a/tests/unit_plc.cc
+++ b/tests/unit_plc.cc
@@ -176,9 +176,9 @@
   struct memb_runner *grey = add ("ugrey", MEMB_STAGE_ANY);
   for (int i = 0; i < 30; i++)
     {
-      memb_answered (sound, 30 * ms);
-      memb_answered (slow, 240 * ms);
-      memb_answered (grey, 30 * ms);
+      memb_answered (sound, 30 * ms, 0);
+      memb_answered (slow, 240 * ms, 0);
+      memb_answered (grey, 30 * ms, 0);
       if (i % 2)
         memb_failed (grey, MEMB_ERROR, 0);
     }
@@ -189,6 +189,25 @@
   EXPECT_NE (plc_call (memb, &where, 0, 0).runner, sound);
 }
 
+// Grey engines: guards against prompts that go on to engines which break half
+// of them, seen for 4 s in an incident, and against giving them up for good.
+TEST_F (Plc, PromptsAvoidGreyEngines)
+{
+  for (int i = 0; i < 4; i++)
+    add ("engine" + std::to_string (i));
+  struct memb_runner *home = choose (5);
+  struct plc_prompt p = prompt (5);
+  plc_note (plc, home, &p, 0);
+  for (int i = 0; i < 10; i++)
+    {
+      memb_answered (home, 20 * ms, 0);
+      memb_failed (home, MEMB_BROKEN, 0);
+    }
+  EXPECT_TRUE (memb_usable (home, 0));
+  EXPECT_NE (choose (5), home);
+  EXPECT_EQ (choose (5, 10000 * ms), home);
+}
+
 // The largest prompts: guards against refusing what is late by its own size
 // alone, and against taking it into a queue.
 TEST_F (Plc, LongPromptsAreLateByTheirWait)
