--- a/src/plc.c
+++ b/src/plc.c
@@ -172,6 +172,29 @@
   return tokens / plc->speed.read_tokens_per_us + load * plc->speed.prompt_us;
 }
 
+/* A choice and what it costs callers beyond its own time.  */
+struct weighed
+{
+  struct plc_choice choice;
+  double cost_us;
+};
+
+static void
+take_if_better (struct weighed *best, const struct plc_choice *choice,
+                double cost_us)
+{
+  if (best->choice.runner != NULL && cost_us >= best->cost_us)
+    return;
+  best->choice = *choice;
+  best->cost_us = cost_us;
+}
+
+static double
+other_zone_us (const struct memb_runner *runner, const struct plc_where *where)
+{
+  return strcmp (runner->entry.zone, where->zone) != 0 ? OTHER_ZONE_US : 0;
+}
+
 struct plc_choice
 plc_prefill (const struct plc *plc, const struct memb *memb,
              const struct plc_where *where, const struct plc_prompt *prompt,
@@ -180,9 +203,7 @@
   uint64_t session = plc_session (prompt);
   struct memb_runner *home[HOMES] = { NULL };
   uint64_t weight[HOMES] = { 0 };
-  struct plc_choice best = { NULL, 0, 0, 0 };
-  double best_cost = 0;
-  double cost;
+  struct weighed best = { { NULL, 0, 0, 0 }, 0 };
   size_t i;
   int k;
 
@@ -214,14 +235,11 @@
       choice.wait_us = backlog_us (plc, home[k], now);
       choice.first_us = choice.wait_us + plc->speed.prompt_us
                         + choice.unread / plc->speed.read_tokens_per_us;
-      cost = choice.first_us + memb_failing (home[k], now) * PROMPT_FAILED_US;
-      if (best.runner == NULL || cost < best_cost)
-        {
-          best = choice;
-          best_cost = cost;
-        }
+      take_if_better (&best, &choice,
+                      choice.first_us
+                          + memb_failing (home[k], now) * PROMPT_FAILED_US);
     }
-  return best;
+  return best.choice;
 }
 
 struct plc_choice
@@ -229,8 +247,7 @@
             const struct plc_where *where, const struct plc_prompt *prompt,
             int64_t now)
 {
-  struct plc_choice best = { NULL, 0, 0, 0 };
-  double best_cost = 0;
+  struct weighed best = { { NULL, 0, 0, 0 }, 0 };
   size_t i;
 
   for (i = 0; i < memb_count (memb); i++)
@@ -254,23 +271,16 @@
                            * plc->speed.decode_read_slowdown;
       cost = choice.first_us + load * plc->speed.token_us
              + memb_failing (runner, now) * DECODE_FAILED_US;
-      if (strcmp (runner->entry.zone, where->zone) != 0)
-        cost += OTHER_ZONE_US;
-      if (best.runner == NULL || cost < best_cost)
-        {
-          best = choice;
-          best_cost = cost;
-        }
+      take_if_better (&best, &choice, cost + other_zone_us (runner, where));
     }
-  return best;
+  return best.choice;
 }
 
 struct plc_choice
 plc_call (const struct memb *memb, const struct plc_where *where,
           uint64_t random, int64_t now)
 {
-  struct plc_choice best = { NULL, 0, 0, 0 };
-  double best_cost = 0;
+  struct weighed best = { { NULL, 0, 0, 0 }, 0 };
   size_t n = memb_count (memb);
   size_t i;
 
@@ -290,15 +300,9 @@
       choice.first_us = choice.wait_us + CALL_US;
       cost = each * (1 + load / slots) + choice.wait_us
              + memb_failing (runner, now) * CALL_FAILED_US;
-      if (strcmp (runner->entry.zone, where->zone) != 0)
-        cost += OTHER_ZONE_US;
-      if (best.runner == NULL || cost < best_cost)
-        {
-          best = choice;
-          best_cost = cost;
-        }
+      take_if_better (&best, &choice, cost + other_zone_us (runner, where));
     }
-  return best;
+  return best.choice;
 }
 
 int
