--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -758,7 +758,8 @@
       "X-Goldcresthatch-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
       kinds[kind].method, kinds[kind].path, record->id, BUDGET_MS,
       kinds[kind].fields, kind == 1 ? 0 : 4, kind == 1 ? "" : "body");
-  record->timer = tmr_add (tmr, BUDGET_MS * 1000, 0, on_caller_leaves, record);
+  record->timer
+      = tmr_add (tmr, INT64_C (1000) * BUDGET_MS, 0, on_caller_leaves, record);
   record->call = hcli_call (cli, address, address, text, strlen (text), 300,
                             BUDGET_MS, &ops, record);
   g_free (text);
@@ -852,14 +853,16 @@
     exit (finish ());
   if (now >= next_call)
     {
-      next_call = now + CALL_MS * 1000;
+      next_call = now + INT64_C (1000) * CALL_MS;
       call (left_ms < JUDGED_MS && left_ms > BUDGET_MS);
     }
   if (left_ms < CALM_MS)
     calm ();
   else if (now >= next_fault)
     {
-      next_fault = now + g_rand_int_range (rand_state, 0, 2 * FAULT_MS) * 1000;
+      next_fault
+          = now
+            + INT64_C (1000) * g_rand_int_range (rand_state, 0, 2 * FAULT_MS);
       fault ();
     }
   leases_tick ();
