Never pass on part of a relayed answer as a whole one

An answer that isn't whole is now never taken for one. Ruled out: a reset taken for an end (chunked answers need their last chunk). Test GatewayCall.BrokenRelayIsNotWhole.

--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -402,13 +402,15 @@
       prompt_done (call, end);
       return;
     }
+  /* Part of an answer is never passed on as a whole one.  */
+  if (end != HCLI_WHOLE)
+    call->answer.stamped = 0;
   if (call->phase == ADP_RELAY && relay_done (call, end))
     return;
   if (end == HCLI_NOT_SENT)
     {
       outc_apply (&call->outc, OUTC_EV_UNREACHED);
       memb_failed (runner, MEMB_UNREACHED, now);
-      call->answer.stamped = 0;
       repeat_or_give_up (call, "unreached");
       return;
     }
@@ -417,7 +419,6 @@
       hcli_forget (gw->cli, runner->peer);
       outc_apply (&call->outc, OUTC_EV_LOST);
       memb_failed (runner, MEMB_BROKEN, now);
-      call->answer.stamped = 0;
       repeat_or_give_up (call, "broken");
       return;
     }
--- a/tests/unit_gw_call.cc
+++ b/tests/unit_gw_call.cc
@@ -341,6 +341,39 @@
   EXPECT_EQ (memb_find (gw.memb, "r0")->references, 0U);
 }
 
+// Guards against part of a relayed answer that is passed on as a whole one
+// when the relay breaks before the first whole event.  Seen once in a hunt.
+TEST_F (GatewayCall, BrokenRelayIsNotWhole)
+{
+  int fd = -1;
+  std::string address;
+  int relay = listen_raw (&address);
+  fcntl (relay, F_SETFL, O_NONBLOCK);
+  gw.set.link_mbit = 10;
+  GHashTable *present = g_hash_table_new (g_str_hash, g_str_equal);
+  std::string presence = "- " + address + " 200 z";
+  g_hash_table_insert (present, g_strdup ("wide"),
+                       g_strdup (presence.c_str ()));
+  gw_relay_known (&gw, present);
+  client = connect_raw (front);
+  fcntl (client, F_SETFL, O_NONBLOCK);
+  put (client, "POST /chat/1 HTTP/1.1\r\nHost: h\r\n"
+               "X-Goldcresthatch-Request-Id: me\r\n"
+               "Content-Length: 3000\r\n\r\n"
+                   + std::string (3000, 'x'));
+  ASSERT_TRUE (run_until (&gw.loop, [&] {
+    fd = accept (relay, nullptr, nullptr);
+    return fd >= 0;
+  }));
+  put (fd, head (200, stamp + std::string (chunked)) + chunk ("id: 1\nda"));
+  for (int i = 0; i < 50; i++)
+    uv_run (&gw.loop, UV_RUN_NOWAIT);
+  close (fd);
+  EXPECT_TRUE (client_has ("HTTP/1.1 502"));
+  EXPECT_EQ (got.find ("200 X"), std::string::npos);
+  close (relay);
+}
+
 // Guards against an answer after the route's time, and one that promises what
 // isn't known.
 TEST_F (GatewayCall, DeadlineEndsIt)
