--- a/src/hcli.c
+++ b/src/hcli.c
@@ -478,14 +478,6 @@
     conn_close (c);
 }
 
-int
-hcli_is_sent (const struct hcli *cli, uint64_t call)
-{
-  const struct conn *c = tab_get (cli->calls, call);
-
-  return c != NULL && c->sent;
-}
-
 unsigned
 hcli_connections (const struct hcli *cli, const char *peer_name,
                   unsigned *busy)
--- a/src/hcli.h
+++ b/src/hcli.h
@@ -53,9 +53,6 @@
 /* Ends a call without DONE and closes its connection.  */
 void hcli_cancel (struct hcli *cli, uint64_t call);
 
-/* Returns nonzero when a byte of the call was written.  */
-int hcli_is_sent (const struct hcli *cli, uint64_t call);
-
 /* Returns the number of connections to PEER, and in BUSY those in use.  */
 unsigned hcli_connections (const struct hcli *cli, const char *peer,
                            unsigned *busy);
--- a/src/memb.c
+++ b/src/memb.c
@@ -27,7 +27,6 @@
   GPtrArray *runners;
   int reachable;
   int64_t returned_us; /* last return of the registry */
-  int64_t lost_us;     /* last loss of the registry */
 };
 
 struct memb *
@@ -191,8 +190,6 @@
 {
   if (reachable && !memb->reachable)
     memb->returned_us = now;
-  if (!reachable && memb->reachable)
-    memb->lost_us = now;
   memb->reachable = reachable;
 }
 
