Serve the entry's callers with the gateway's HTTP server

The new part of malformed.sh, run against the old entry, saw 200 for two lengths, a length beside chunks, bare line feeds, a folded line, no Host and two Hosts, and no answer within 20 s to an unknown or a second transfer coding.

Ruled out: checking what libmicrohttpd hands over. Bare line feeds and folded lines are gone by then, and an unknown coding never gets that far.

Change: entry_http.c runs hsrv, the server of the gateway, in one thread; the threads that end a call wake it. entry_request.c reads a request into a call. The query, which was dropped before, is now passed on with the path, and the path goes on as it was received instead of decoded.

--- a/Makefile
+++ b/Makefile
@@ -8,9 +8,10 @@
 
 comma := ,
 BUILD := build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
-PKGS = libmicrohttpd neon libzmq libsodium json-c liburcu liburcu-bp glib-2.0 log4c \
+PKGS = neon libzmq libsodium json-c liburcu liburcu-bp glib-2.0 log4c \
 	libxxhash msgpack libuv
 PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
+STANDIN_LIBS = $(shell pkg-config --libs libmicrohttpd)
 PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lhttp_parser -lm
 SAN_FLAGS := $(if $(SANITIZE),-fsanitize=$(SANITIZE) -fno-omit-frame-pointer)
 
@@ -97,7 +98,7 @@
 
 define standin_rule
 $(BUILD)/$(1): $(BUILD)/test-$(subst -,_,$(1)).o $(LIB)
-	$$(CC) $$(LDFLAGS) -o $$@ $$^ $$(PKG_LIBS)
+	$$(CC) $$(LDFLAGS) -o $$@ $$^ $$(STANDIN_LIBS) $$(PKG_LIBS)
 endef
 $(foreach s,$(STANDINS),$(eval $(call standin_rule,$(s))))
 
--- a/src/entry.h
+++ b/src/entry.h
@@ -12,7 +12,6 @@
 
 #include <glib.h>
 #include <json-c/json.h>
-#include <microhttpd.h>
 #include <pthread.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -71,6 +70,7 @@
   char name[MSG_NAME_MAX + 1];
 };
 
+struct entry_http;
 struct entry_fleet;
 struct entry_admit;
 struct entry_susp;
@@ -106,12 +106,13 @@
 {
   gint refs;
   struct entry *entry;
-  struct MHD_Connection *connection;
+  uint64_t conn; /* handle of the caller's connection */
 
   /* Set before the call starts, constant afterwards.  */
   struct msg_id id;
   char *method;
-  char *path;
+  char *path;   /* without the query */
+  char *target; /* path and query as received */
   char *content_type;
   char *service;
   char customer[MSG_NAME_MAX];
@@ -128,14 +129,14 @@
   int stream;
   int at_most_once;
   gint64 deadline_us;
-  int discarding; /* the body is too large */
 
   pthread_mutex_t lock; /* guards what follows */
   int started;
   int queued;        /* for admission */
   gint64 attempt_us; /* start of the current attempt */
   int64_t first_us;  /* predicted time to its first token */
-  int suspended;     /* the connection waits for entry_call_wake */
+  int woken;         /* queued for the thread of the connections */
+  int begun;         /* the caller has the head */
   struct msg_id attempt;
   int placed;             /* the current attempt runs as a suspect */
   struct fleet_work work; /* of the current attempt */
@@ -172,8 +173,7 @@
   struct net *net;
   struct kv *kv;
   GThreadPool *workers;
-  struct MHD_Daemon *callers;
-  struct MHD_Daemon *admins;
+  struct entry_http *http;
   uint64_t incarnation;
   pthread_t ticker;
   pthread_t lister;
@@ -195,7 +195,15 @@
 
 /* entry_http.c */
 int entry_http_open (struct entry *entry, struct err *err);
+void entry_http_stop_listening (struct entry *entry);
+
+/* Cuts the connections and ends their thread.  Other threads may still wake
+   calls, until entry_http_free.  */
 void entry_http_close (struct entry *entry);
+void entry_http_free (struct entry *entry);
+
+/* Passes on what CALL has for its caller; the call's lock is held.  */
+void entry_http_wake (struct entry_call *call);
 
 /* Appends the failure of CALL to a streamed answer that began; the call's lock
    is held.  */
@@ -223,9 +231,6 @@
                       const char *step, const char *peer, const char *fmt, ...)
     __attribute__ ((format (printf, 7, 8)));
 
-/* Lets the connection go on; the call's lock is held.  */
-void entry_call_wake (struct entry_call *call);
-
 /* The current attempt answered with STATUS; the call's lock is held.  */
 void entry_call_head (struct entry_call *call, unsigned status,
                       struct msg_str content_type);
@@ -446,12 +451,25 @@
 bool entry_config_ready (struct entry *entry);
 
 /* entry_admin.c */
-bool entry_admin_serves (const char *url);
+struct entry_page
+{
+  int status;
+  GString *fields; /* header lines */
+  GString *body;
+};
+
+/* Makes the operators' page at PATH; QUERY may be null.  Returns 0, or -1 when
+   there is no such page.  */
+int entry_admin_page (struct entry *entry, const char *path, const char *query,
+                      struct entry_page *out);
+
+/* entry_request.c */
+struct hhead;
+
+/* Reads the request of CALL, whose body is set, and starts it or ends it with
+   a failure.  */
+void entry_request_begin (struct entry_call *call, const struct hhead *head);
 
-/* Answers a request for one of the admin pages.  */
-enum MHD_Result entry_admin_page (struct entry *entry,
-                                  struct MHD_Connection *connection,
-                                  const char *url);
 /* entry_trace.c: spans of a call.  The functions on calls need the call's
    lock, except the first.  */
 void entry_trace_open (struct entry *entry);
--- a/src/entry_admin.c
+++ b/src/entry_admin.c
@@ -10,88 +10,83 @@
 
 enum
 {
-  NUMBER_BYTES = 24
+  STATUS_OK = 200,
+  STATUS_NO_CONTENT = 204,
+  STATUS_BAD_REQUEST = 400,
+  STATUS_UNAVAILABLE = 503
 };
 
 static void
-number_header (struct MHD_Response *response, const char *name,
-               uint64_t number)
+put_number (struct entry_page *out, const char *name, uint64_t number)
 {
-  char text[NUMBER_BYTES];
-
-  snprintf (text, sizeof text, "%llu", (unsigned long long)number);
-  MHD_add_response_header (response, name, text);
+  g_string_append_printf (out->fields, "%s: %llu\r\n", name,
+                          (unsigned long long)number);
 }
 
-static enum MHD_Result
-send_text (struct MHD_Connection *connection, unsigned status,
-           const char *type, const char *text)
+static void
+put_type (struct entry_page *out, const char *type)
 {
-  struct MHD_Response *response = MHD_create_response_from_buffer (
-      strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
-  enum MHD_Result rc;
-
-  MHD_add_response_header (response, "Content-Type", type);
-  rc = MHD_queue_response (connection, status, response);
-  MHD_destroy_response (response);
-  return rc;
+  g_string_append_printf (out->fields, "Content-Type: %s\r\n", type);
 }
 
-/* Answers without a body and a generation: what this entry holds may be older
-   than what it held before a restart.  */
-static enum MHD_Result
-unready_page (struct entry *entry, struct MHD_Connection *connection)
+/* Returns a copy of the argument NAME of QUERY, or null.  */
+static char *
+query_value (const char *query, const char *name)
 {
-  struct MHD_Response *response = MHD_create_response_from_buffer (
-      0, (void *)"", MHD_RESPMEM_PERSISTENT);
-  enum MHD_Result rc;
-
-  number_header (response, PEER_INCARNATION, entry->incarnation);
-  number_header (response, PEER_READY, 0);
-  rc = MHD_queue_response (connection, MHD_HTTP_SERVICE_UNAVAILABLE, response);
-  MHD_destroy_response (response);
-  return rc;
+  GHashTable *params
+      = query != NULL
+            ? g_uri_parse_params (query, -1, "&", G_URI_PARAMS_NONE, NULL)
+            : NULL;
+  char *value = NULL;
+
+  if (params == NULL)
+    return NULL;
+  value = g_strdup (g_hash_table_lookup (params, name));
+  g_hash_table_destroy (params);
+  return value;
 }
 
-/* The generation in the headers is at most that of the body.  */
-static enum MHD_Result
-config_page (struct entry *entry, struct MHD_Connection *connection)
+/* The generation in the headers is at most that of the body.  An entry that is
+   not ready gives none: what it holds may be older than what it held before a
+   restart.  */
+static void
+config_page (struct entry *entry, const char *query, struct entry_page *out)
 {
-  const char *have = MHD_lookup_connection_value (
-      connection, MHD_GET_ARGUMENT_KIND, "have");
-  struct MHD_Response *response;
-  enum MHD_Result rc;
+  g_autofree char *have = NULL;
+  g_autofree char *text = NULL;
   uint64_t generation;
-  char *text;
 
   if (!entry_config_ready (entry))
-    return unready_page (entry, connection);
+    {
+      put_number (out, PEER_INCARNATION, entry->incarnation);
+      put_number (out, PEER_READY, 0);
+      out->status = STATUS_UNAVAILABLE;
+      return;
+    }
+  have = query_value (query, "have");
   text = cfg_sync_delta (entry->config,
                          have != NULL ? strtoull (have, NULL, 10) : 0,
                          &generation);
-  response = MHD_create_response_from_buffer (text != NULL ? strlen (text) : 0,
-                                              text != NULL ? text : (void *)"",
-                                              MHD_RESPMEM_MUST_COPY);
   if (text != NULL)
-    MHD_add_response_header (response, "Content-Type", "application/json");
-  number_header (response, PEER_GENERATION, generation);
-  number_header (response, PEER_INCARNATION, entry->incarnation);
-  number_header (response, PEER_READY, 1);
-  rc = MHD_queue_response (
-      connection, text != NULL ? MHD_HTTP_OK : MHD_HTTP_NO_CONTENT, response);
-  MHD_destroy_response (response);
-  g_free (text);
-  return rc;
+    {
+      put_type (out, "application/json");
+      g_string_append (out->body, text);
+    }
+  else
+    out->status = STATUS_NO_CONTENT;
+  put_number (out, PEER_GENERATION, generation);
+  put_number (out, PEER_INCARNATION, entry->incarnation);
+  put_number (out, PEER_READY, 1);
 }
 
-static enum MHD_Result
-status_page (struct entry *entry, struct MHD_Connection *connection)
+static void
+status_page (struct entry *entry, const char *query, struct entry_page *out)
 {
   struct json_object *root = json_object_new_object ();
   struct json_object *runners = json_object_new_array ();
-  enum MHD_Result rc;
   unsigned calls;
 
+  (void)query;
   pthread_mutex_lock (&entry->lock);
   calls = g_hash_table_size (entry->calls);
   pthread_mutex_unlock (&entry->lock);
@@ -108,97 +103,75 @@
                                && !g_atomic_int_get (&entry->draining)));
   json_object_object_add (root, "calls", json_object_new_uint64 (calls));
   json_object_object_add (root, "runners", runners);
-  rc = send_text (
-      connection, MHD_HTTP_OK, "application/json",
-      json_object_to_json_string_ext (root, JSON_C_TO_STRING_PLAIN));
+  put_type (out, "application/json");
+  g_string_append (out->body, json_object_to_json_string_ext (
+                                  root, JSON_C_TO_STRING_PLAIN));
   json_object_put (root);
-  return rc;
 }
 
-static enum MHD_Result
-authority_page (struct entry *entry, struct MHD_Connection *connection)
+static void
+authority_page (struct entry *entry, const char *query, struct entry_page *out)
 {
-  char *text = entry_control_page (entry);
-  enum MHD_Result rc
-      = send_text (connection, MHD_HTTP_OK, "application/json", text);
+  g_autofree char *text = entry_control_page (entry);
 
-  g_free (text);
-  return rc;
+  (void)query;
+  put_type (out, "application/json");
+  g_string_append (out->body, text);
 }
 
-static enum MHD_Result
-metrics_page (struct entry *entry, struct MHD_Connection *connection)
+static void
+metrics_page (struct entry *entry, const char *query, struct entry_page *out)
 {
-  GString *text = g_string_new (NULL);
-  enum MHD_Result rc;
-
   (void)entry;
-  ctr_render (text);
-  rc = send_text (connection, MHD_HTTP_OK, "text/plain; version=0.0.4",
-                  text->str);
-  g_string_free (text, TRUE);
-  return rc;
+  (void)query;
+  put_type (out, "text/plain; version=0.0.4");
+  ctr_render (out->body);
 }
 
-static enum MHD_Result
-trace_page (struct entry *entry, struct MHD_Connection *connection)
+static void
+trace_page (struct entry *entry, const char *query, struct entry_page *out)
 {
-  const char *id
-      = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, "id");
-  GString *text = g_string_new (NULL);
-  enum MHD_Result rc;
-
-  if (entry_trace_page (entry, id, text) == 0)
-    rc = send_text (connection, MHD_HTTP_OK, "application/json", text->str);
-  else
-    rc = send_text (connection, MHD_HTTP_BAD_REQUEST, "text/plain",
-                    "id: expected 32 hexadecimal digits\n");
-  g_string_free (text, TRUE);
-  return rc;
+  g_autofree char *id = query_value (query, "id");
+
+  if (entry_trace_page (entry, id, out->body) == 0)
+    {
+      put_type (out, "application/json");
+      return;
+    }
+  out->status = STATUS_BAD_REQUEST;
+  put_type (out, "text/plain");
+  g_string_assign (out->body, "id: expected 32 hexadecimal digits\n");
 }
 
-static enum MHD_Result
-warnings_page (struct entry *entry, struct MHD_Connection *connection)
+static void
+warnings_page (struct entry *entry, const char *query, struct entry_page *out)
 {
-  GString *text = g_string_new (NULL);
-  enum MHD_Result rc;
-
-  entry_warn_page (entry, text);
-  rc = send_text (connection, MHD_HTTP_OK, "application/json", text->str);
-  g_string_free (text, TRUE);
-  return rc;
+  (void)query;
+  put_type (out, "application/json");
+  entry_warn_page (entry, out->body);
 }
 
 static const struct page
 {
-  const char *url;
-  enum MHD_Result (*answer) (struct entry *, struct MHD_Connection *);
+  const char *path;
+  void (*make) (struct entry *entry, const char *query,
+                struct entry_page *out);
 } pages[] = {
   { "/metrics", metrics_page },     { "/admin/authority", authority_page },
   { "/admin/config", config_page }, { "/admin/status", status_page },
   { "/admin/trace", trace_page },   { "/admin/warnings", warnings_page },
 };
 
-static const struct page *
-find_page (const char *url)
+int
+entry_admin_page (struct entry *entry, const char *path, const char *query,
+                  struct entry_page *out)
 {
   for (size_t i = 0; i < G_N_ELEMENTS (pages); i++)
-    if (strcmp (pages[i].url, url) == 0)
-      return &pages[i];
-  return NULL;
-}
-
-bool
-entry_admin_serves (const char *url)
-{
-  return find_page (url) != NULL;
-}
-
-enum MHD_Result
-entry_admin_page (struct entry *entry, struct MHD_Connection *connection,
-                  const char *url)
-{
-  const struct page *page = find_page (url);
-
-  return page != NULL ? page->answer (entry, connection) : MHD_NO;
+    if (strcmp (pages[i].path, path) == 0)
+      {
+        out->status = STATUS_OK;
+        pages[i].make (entry, query, out);
+        return 0;
+      }
+  return -1;
 }
--- a/src/entry_call.c
+++ b/src/entry_call.c
@@ -61,6 +61,7 @@
     return;
   g_free (call->method);
   g_free (call->path);
+  g_free (call->target);
   g_free (call->content_type);
   g_free (call->service);
   g_free (call->trace);
@@ -76,15 +77,6 @@
   ctr_add (CTR_ACTIVE_CALLS, -1);
 }
 
-void
-entry_call_wake (struct entry_call *call)
-{
-  if (!call->suspended)
-    return;
-  call->suspended = 0;
-  MHD_resume_connection (call->connection);
-}
-
 static enum ctr_id
 outcome_counter (enum entry_outcome outcome)
 {
@@ -133,7 +125,7 @@
   entry_warn_failed (call);
   ctr_add (outcome_counter (outcome), 1);
   log_err (LOG_LEVEL_INFO, call->traceparent, &failure->err);
-  entry_call_wake (call);
+  entry_http_wake (call);
 }
 
 static void
@@ -151,7 +143,7 @@
   out->window = runner->window;
   out->at_most_once = (uint64_t)call->at_most_once;
   out->method = msg_text (call->method);
-  out->path = msg_text (call->path);
+  out->path = msg_text (call->target);
   out->content_type = msg_text (call->content_type);
   out->body.p = (const char *)call->body->data;
   out->body.n = call->body->len;
@@ -284,7 +276,7 @@
   entry_trace_done (call, NULL);
   entry_warn_answered (call);
   ctr_add (CTR_ANSWERED, 1);
-  entry_call_wake (call);
+  entry_http_wake (call);
 }
 
 void
@@ -329,7 +321,7 @@
   if (!call->stream || call->head)
     return;
   call->head = 1;
-  entry_call_wake (call);
+  entry_http_wake (call);
 }
 
 /* Decides whether another attempt follows one that ended with OUTCOME.  */
--- a/src/entry_claim.c
+++ b/src/entry_claim.c
@@ -412,7 +412,6 @@
 entry_claim_abandon (struct entry_call *call)
 {
   call->claim->gone = 1;
-  call->suspended = 0;
   return !call->claim->over;
 }
 
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -138,7 +138,6 @@
   gint64 now = g_get_monotonic_time ();
   gint64 notice = now + entry->settings.drain_notice_ms * 1000;
   gint64 limit = now + entry->settings.drain_limit_s * G_USEC_PER_SEC;
-  MHD_socket fd;
 
   g_atomic_int_set (&entry->draining, 1);
   while (now < limit && (now < notice || calls_left (entry) > 0))
@@ -147,9 +146,7 @@
         break;
       now = g_get_monotonic_time ();
     }
-  fd = MHD_quiesce_daemon (entry->callers);
-  if (fd != MHD_INVALID_SOCKET)
-    close (fd);
+  entry_http_stop_listening (entry);
   return calls_left (entry);
 }
 
@@ -169,6 +166,7 @@
   entry_claim_close (entry);
   entry_config_close (entry);
   kv_http_close (entry->kv);
+  entry_http_free (entry);
   entry_trace_close (entry);
   entry_warn_close (entry);
   g_hash_table_destroy (entry->calls);
--- a/src/entry_net.c
+++ b/src/entry_net.c
@@ -69,7 +69,7 @@
   strm_data (call->strm, data->attempt, data->sequence, data->bytes.p,
              data->bytes.n, call->answer);
   if (call->stream)
-    entry_call_wake (call);
+    entry_http_wake (call);
   put_call (call);
 }
 
--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -329,10 +329,13 @@
 }
 
 static void
-on_unread (void *ctx, int status, const char *why)
+on_unread (void *ctx, int status, const char *why, GString *fields,
+           GString *body)
 {
   struct gw_door *door = ctx;
 
+  (void)fields;
+  (void)body;
   door->gw->counts.refused++;
   jlog ("unread", NULL, "\"status\":%d,\"why\":\"%s\"", status, why);
 }
--- a/src/hsrv.c
+++ b/src/hsrv.c
@@ -34,9 +34,10 @@
   struct hhead head;
   http_parser parser;
   GString *body;
-  int whole;   /* the body has ended */
-  int keep;    /* after the answer */
-  int chunked; /* the answer */
+  int whole;    /* the body has ended */
+  int keep;     /* after the answer */
+  int chunked;  /* the answer */
+  int bodyless; /* the answer, to a HEAD request */
   int paused;
   int closing;
   int unwritable;
@@ -52,6 +53,9 @@
   struct hsrv_limits limits;
   struct tab *conns;
   int draining;
+  int deaf;   /* the listener is closed or closing */
+  int closed; /* the listener is closed */
+  int freed;  /* by its owner */
 };
 
 static void next_request (struct conn *c);
@@ -102,11 +106,16 @@
 static void
 refuse (struct conn *c, int status, const char *why)
 {
+  GString *fields = g_string_new (NULL);
+  GString *body = g_string_new (NULL);
+
   if (c->srv->ops.unread != NULL)
-    c->srv->ops.unread (c->srv->ctx, status, why);
+    c->srv->ops.unread (c->srv->ctx, status, why, fields, body);
   c->keep = 0;
   c->phase = PHASE_BUSY;
-  hsrv_answer (c->srv, c->handle, status, NULL, "", 0);
+  hsrv_answer (c->srv, c->handle, status, fields->str, body->str, body->len);
+  g_string_free (fields, TRUE);
+  g_string_free (body, TRUE);
 }
 
 static int
@@ -215,6 +224,7 @@
     }
   c->keep = http_should_keep_alive (&c->parser);
   c->whole = c->head.complete;
+  c->bodyless = hspan_same (c->head.method, "HEAD");
   if (c->body == NULL)
     c->body = g_string_sized_new (256);
   c->phase = PHASE_BODY;
@@ -373,7 +383,7 @@
   struct conn *c = tab_get (srv->conns, conn);
   GString *out;
 
-  if (c == NULL || size == 0)
+  if (c == NULL || size == 0 || c->bodyless)
     return;
   if (!c->chunked)
     {
@@ -425,6 +435,7 @@
       return;
     }
   c->phase = PHASE_HEAD;
+  c->bodyless = 0;
   g_string_erase (c->in, 0, (gssize)c->head_length);
   if (c->body != NULL)
     {
@@ -451,7 +462,7 @@
 
   if (c == NULL)
     return;
-  if (c->chunked)
+  if (c->chunked && !c->bodyless)
     conn_write (c, "0\r\n\r\n", 5);
   if (!c->closing)
     next_request (c);
@@ -504,6 +515,44 @@
     }
 }
 
+static void
+free_closed (struct hsrv *srv)
+{
+  if (!srv->closed || !srv->freed)
+    return;
+  tab_free (srv->conns);
+  g_free (srv);
+}
+
+static void
+on_listener_closed (uv_handle_t *handle)
+{
+  struct hsrv *srv = handle->data;
+
+  srv->closed = 1;
+  free_closed (srv);
+}
+
+void
+hsrv_stop_listening (struct hsrv *srv)
+{
+  if (!srv->deaf)
+    uv_close ((uv_handle_t *)&srv->listener, on_listener_closed);
+  srv->deaf = 1;
+}
+
+void
+hsrv_free (struct hsrv *srv)
+{
+  uint64_t handle = 0;
+
+  while ((handle = tab_next (srv->conns, handle)) != 0)
+    conn_close (tab_get (srv->conns, handle), 0);
+  hsrv_stop_listening (srv);
+  srv->freed = 1;
+  free_closed (srv);
+}
+
 size_t
 hsrv_connections (const struct hsrv *srv)
 {
--- a/src/hsrv.h
+++ b/src/hsrv.h
@@ -32,8 +32,10 @@
                    const char *body, size_t size);
   /* The client has left before its answer was complete.  */
   void (*left) (void *ctx, uint64_t conn);
-  /* A request was refused with STATUS before it was whole; may be null.  */
-  void (*unread) (void *ctx, int status, const char *why);
+  /* A request is refused with STATUS before it is whole; may be null.  FIELDS
+     takes header lines and BODY the body of the answer.  */
+  void (*unread) (void *ctx, int status, const char *why, GString *fields,
+                  GString *body);
 };
 
 struct hsrv;
@@ -65,6 +67,13 @@
 void hsrv_close_idle (struct hsrv *srv);
 size_t hsrv_connections (const struct hsrv *srv);
 
+/* Takes no new connections.  */
+void hsrv_stop_listening (struct hsrv *srv);
+
+/* Closes all connections without telling their owner; SRV is freed once the
+   loop has run.  */
+void hsrv_free (struct hsrv *srv);
+
 /* Closes what has been idle or slow for too long; to be called regularly.  */
 void hsrv_tick (struct hsrv *srv);
 #endif
--- a/src/span.c
+++ b/src/span.c
@@ -1,6 +1,7 @@
 #include "goldcresthatch/span.h"
 
 #include <json-c/json.h>
+#include <pthread.h>
 #include <sodium.h>
 #include <string.h>
 
@@ -18,7 +19,7 @@
 
 struct span_ring
 {
-  GMutex lock; /* guards what follows */
+  pthread_mutex_t lock; /* guards what follows */
   struct span *spans;
   size_t capacity;
   size_t count;
@@ -152,12 +153,12 @@
     span->err = *err;
   if ((span->ctx.flags & FLAG_SAMPLED) == 0)
     return;
-  g_mutex_lock (&ring->lock);
+  pthread_mutex_lock (&ring->lock);
   ring->spans[ring->next] = *span;
   ring->next = (ring->next + 1) % ring->capacity;
   if (ring->count < ring->capacity)
     ring->count++;
-  g_mutex_unlock (&ring->lock);
+  pthread_mutex_unlock (&ring->lock);
 }
 
 struct span_ring *
@@ -165,7 +166,7 @@
 {
   struct span_ring *ring = g_new0 (struct span_ring, 1);
 
-  g_mutex_init (&ring->lock);
+  pthread_mutex_init (&ring->lock, NULL);
   ring->capacity = MAX (capacity, (size_t)1);
   ring->spans = g_new0 (struct span, ring->capacity);
   ring->service = g_strdup (service);
@@ -178,7 +179,7 @@
 {
   if (ring == NULL)
     return;
-  g_mutex_clear (&ring->lock);
+  pthread_mutex_destroy (&ring->lock);
   g_free (ring->spans);
   g_free (ring->service);
   g_free (ring->instance);
@@ -298,7 +299,7 @@
   size_t found;
   size_t i;
 
-  g_mutex_lock (&ring->lock);
+  pthread_mutex_lock (&ring->lock);
   for (i = 0; i < ring->count; i++)
     {
       span = &ring->spans[(ring->next + ring->capacity - ring->count + i)
@@ -306,7 +307,7 @@
       if (memcmp (span->ctx.trace, trace, SPAN_TRACE_SIZE) == 0)
         json_object_array_add (spans, span_json (span));
     }
-  g_mutex_unlock (&ring->lock);
+  pthread_mutex_unlock (&ring->lock);
   found = json_object_array_length (spans);
   g_string_append (
       out, json_object_to_json_string_ext (
--- a/tests/scripts/malformed.sh
+++ b/tests/scripts/malformed.sh
@@ -118,6 +118,43 @@
   done
 } 2> /dev/null
 
+# Sends a request and prints the status line of its answer.
+raw_status ()			# WHAT HEAD BODY; with escapes
+{
+  local line
+  exec 8<> "/dev/tcp/${ENTRY%:*}/${ENTRY#*:}"
+  printf '%b' "$2" "$3" >&8
+  read -t 20 -r line <&8 || line="no answer"
+  exec 8>&-
+  echo "$1: ${line%$'\r'}"
+}
+
+# Requests that two readers could take for different ones.
+ambiguous_requests ()
+{
+  local post='POST /v1/chat/completions HTTP/1.1\r\n' host='Host: x\r\n'
+  local n=${#GOOD} chunks
+  local length="Content-Length: $n\r\n" coding='Transfer-Encoding: chunked\r\n'
+  chunks="$(printf '%x' "$n")\r\n$GOOD\r\n0\r\n\r\n"
+  raw_status "well formed" "$post$host$length\r\n" "$GOOD"
+  raw_status "well formed chunks" "$post$host$coding\r\n" "$chunks"
+  raw_status "two lengths" \
+    "$post$host${length}Content-Length: $((n - 1))\r\n\r\n" "$GOOD"
+  raw_status "length beside chunks" "$post$host$length$coding\r\n" "$chunks"
+  raw_status "space before a colon" \
+    "$post${host}Content-Length : $n\r\n\r\n" "$GOOD"
+  raw_status "bare line feeds" \
+    "POST /v1/chat/completions HTTP/1.1\nHost: x\nContent-Length: $n\n\n" \
+    "$GOOD"
+  raw_status "folded line" "$post${host}X-A: 1\r\n 2\r\n$length\r\n" "$GOOD"
+  raw_status "no host" "$post$length\r\n" "$GOOD"
+  raw_status "two hosts" "$post$host$host$length\r\n" "$GOOD"
+  raw_status "unknown coding" \
+    "$post${host}Transfer-Encoding: gzip\r\n\r\n" "$GOOD"
+  raw_status "two codings" \
+    "$post${host}Transfer-Encoding: gzip, chunked\r\n\r\n" "$chunks"
+}
+
 start_kv
 start_runner 1 engine chat --token-us 1000
 set_vms 1
@@ -137,6 +174,7 @@
 head -c 200000 /dev/zero | tr '\0' h > "$WORK/huge"
 status /v1/chat/completions -d "$GOOD" -H "X-Huge: $(head -c 100000 "$WORK/huge")" \
   | tally "huge header"
+ambiguous_requests
 raw_http
 wait_for "chat after the requests" serves 1 chat
 echo "served afterwards"
--- a/tests/unit_entry_warn.cc
+++ b/tests/unit_entry_warn.cc
@@ -1,6 +1,5 @@
 #include <glib.h>
 #include <gtest/gtest.h>
-#include <microhttpd.h>
 #include <pthread.h>
 
 #include <string>
--- a/tests/unit_http_io.cc
+++ b/tests/unit_http_io.cc
@@ -41,7 +41,7 @@
     static_cast<HttpServer *> (ctx)->left++;
   }
   static void
-  on_unread (void *ctx, int status, const char *)
+  on_unread (void *ctx, int status, const char *, GString *, GString *)
   {
     static_cast<HttpServer *> (ctx)->unread = status;
   }
