Draw different identifiers in gateways that start together

Both had drawn the same write identifier, so the one whose creation of the record was refused took the other's record for its own. The generator was seeded with (time ^ hash of the name) | 1; without processor time all gateways start in the same nanosecond, and the hashes of front-sulrs-a-1 and front-sulrs-a-2 differ in the lowest bit only.

Ruled out: a lost answer of the store; the log shows the refusal, the read and the authority of both within 1 ms.

Change: the seed is a hash of the name seeded with random bits of the system, and a record is one's own only if it names the same holder.

--- a/src/auth.c
+++ b/src/auth.c
@@ -137,6 +137,7 @@
 on_acquiring_read (struct auth *auth, const struct auth_event *ev)
 {
   if (ev->rc == 1 && ev->record != NULL
+      && strcmp (ev->record->holder, auth->holder) == 0
       && msg_id_equal (ev->record->write_id, auth->write_id))
     acquire (auth, ev->revision, ev->now_us);
   else if (ev->rc == 1)
--- a/src/gw.h
+++ b/src/gw.h
@@ -103,6 +103,9 @@
 }
 
 int64_t gw_now (struct gw *gw);
+/* Seeds gw_random from ENTROPY and the name of the process, so that processes
+   which start with the same entropy draw different numbers.  */
+void gw_random_seed (struct gw *gw, const char *name, uint64_t entropy);
 uint64_t gw_random (struct gw *gw);
 struct sbud *gw_budget (struct gw *gw, const char *service);
 
--- a/src/gw_run.c
+++ b/src/gw_run.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <sys/stat.h>
 #include <time.h>
+#include <xxhash.h>
 
 #include "gw.h"
 
@@ -42,6 +43,15 @@
   return tmr_now (gw->tmr);
 }
 
+void
+gw_random_seed (struct gw *gw, const char *name, uint64_t entropy)
+{
+  gw->seed = XXH64 (name, strlen (name), entropy);
+  /* Zero would stay zero.  */
+  if (gw->seed == 0)
+    gw->seed = 1;
+}
+
 uint64_t
 gw_random (struct gw *gw)
 {
@@ -329,7 +339,7 @@
   };
   static struct gw gw;
   static struct driver driver;
-  struct timespec now;
+  uint64_t entropy;
   struct err err;
   char *path = NULL;
   int check = 0;
@@ -345,10 +355,12 @@
   if (check)
     return 0;
   jlog_open (gw.set.node);
-  clock_gettime (CLOCK_REALTIME, &now);
-  gw.seed = ((uint64_t)now.tv_nsec << 20) ^ (uint64_t)now.tv_sec
-            ^ g_str_hash (gw.set.node);
-  gw.seed |= 1;
+  if (uv_random (NULL, NULL, &entropy, sizeof entropy, 0, NULL) != 0)
+    {
+      fputs ("goldcresthatch-gateway: no random numbers\n", stderr);
+      return 1;
+    }
+  gw_random_seed (&gw, gw.set.node, entropy);
   uv_loop_init (&gw.loop);
   gw.tmr = tmr_new_virtual (clock_us ());
   gw.adp = adp;
--- a/tests/unit_auth.cc
+++ b/tests/unit_auth.cc
@@ -121,6 +121,17 @@
   EXPECT_EQ (a.state, AUTH_FOLLOWER);
 }
 
+// Guards against two holders whose processes drew the same bits because they
+// started at the same time.
+TEST_F (Auth, AnotherHolderWithTheSameBitsIsNotItself)
+{
+  struct auth_record rec = { "entry-2", 7, { 1, 2 }, 5 };
+
+  EXPECT_EQ (send (AUTH_EV_CAS, 0, -1), AUTH_DO_READ);
+  send (AUTH_EV_READ, 0, 1, 43, &rec);
+  EXPECT_EQ (a.state, AUTH_FOLLOWER);
+}
+
 // Guards against a late result of an earlier operation.
 TEST_F (Auth, IgnoresResultsOfOtherOperations)
 {
--- a/tests/unit_gw_rules.cc
+++ b/tests/unit_gw_rules.cc
@@ -2,8 +2,16 @@
 // share of the stages.
 #include <gtest/gtest.h>
 
+#include <set>
+#include <string>
+
 #include "gw_headers.hh"
 
+extern "C"
+{
+#include "gw.h"
+}
+
 using gw_test::span;
 
 namespace
@@ -26,6 +34,21 @@
   EXPECT_EQ (outc_status (&outc, 0), 502) << "the first send may have run";
 }
 
+// Guards against gateways that draw the same identifiers because they started
+// at the same time under names that differ little.
+TEST (GwRandom, NamesGiveDifferentNumbers)
+{
+  std::set<uint64_t> seen;
+
+  for (int i = 0; i < 64; i++)
+    {
+      struct gw gw = {};
+      gw_random_seed (&gw, ("front-a-" + std::to_string (i)).c_str (), 12345);
+      for (int k = 0; k < 4; k++)
+        EXPECT_TRUE (seen.insert (gw_random (&gw)).second) << i;
+    }
+}
+
 // Guards against a status after part of an answer has gone out.
 TEST (Outc, NoStatusOnceStarted)
 {
