Let idle engines that generate read prompts in a burst

Change: plc_overflow picks a generating engine that is used for at most overflow_share of its slots and has no prompt left to read; the request goes there whole. What was sent to an engine is noted as kept there in both stages. A prompt counts as unread until the answer begins, not until it ends, so that a long stream does not hide an idle engine.

Tests: OverflowGoesToIdleGenerators, OverflowIsReadWhereItIsGenerated (burst of long prompts).

--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -184,9 +184,21 @@
       /* A prompt that no engine can go on with is read in vain.  */
       if (decode.runner == NULL)
         choice.runner = NULL;
+      phase = ADP_PROMPT_ONLY;
+      if (choice.runner != NULL && plc_is_late (&choice, limit))
+        {
+          struct plc_choice spare;
+          where->stage = MEMB_STAGE_DECODE;
+          spare = plc_overflow (gw->plc, gw->memb, where, prompt,
+                                gw->set.overflow_share, now);
+          if (spare.runner != NULL && !plc_is_late (&spare, limit))
+            {
+              choice = spare;
+              phase = ADP_WHOLE;
+            }
+        }
       if (call->outc.sends == 0 && call->n_excluded == 0)
         gw_stage_demand (gw, choice.unread);
-      phase = ADP_PROMPT_ONLY;
     }
   else
     {
--- a/src/gw_run.c
+++ b/src/gw_run.c
@@ -210,6 +210,7 @@
   gw->set.repeat_window_ms = next.repeat_window_ms;
   gw->set.prefill_share = next.prefill_share;
   gw->set.admit_factor = next.admit_factor;
+  gw->set.overflow_share = next.overflow_share;
   gw->set.direct_tokens = next.direct_tokens;
   gw->set.grace_ms = next.grace_ms;
   jlog ("reload", NULL, "\"outcome\":\"in force\"");
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -13,6 +13,14 @@
   BUFFER_MAX = 256 * 1024 /* of an answer that isn't streamed */
 };
 
+/* The runner has read the prompt.  */
+static void
+prompt_over (struct gw_call *call)
+{
+  call->runner->tokens = MAX (call->runner->tokens - call->reading, 0.0);
+  call->reading = 0;
+}
+
 /* Ends the accounts of the send in progress.  */
 static void
 send_over (struct gw_call *call)
@@ -21,8 +29,7 @@
     return;
   call->call = 0;
   call->runner->calls--;
-  call->runner->tokens = MAX (call->runner->tokens - call->reading, 0.0);
-  call->reading = 0;
+  prompt_over (call);
 }
 
 void
@@ -170,6 +177,7 @@
     }
   if (answer->has_load && call->phase != ADP_RELAY)
     memb_told (call->runner, answer->running, answer->waiting, gw_now (gw));
+  prompt_over (call);
   call->leaving = hspan_is (hhead_get (head, "connection"), "close");
   if (call->streaming)
     return HCLI_TAKE;
@@ -502,11 +510,10 @@
   call->reading = choice->unread;
   runner->calls++;
   runner->tokens += choice->unread;
+  if (phase != ADP_RELAY && call->in.prompt.n_parts > 0)
+    plc_note (gw->plc, runner, &call->in.prompt, now);
   if (phase == ADP_PROMPT_ONLY)
-    {
-      gw->counts.prompts++;
-      plc_note (gw->plc, runner, &call->in.prompt, now);
-    }
+    gw->counts.prompts++;
   else
     {
       outc_apply (&call->outc, OUTC_EV_SEND);
--- a/src/gw_set.c
+++ b/src/gw_set.c
@@ -44,6 +44,7 @@
     600000, 10000 },
   { "prefill_share", offsetof (struct gw_set, prefill_share), 0, 1, 0.5 },
   { "admit_factor", offsetof (struct gw_set, admit_factor), 0.1, 1000, 1 },
+  { "overflow_share", offsetof (struct gw_set, overflow_share), 0, 1, 0.2 },
   { "direct_tokens", offsetof (struct gw_set, direct_tokens), 0, 1e9, 1024 },
 };
 
--- a/src/gw_set.h
+++ b/src/gw_set.h
@@ -26,10 +26,12 @@
   double repeat_ratio; /* of all processes, for a service */
   double repeat_slack;
   double repeat_window_ms;
-  double prefill_share; /* of the engines before any demand is known */
-  double admit_factor;  /* of the target for the first byte: a request that
-                           would wait longer is refused */
-  double direct_tokens; /* a shorter prompt isn't read apart */
+  double prefill_share;  /* of the engines before any demand is known */
+  double admit_factor;   /* of the target for the first byte: a request that
+                            would wait longer is refused */
+  double overflow_share; /* of its slots, up to which an engine that generates
+                            reads prompts that the others can't */
+  double direct_tokens;  /* a shorter prompt isn't read apart */
 };
 
 /* Reads PATH.  Returns 0, or -1 with the first error.  */
--- a/src/plc.c
+++ b/src/plc.c
@@ -276,6 +276,37 @@
   return best.choice;
 }
 
+struct plc_choice
+plc_overflow (const struct plc *plc, const struct memb *memb,
+              const struct plc_where *where, const struct plc_prompt *prompt,
+              double share, int64_t now)
+{
+  struct weighed best = { { NULL, 0, 0, 0 }, 0 };
+  size_t i;
+
+  for (i = 0; i < memb_count (memb); i++)
+    {
+      struct memb_runner *runner = memb_at (memb, i);
+      struct plc_choice choice = { runner, 0, 0, 0 };
+      double load;
+      if (!fits (runner, where, now)
+          || runner->tokens + runner->others_tokens > 0)
+        continue;
+      load = memb_load (runner, now);
+      if (load > share * runner->entry.slots)
+        continue;
+      choice.unread = plc_unread (plc, runner, prompt, now);
+      choice.first_us = plc->speed.prompt_us
+                        + choice.unread / plc->speed.read_tokens_per_us
+                              * plc->speed.decode_read_slowdown;
+      take_if_better (&best, &choice,
+                      choice.first_us * (1 + load / runner->entry.slots)
+                          + memb_failing (runner, now) * PROMPT_FAILED_US
+                          + other_zone_us (runner, where));
+    }
+  return best.choice;
+}
+
 struct plc_choice
 plc_call (const struct memb *memb, const struct plc_where *where,
           uint64_t random, int64_t now)
--- a/src/plc.h
+++ b/src/plc.h
@@ -95,6 +95,14 @@
 struct plc_choice plc_decode (const struct plc *plc, const struct memb *memb,
                               const struct plc_where *where,
                               const struct plc_prompt *prompt, int64_t now);
+/* Chooses an engine that generates for a whole request whose prompt the other
+   stage can't read in time.  Only an engine that is used for at most SHARE of
+   its slots and has no prompt left to read is taken: it reads at half speed
+   and delays its streams meanwhile.  */
+struct plc_choice plc_overflow (const struct plc *plc, const struct memb *memb,
+                                const struct plc_where *where,
+                                const struct plc_prompt *prompt, double share,
+                                int64_t now);
 struct plc_choice plc_call (const struct memb *memb,
                             const struct plc_where *where, uint64_t random,
                             int64_t now);
--- a/tests/unit_gw_call.cc
+++ b/tests/unit_gw_call.cc
@@ -341,6 +341,29 @@
   EXPECT_EQ (memb_find (gw.memb, "r0")->references, 0U);
 }
 
+// Burst of long prompts: guards against a refusal while an engine that
+// generates could read the prompt in time, and against counting that prompt as
+// unread once its answer has begun.
+TEST_F (GatewayCall, OverflowIsReadWhereItIsGenerated)
+{
+  int fd;
+  gw.set.overflow_share = 0.25;
+  runner (0, "llm", MEMB_STAGE_PREFILL);
+  runner (1, "llm", MEMB_STAGE_DECODE);
+  memb_find (gw.memb, "r0")->tokens = 1e7;
+  ask ("/check/1", "X-Goldcresthatch-Token-Count: 2000,4\r\n"
+                   "X-Goldcresthatch-Prompt-Prefix: a:900,b:1100\r\n");
+  std::string sent = at_runner (1, &fd);
+  EXPECT_EQ (sent.find ("Stage"), std::string::npos);
+  EXPECT_EQ (sent.find ("Kv-Source"), std::string::npos);
+  EXPECT_EQ (memb_find (gw.memb, "r1")->tokens, 2000);
+  put (fd, head (200, stamp + std::string (chunked)) + chunk (event1));
+  EXPECT_TRUE (client_has ("HTTP/1.1 200"));
+  EXPECT_EQ (memb_find (gw.memb, "r1")->tokens, 0);
+  put (fd, "0\r\n\r\n");
+  EXPECT_TRUE (client_has ("\r\n0\r\n\r\n"));
+}
+
 // Guards against part of a relayed answer that is passed on as a whole one
 // when the relay breaks before the first whole event.  Seen once in a hunt.
 TEST_F (GatewayCall, BrokenRelayIsNotWhole)
--- a/tests/unit_plc.cc
+++ b/tests/unit_plc.cc
@@ -226,6 +226,36 @@
   EXPECT_TRUE (plc_is_late (&choice, limit));
 }
 
+// Burst of long prompts: guards against refusing while engines that generate
+// have little to do, and against reading at one that is busy, is reading, or
+// lacks the session's parts while another has them.
+TEST_F (Plc, OverflowGoesToIdleGenerators)
+{
+  const double share = 0.25; /* 2 of 8 slots */
+  struct plc_prompt p = prompt (5);
+  where.stage = MEMB_STAGE_DECODE;
+  EXPECT_EQ (plc_overflow (plc, memb, &where, &p, share, 0).runner, nullptr);
+  struct memb_runner *busy = add ("busy", MEMB_STAGE_DECODE);
+  struct memb_runner *idle = add ("idle", MEMB_STAGE_DECODE);
+  busy->calls = 3;
+  idle->calls = 2;
+  struct plc_choice cold = plc_overflow (plc, memb, &where, &p, share, 0);
+  EXPECT_EQ (cold.runner, idle);
+  EXPECT_EQ (cold.unread, 9200U);
+  EXPECT_EQ (plc_overflow (plc, memb, &where, &p, 0, 0).runner, nullptr);
+  struct memb_runner *warm = add ("warm", MEMB_STAGE_DECODE);
+  warm->calls = 2;
+  plc_note (plc, warm, &p, 0);
+  struct plc_choice choice = plc_overflow (plc, memb, &where, &p, share, 0);
+  EXPECT_EQ (choice.runner, warm);
+  EXPECT_EQ (choice.unread, 2900U);
+  EXPECT_LT (choice.first_us, cold.first_us);
+  warm->others_tokens = 1;
+  EXPECT_EQ (plc_overflow (plc, memb, &where, &p, share, 0).runner, idle);
+  idle->tokens = 1;
+  EXPECT_EQ (plc_overflow (plc, memb, &where, &p, share, 0).runner, nullptr);
+}
+
 // Guards against a choice that was excluded, and against one made of nothing.
 TEST_F (Plc, ExcludedAndNone)
 {
