Parse numbers without GLib, whose first calls can meet

Change: num_parse keeps no state. An entry counts as listed once it has a list that it accepts, or an empty one. It says "no such service" only when it has heard from every listed VM (unheard.sh, which got 404 before).

--- a/src/entry_fleet.c
+++ b/src/entry_fleet.c
@@ -318,8 +318,6 @@
 entry_fleet_knows (struct entry *entry, const char *service)
 {
   struct fleet *fleet = entry->fleet->fleet;
-  gint64 now = g_get_monotonic_time ();
-  const struct link *link;
   int known = 0;
   size_t i;
 
@@ -330,12 +328,10 @@
 
       if (runner == NULL)
         continue;
-      link = entry_fleet_link (entry, runner->ref);
-      /* A call is not refused as invalid while the service of a runner is
-         still being asked for.  */
+      /* A call is not refused as invalid while the service of a runner has
+         not been heard.  */
       known = strcmp (runner->service, service) == 0
-              || (runner->service[0] == '\0' && link != NULL
-                  && entry_fleet_awaited (link, now));
+              || runner->service[0] == '\0';
     }
   pthread_mutex_unlock (&entry->lock);
   return known;
--- a/src/entry_fleet_links.c
+++ b/src/entry_fleet_links.c
@@ -241,9 +241,11 @@
     }
   pthread_mutex_lock (&entry->lock);
   /* An empty list is refused below, yet a site may have no endpoint VM.  */
-  entry->fleet->listed = 1;
+  if (n == 0)
+    entry->fleet->listed = 1;
   if (fleet_list (entry->fleet->fleet, vms, n, &err) == 0)
     {
+      entry->fleet->listed = 1;
       refresh (entry, g_get_monotonic_time ());
       entry->fleet->list_error[0] = '\0';
     }
--- a/src/entry_request.c
+++ b/src/entry_request.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "hhead.h"
+#include "num.h"
 
 enum
 {
@@ -43,12 +44,12 @@
                const char *name, uint64_t max, uint64_t *value)
 {
   g_autofree char *text = header_copy (head, name);
-  guint64 number;
+  uint64_t number;
   char message[MSG_NAME_MAX * 2];
 
   if (text == NULL)
     return 0;
-  if (g_ascii_string_to_unsigned (text, 10, 0, max, &number, NULL))
+  if (num_parse (text, 10, 0, max, &number) == 0)
     {
       *value = number;
       return 0;
--- a/src/entry_susp.c
+++ b/src/entry_susp.c
@@ -9,6 +9,7 @@
 #include "goldcresthatch/ctr.h"
 #include "goldcresthatch/log.h"
 #include "goldcresthatch/susp.h"
+#include "num.h"
 
 enum
 {
@@ -282,12 +283,13 @@
   for (i = 0; i < n; i++)
     {
       struct json_object *item = json_object_array_get_idx (list, i);
-      guint64 fingerprint;
+      uint64_t fingerprint;
       enum susp_verdict verdict;
 
       if (!json_object_is_type (item, json_type_string)
-          || !g_ascii_string_to_unsigned (json_object_get_string (item), 16, 0,
-                                          UINT64_MAX, &fingerprint, NULL))
+          || num_parse (json_object_get_string (item), 16, 0, UINT64_MAX,
+                        &fingerprint)
+                 != 0)
         continue;
       pthread_mutex_lock (&entry->lock);
       verdict = susp_check (entry->susp->susp, fingerprint,
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "num.h"
+
 enum
 {
   FIRST_SLOTS = 16,
@@ -102,16 +104,14 @@
   char ip[INET6_ADDRSTRLEN + 1];
   const char *colon = strrchr (address, ':');
   struct in_addr in;
-  guint64 port;
+  uint64_t port;
 
   if (!colon || (size_t)(colon - address) >= sizeof ip)
     return -1;
   g_strlcpy (ip, address, (size_t)(colon - address) + 1);
   if (inet_pton (AF_INET, ip, &in) != 1)
     return -1;
-  return g_ascii_string_to_unsigned (colon + 1, 10, 1, PORT_MAX, &port, NULL)
-             ? 0
-             : -1;
+  return num_parse (colon + 1, 10, 1, PORT_MAX, &port);
 }
 
 static int
