Bound the calls and connections to one runner by its own limit

Cause: the gateways read how many connections a runner accepts from all callers together but did not keep to it.

Change: a gateway has at most the runner's limit divided by the number of gateways in progress at one runner, and a connection that is made because the others have rested too long takes the place of the oldest of them.

Removed, since nothing read them: the setting first_start, the fields of the configuration for memory, handles, stage changes and pauses, and the time of the last change of stages.

--- a/src/gw_set.c
+++ b/src/gw_set.c
@@ -109,14 +109,13 @@
   for (i = 0; i < G_N_ELEMENTS (numbers); i++)
     if (strcmp (numbers[i].name, name) == 0)
       return 1;
-  return strcmp (name, "first_start") == 0;
+  return 0;
 }
 
 int
 gw_set_read (const char *path, struct gw_set *set, struct err *err)
 {
   struct json_object *from = json_object_from_file (path);
-  struct json_object *member;
   int rc = 0;
   size_t i;
 
@@ -138,8 +137,6 @@
     rc = text_read (from, set, i, err);
   for (i = 0; rc == 0 && i < G_N_ELEMENTS (numbers); i++)
     rc = number_read (from, set, i, err);
-  if (json_object_object_get_ex (from, "first_start", &member))
-    set->first_start = json_object_get_boolean (member);
   json_object_put (from);
   return rc;
 }
--- a/src/gw_set.h
+++ b/src/gw_set.h
@@ -18,7 +18,6 @@
   char listen_relay[32];   /* requests of other gateways; may be empty */
   char listen_load[32];    /* datagrams of other gateways; may be empty */
   char store[32];
-  int first_start;     /* the whole system starts for the first time */
   double link_mbit;    /* of this VM */
   double lease_ms;     /* least time between the orders of two holders */
   double settled_ms;   /* within which changes are in force after trouble */
--- a/src/gw_stage.c
+++ b/src/gw_stage.c
@@ -321,7 +321,7 @@
         view.generating += memb_load (one, now) / MAX (one->entry.slots, 1u);
     }
   stgp_see (&stage->plan, &view, now);
-  if (!may_order || !stgp_next (&stage->plan, &view, now, to))
+  if (!may_order || !stgp_next (&stage->plan, &view, to))
     return 0;
   *runner = stgp_pick (gw->memb, *to);
   return *runner != NULL;
--- a/src/hcli.c
+++ b/src/hcli.c
@@ -421,13 +421,17 @@
   uint64_t call;
 
   /* The head of the queue has rested the least.  */
-  if (c != NULL && uv_now (cli->loop) - c->idle_since_ms > (uint64_t)rest_ms)
-    c = NULL;
-  if (c != NULL)
+  if (c != NULL && uv_now (cli->loop) - c->idle_since_ms <= (uint64_t)rest_ms)
     g_queue_pop_head (&peer->idle);
+  else
+    {
+      struct conn *oldest = g_queue_peek_tail (&peer->idle);
 
-  if (c == NULL)
-    c = conn_open (cli, peer, address, connect_ms);
+      c = conn_open (cli, peer, address, connect_ms);
+      /* Else rested connections would add up to more than the peer accepts. */
+      if (c != NULL && oldest != NULL)
+        conn_close (oldest);
+    }
   if (c == NULL)
     {
       peer_drop (cli, peer);
--- a/src/hcli.h
+++ b/src/hcli.h
@@ -43,7 +43,8 @@
 /* Sends the SIZE bytes of REQUEST to ADDRESS, "IP:PORT".  PEER names the
    lifetime of the process expected there; connections are kept for each.  One
    that has rested for longer than REST_MS is not used: its peer may have
-   dropped it without a word, and the request would be lost.
+   dropped it without a word, and the request would be lost; the connection
+   that is made instead takes the place of the one that has rested longest.
    Returns the call's handle, which is 0 when nothing was sent and DONE will
    not be called.  */
 uint64_t hcli_call (struct hcli *cli, const char *address, const char *peer,
--- a/src/plc.c
+++ b/src/plc.c
@@ -146,6 +146,7 @@
   size_t i;
 
   if (!memb_usable (runner, now) || memb_changing (runner)
+      || (where->calls_max > 0 && runner->calls >= where->calls_max)
       || strcmp (runner->entry.service, where->service) != 0
       || (where->stage != MEMB_STAGE_ANY
           && runner->entry.stage != where->stage))
--- a/src/plc.h
+++ b/src/plc.h
@@ -86,6 +86,7 @@
   enum memb_stage stage; /* ANY for a plain service */
   const struct memb_runner *const *excluded;
   size_t n_excluded;
+  unsigned calls_max; /* in progress at one runner; 0 for any number */
 };
 
 struct plc_choice plc_prefill (const struct plc *plc, const struct memb *memb,
--- a/src/rtab.h
+++ b/src/rtab.h
@@ -26,9 +26,6 @@
   char *name;
   unsigned connections_max; /* to one runner, from all callers together */
   int is_engine;
-  double kv_tokens;    /* memory of an engine */
-  double handle_ttl_s; /* for which a prompt's memory is kept for a taker */
-  double stage_change_s;
 };
 
 struct rtab_target
@@ -46,7 +43,6 @@
   int resumable;      /* a stream may go on at another runner */
   int64_t timeout_ms; /* longest time without a final answer */
   int64_t target_ms;  /* for the first byte of the answer */
-  int64_t gap_ms;     /* between two events of a stream */
   unsigned priority;  /* 0 is the highest */
   unsigned attempts;  /* runners to which one request may be sent */
   struct rtab_target *targets;
--- a/src/stgp.c
+++ b/src/stgp.c
@@ -23,7 +23,6 @@
 stgp_init (struct stgp_state *state)
 {
   state->last_us = -1;
-  state->changed_us = 0;
   state->reading = 0;
   state->generating = 0;
   state->seen_s = 0;
@@ -72,7 +71,7 @@
 }
 
 int
-stgp_next (struct stgp_state *state, const struct stgp_view *view, int64_t now,
+stgp_next (const struct stgp_state *state, const struct stgp_view *view,
            enum memb_stage *to)
 {
   double off;
@@ -88,7 +87,6 @@
       && (fabs (off) < worth_a_change
           || view->changing + 1 > fmax (1, changing_share * view->engines)))
     return 0;
-  state->changed_us = now;
   *to = off > 0 ? MEMB_STAGE_PREFILL : MEMB_STAGE_DECODE;
   return 1;
 }
--- a/src/stgp.h
+++ b/src/stgp.h
@@ -33,7 +33,6 @@
 struct stgp_state
 {
   int64_t last_us;
-  int64_t changed_us;
   double reading; /* decaying averages */
   double generating;
   double seen_s; /* time with demand */
@@ -50,8 +49,8 @@
                     const struct stgp_view *view);
 
 /* Returns 1 with the stage that one more engine is to get, or 0.  */
-int stgp_next (struct stgp_state *state, const struct stgp_view *view,
-               int64_t now, enum memb_stage *to);
+int stgp_next (const struct stgp_state *state, const struct stgp_view *view,
+               enum memb_stage *to);
 /* Returns the engine that is best changed to the stage TO, or null: one
    without failures and with few requests.  An engine that refuses requests is
    as good as another, since it may refuse for want of the other stage.  */
--- a/tests/unit_plc.cc
+++ b/tests/unit_plc.cc
@@ -256,6 +256,24 @@
   EXPECT_EQ (plc_overflow (plc, memb, &where, &p, share, 0).runner, nullptr);
 }
 
+// Guards against more calls, and so connections, to a runner than this
+// process's part of what the runner accepts.
+TEST_F (Plc, CallsToOneRunnerAreBounded)
+{
+  struct memb_runner *near = add ("near", MEMB_STAGE_ANY);
+  struct memb_runner *far = add ("far", MEMB_STAGE_ANY);
+  g_strlcpy (far->entry.zone, "b", sizeof far->entry.zone);
+  where.stage = MEMB_STAGE_ANY;
+  where.calls_max = 2;
+  EXPECT_EQ (plc_call (memb, &where, 0, 0).runner, near);
+  near->calls = 2;
+  EXPECT_EQ (plc_call (memb, &where, 0, 0).runner, far);
+  far->calls = 2;
+  EXPECT_EQ (plc_call (memb, &where, 0, 0).runner, nullptr);
+  where.calls_max = 0;
+  EXPECT_NE (plc_call (memb, &where, 0, 0).runner, nullptr);
+}
+
 // Guards against a choice that was excluded, and against one made of nothing.
 TEST_F (Plc, ExcludedAndNone)
 {
