--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -151,6 +151,40 @@
   gw_call_refuse (call, (int64_t)(choice->first_us - limit) / 1000, "late");
 }
 
+/* Chooses who reads a long prompt: an engine that reads it apart, when one
+   that generates can go on with it; else, if that would be late, one that
+   generates and has little to do.  */
+static struct plc_choice
+choose_reader (struct gw_call *call, struct plc_where *where, double limit,
+               enum adp_phase *phase)
+{
+  struct gw *gw = call->gw;
+  const struct plc_prompt *prompt = &call->in.prompt;
+  int64_t now = gw_now (gw);
+  struct plc_choice decode = plc_decode (gw->plc, gw->memb, where, NULL, now);
+  struct plc_choice apart;
+  struct plc_choice whole;
+
+  *phase = ADP_PROMPT_ONLY;
+  where->stage = MEMB_STAGE_PREFILL;
+  apart = plc_prefill (gw->plc, gw->memb, where, prompt, now);
+  apart.first_us += decode.first_us;
+  if (call->outc.sends == 0 && call->n_excluded == 0)
+    gw_stage_demand (gw, apart.unread);
+  /* A prompt that no engine can go on with is read in vain.  */
+  if (decode.runner == NULL)
+    apart.runner = NULL;
+  if (apart.runner == NULL || !plc_is_late (&apart, limit))
+    return apart;
+  where->stage = MEMB_STAGE_DECODE;
+  whole = plc_overflow (gw->plc, gw->memb, where, prompt,
+                        gw->set.overflow_share, now);
+  if (whole.runner == NULL || plc_is_late (&whole, limit))
+    return apart;
+  *phase = ADP_WHOLE;
+  return whole;
+}
+
 static void
 place_generation (struct gw_call *call, struct plc_where *where)
 {
@@ -175,31 +209,7 @@
            && where->stage == MEMB_STAGE_DECODE && call->last_event == 0
            && has_stage (call, MEMB_STAGE_PREFILL, 1)
            && (!call->prompt_read || gw_send_budget (call)))
-    {
-      struct plc_choice decode
-          = plc_decode (gw->plc, gw->memb, where, NULL, now);
-      where->stage = MEMB_STAGE_PREFILL;
-      choice = plc_prefill (gw->plc, gw->memb, where, prompt, now);
-      choice.first_us += decode.first_us;
-      /* A prompt that no engine can go on with is read in vain.  */
-      if (decode.runner == NULL)
-        choice.runner = NULL;
-      phase = ADP_PROMPT_ONLY;
-      if (choice.runner != NULL && plc_is_late (&choice, limit))
-        {
-          struct plc_choice spare;
-          where->stage = MEMB_STAGE_DECODE;
-          spare = plc_overflow (gw->plc, gw->memb, where, prompt,
-                                gw->set.overflow_share, now);
-          if (spare.runner != NULL && !plc_is_late (&spare, limit))
-            {
-              choice = spare;
-              phase = ADP_WHOLE;
-            }
-        }
-      if (call->outc.sends == 0 && call->n_excluded == 0)
-        gw_stage_demand (gw, choice.unread);
-    }
+    choice = choose_reader (call, where, limit, &phase);
   else
     {
       choice = plc_decode (gw->plc, gw->memb, where, prompt, now);
--- a/src/plc.c
+++ b/src/plc.c
@@ -290,7 +290,7 @@
       struct memb_runner *runner = memb_at (memb, i);
       struct plc_choice choice = { runner, 0, 0, 0 };
       double load;
-      if (!fits (runner, where, now)
+      if (!fits (runner, where, now) || runner->entry.slots == 0
           || runner->tokens + runner->others_tokens > 0)
         continue;
       load = memb_load (runner, now);
--- a/tests/unit_http_io.cc
+++ b/tests/unit_http_io.cc
@@ -194,6 +194,40 @@
   EXPECT_TRUE (run_until (&loop, [&] { return left == 1; }));
 }
 
+// Guards against a body after the answer to HEAD, which the client would take
+// for the next answer.
+TEST_F (HttpServer, HeadHasNoBody)
+{
+  int fd = connect_raw (address);
+  put (fd, "HEAD /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+           "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE (wait_requests (1));
+  hsrv_answer (srv, conn, 200, nullptr, "body", 4);
+  ASSERT_TRUE (wait_requests (2));
+  hsrv_answer (srv, conn, 200, nullptr, "next", 4);
+  std::string got = get (fd, "next");
+  EXPECT_NE (got.find ("Content-Length: 4\r\n\r\nHTTP/1.1 200"),
+             std::string::npos);
+  close (fd);
+}
+
+// Guards against a server that is freed before or after its listener and
+// leaves connections behind.
+TEST_F (HttpServer, StopsListeningAndIsFreed)
+{
+  int fd = connect_raw (address);
+  put (fd, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  ASSERT_TRUE (wait_requests (1));
+  hsrv_stop_listening (srv);
+  hsrv_stop_listening (srv);
+  hsrv_answer (srv, conn, 200, nullptr, "body", 4);
+  EXPECT_NE (get (fd, "body").find ("body"), std::string::npos);
+  hsrv_free (srv);
+  EXPECT_EQ (uv_run (&loop, UV_RUN_DEFAULT), 0);
+  EXPECT_EQ (uv_loop_close (&loop), 0);
+  close (fd);
+}
+
 // Guards against an answer lost in a stop: the last one ends the connection in
 // order, and what follows isn't taken.
 TEST_F (HttpServer, DrainEndsAfterTheAnswer)
