--- a/src/jlog.c
+++ b/src/jlog.c
@@ -40,6 +40,20 @@
   return 0;
 }
 
+/* Appends the id of a request, which its client has chosen.  */
+static void
+append_id (const char *id)
+{
+  g_string_append (state.waiting, ",\"id\":\"");
+  for (; *id != '\0'; id++)
+    {
+      if (*id == '"' || *id == '\\')
+        g_string_append_c (state.waiting, '\\');
+      g_string_append_c (state.waiting, *id);
+    }
+  g_string_append_c (state.waiting, '"');
+}
+
 void
 jlog (const char *event, const char *id, const char *fmt, ...)
 {
@@ -61,7 +75,7 @@
                           ",\"node\":\"%s\",\"event\":\"%s\"",
                           now_us / 1000, state.process, event);
   if (id != NULL && *id != '\0')
-    g_string_append_printf (state.waiting, ",\"id\":\"%s\"", id);
+    append_id (id);
   if (*fmt != '\0')
     g_string_append_c (state.waiting, ',');
   va_start (ap, fmt);
--- a/tests/unit_gw_rules.cc
+++ b/tests/unit_gw_rules.cc
@@ -1,6 +1,8 @@
 // Rules of the gateway that need no network: outcomes, budgets, routes, the
 // share of the stages.
 #include <gtest/gtest.h>
+#include <json-c/json.h>
+#include <unistd.h>
 
 #include <set>
 #include <string>
@@ -10,6 +12,7 @@
 extern "C"
 {
 #include "gw.h"
+#include "jlog.h"
 }
 
 using gw_test::span;
@@ -34,6 +37,31 @@
   EXPECT_EQ (outc_status (&outc, 0), 502) << "the first send may have run";
 }
 
+// Guards against a log line that a client's request id turns into no JSON.
+TEST (Jlog, IdsAreEscaped)
+{
+  int pipe_ends[2];
+  char line[500] = "";
+  ASSERT_EQ (pipe (pipe_ends), 0);
+  fflush (stdout);
+  int out = dup (STDOUT_FILENO);
+  dup2 (pipe_ends[1], STDOUT_FILENO);
+  jlog_open ("node");
+  jlog ("event", "a\"b\\c", "\"n\":1");
+  jlog_flush ();
+  dup2 (out, STDOUT_FILENO);
+  EXPECT_GT (read (pipe_ends[0], line, sizeof line - 1), 0);
+  struct json_object *parsed = json_tokener_parse (line);
+  struct json_object *id = nullptr;
+  ASSERT_NE (parsed, nullptr) << line;
+  ASSERT_TRUE (json_object_object_get_ex (parsed, "id", &id));
+  EXPECT_STREQ (json_object_get_string (id), "a\"b\\c");
+  json_object_put (parsed);
+  close (pipe_ends[0]);
+  close (pipe_ends[1]);
+  close (out);
+}
+
 // Guards against gateways that draw the same identifiers because they started
 // at the same time under names that differ little.
 TEST (GwRandom, NamesGiveDifferentNumbers)
