Read addresses and whole numbers in one place

"IP:PORT" was parsed by set_is_address and set_address, by fleet's own check and by hnet_address; decimal numbers by num_parse and hspan_number. set_address now checks and fills in, and the others call it or are gone; num_read serves spans and terminated texts, so that the entry reads a header without a copy.

A port with a sign or a space before it, which two of the four took, is refused everywhere.

--- a/include/goldcresthatch/set.h
+++ b/include/goldcresthatch/set.h
@@ -66,7 +66,7 @@
 /* Checks that S is "IP:PORT" with an IPv4 address.  Returns nonzero if so.  */
 int set_is_address (const char *s);
 
-/* Fills in SIN from S, for which set_is_address holds.  */
-void set_address (const char *s, struct sockaddr_in *sin);
+/* Fills in SIN from S.  Returns 0, or -1 when S is not "IP:PORT".  */
+int set_address (const char *s, struct sockaddr_in *sin);
 
 #endif
--- a/src/entry_request.c
+++ b/src/entry_request.c
@@ -43,17 +43,11 @@
 number_header (struct entry_call *call, const struct hhead *head,
                const char *name, uint64_t max, uint64_t *value)
 {
-  g_autofree char *text = header_copy (head, name);
-  uint64_t number;
+  struct hspan text = hhead_get (head, name);
   char message[MSG_NAME_MAX * 2];
 
-  if (text == NULL)
+  if (text.p == NULL || num_read (text.p, text.n, 10, 0, max, value) == 0)
     return 0;
-  if (num_parse (text, 10, 0, max, &number) == 0)
-    {
-      *value = number;
-      return 0;
-    }
   snprintf (message, sizeof message, "%s: expected a whole number up to %llu",
             name, (unsigned long long)max);
   reject (call, STATUS_BAD_REQUEST, "headers", message);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -1,16 +1,14 @@
 #include "goldcresthatch/fleet.h"
 
-#include <arpa/inet.h>
 #include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "num.h"
+#include "goldcresthatch/set.h"
 
 enum
 {
-  FIRST_SLOTS = 16,
-  PORT_MAX = 65535
+  FIRST_SLOTS = 16
 };
 
 struct slot
@@ -98,22 +96,6 @@
                      && (!slot->pub.silent || slot->pub.kept);
 }
 
-static int
-check_address (const char *address)
-{
-  char ip[INET6_ADDRSTRLEN + 1];
-  const char *colon = strrchr (address, ':');
-  struct in_addr in;
-  uint64_t port;
-
-  if (!colon || (size_t)(colon - address) >= sizeof ip)
-    return -1;
-  g_strlcpy (ip, address, (size_t)(colon - address) + 1);
-  if (inet_pton (AF_INET, ip, &in) != 1)
-    return -1;
-  return num_parse (colon + 1, 10, 1, PORT_MAX, &port);
-}
-
 static int
 check_list (const struct fleet_vm *vms, size_t n, GHashTable *seen,
             struct err *err)
@@ -133,7 +115,7 @@
           || strlen (vms[i].zone) > MSG_NAME_MAX)
         return err_set (err, ERR_INVALID, "list", NULL,
                         "line %zu: bad name or zone length", i + 1);
-      if (check_address (vms[i].address) < 0)
+      if (!set_is_address (vms[i].address))
         return err_set (err, ERR_INVALID, "list", vms[i].name,
                         "bad address, expected IP:PORT");
       if (!g_hash_table_add (seen, (gpointer)vms[i].name))
--- a/src/gw_set.c
+++ b/src/gw_set.c
@@ -5,7 +5,7 @@
 #include <stddef.h>
 #include <string.h>
 
-#include "hnet.h"
+#include "goldcresthatch/set.h"
 
 static const struct
 {
@@ -69,7 +69,7 @@
     return err_set (err, ERR_INVALID, "settings", NULL,
                     "%s is not a text of 1 to %zu bytes", texts[i].name,
                     texts[i].size - 1);
-  if (texts[i].is_address && *to != '\0' && hnet_address (to, &sa) != 0)
+  if (texts[i].is_address && *to != '\0' && set_address (to, &sa) != 0)
     return err_set (err, ERR_INVALID, "settings", NULL, "%s is not IP:PORT",
                     texts[i].name);
   return 0;
--- a/src/gw_share.c
+++ b/src/gw_share.c
@@ -1,6 +1,7 @@
 /* Datagrams with the load of this gateway, and those of the others.  */
 #include <string.h>
 
+#include "goldcresthatch/set.h"
 #include "gw.h"
 #include "hnet.h"
 #include "lshr.h"
@@ -24,7 +25,7 @@
 
   g_array_set_size (share->others, 0);
   for (i = 0; i < n; i++)
-    if (hnet_address (addresses[i], &sa) == 0
+    if (set_address (addresses[i], &sa) == 0
         && (sa.sin_addr.s_addr != share->self.sin_addr.s_addr
             || sa.sin_port != share->self.sin_port))
       g_array_append_val (share->others, sa);
@@ -89,7 +90,7 @@
   share->sequence = (uint64_t)g_get_real_time ();
   if (gw->set.listen_load[0] == '\0')
     return 0;
-  hnet_address (gw->set.listen_load, &share->self);
+  set_address (gw->set.listen_load, &share->self);
   uv_udp_init (&gw->loop, &share->udp);
   share->udp.data = gw;
   rc = uv_udp_bind (&share->udp, (struct sockaddr *)&share->self, 0);
--- a/src/hcli.c
+++ b/src/hcli.c
@@ -3,6 +3,7 @@
 #include <limits.h>
 #include <string.h>
 
+#include "goldcresthatch/set.h"
 #include "goldcresthatch/tab.h"
 #include "hnet.h"
 
@@ -380,7 +381,7 @@
   struct sockaddr_in sa;
   struct conn *c;
 
-  if (hnet_address (address, &sa) != 0)
+  if (set_address (address, &sa) != 0)
     return NULL;
   c = g_new0 (struct conn, 1);
   c->cli = cli;
--- a/src/hhead.c
+++ b/src/hhead.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "num.h"
+
 static int
 is_token (unsigned char c)
 {
@@ -183,18 +185,12 @@
   {
     DIGITS_MAX = 15
   };
-  long long sum = 0;
-  size_t i;
+  uint64_t number;
 
-  if (span.p == NULL || span.n == 0 || span.n > DIGITS_MAX)
+  if (span.p == NULL || span.n > DIGITS_MAX
+      || num_read (span.p, span.n, 10, 0, UINT64_MAX, &number) != 0)
     return -1;
-  for (i = 0; i < span.n; i++)
-    {
-      if (!g_ascii_isdigit (span.p[i]))
-        return -1;
-      sum = sum * 10 + (span.p[i] - '0');
-    }
-  *value = sum;
+  *value = (long long)number;
   return 0;
 }
 
--- a/src/hnet.c
+++ b/src/hnet.c
@@ -3,28 +3,9 @@
 #include <errno.h>
 #include <glib.h>
 #include <netinet/tcp.h>
-#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 
-int
-hnet_address (const char *text, struct sockaddr_in *sa)
-{
-  const char *colon = strrchr (text, ':');
-  char host[16];
-  char *end;
-  long port;
-
-  if (colon == NULL || colon == text || (size_t)(colon - text) >= sizeof host)
-    return -1;
-  memcpy (host, text, (size_t)(colon - text));
-  host[colon - text] = '\0';
-  port = strtol (colon + 1, &end, 10);
-  if (end == colon + 1 || *end != '\0' || port < 1 || port > 65535)
-    return -1;
-  return uv_ip4_addr (host, (int)port, sa) == 0 ? 0 : -1;
-}
-
 void
 hnet_alloc (uv_handle_t *handle, size_t hint, uv_buf_t *buf)
 {
--- a/src/hnet.h
+++ b/src/hnet.h
@@ -2,9 +2,8 @@
 #define HNET_H
 /*
  * NAME
- *   hnet - sockets of the event loop: addresses, writes, dead peers
+ *   hnet - sockets of the event loop: writes, ends, dead peers
  */
-#include <netinet/in.h>
 #include <uv.h>
 
 enum
@@ -14,9 +13,6 @@
   HNET_SILENCE_MS = 2500
 };
 
-/* Parses "IP:PORT".  Returns 0 or -1.  */
-int hnet_address (const char *text, struct sockaddr_in *sa);
-
 /* Gives all readers of the loop one buffer, valid until the callback ends.  */
 void hnet_alloc (uv_handle_t *handle, size_t hint, uv_buf_t *buf);
 
--- a/src/hsrv.c
+++ b/src/hsrv.c
@@ -3,6 +3,7 @@
 #include <limits.h>
 #include <string.h>
 
+#include "goldcresthatch/set.h"
 #include "goldcresthatch/tab.h"
 #include "hnet.h"
 
@@ -319,7 +320,7 @@
   struct hsrv *srv;
   int rc;
 
-  if (hnet_address (address, &sa) != 0)
+  if (set_address (address, &sa) != 0)
     {
       err_set (err, ERR_INVALID, "listen", address, "not IP:PORT");
       return NULL;
--- a/src/set.c
+++ b/src/set.c
@@ -3,9 +3,10 @@
 #include <arpa/inet.h>
 #include <json-c/json.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
+#include "num.h"
+
 enum
 {
   FOUND_MAX = 80 /* bytes of a wrong value in an error */
@@ -64,34 +65,29 @@
 }
 
 int
-set_is_address (const char *s)
+set_address (const char *s, struct sockaddr_in *sin)
 {
   const char *colon = strrchr (s, ':');
   char host[INET_ADDRSTRLEN];
-  struct in_addr addr;
-  char *end;
-  long port;
+  uint64_t port;
 
-  if (colon == NULL || (size_t)(colon - s) >= sizeof host)
-    return 0;
+  if (colon == NULL || (size_t)(colon - s) >= sizeof host
+      || num_parse (colon + 1, 10, 1, UINT16_MAX, &port) != 0)
+    return -1;
   memcpy (host, s, (size_t)(colon - s));
   host[colon - s] = '\0';
-  port = strtol (colon + 1, &end, 10);
-  return inet_pton (AF_INET, host, &addr) == 1 && end != colon + 1
-         && *end == '\0' && port > 0 && port <= UINT16_MAX;
+  memset (sin, 0, sizeof *sin);
+  sin->sin_family = AF_INET;
+  sin->sin_port = htons ((uint16_t)port);
+  return inet_pton (AF_INET, host, &sin->sin_addr) == 1 ? 0 : -1;
 }
 
-void
-set_address (const char *s, struct sockaddr_in *sin)
+int
+set_is_address (const char *s)
 {
-  const char *colon = strrchr (s, ':');
-  char host[INET_ADDRSTRLEN];
+  struct sockaddr_in sin;
 
-  memset (sin, 0, sizeof *sin);
-  sin->sin_family = AF_INET;
-  snprintf (host, sizeof host, "%.*s", (int)(colon - s), s);
-  inet_pton (AF_INET, host, &sin->sin_addr);
-  sin->sin_port = htons ((uint16_t)atoi (colon + 1));
+  return set_address (s, &sin) == 0;
 }
 
 static int
--- a/tests/gw_headers.hh
+++ b/tests/gw_headers.hh
@@ -1,6 +1,7 @@
 // The C headers of the gateway's parts.
 extern "C"
 {
+#include "goldcresthatch/set.h"
 #include "hcli.h"
 #include "hhead.h"
 #include "hnet.h"
