Read the gateway's settings and command line with the daemons' code

gw_set had a reader of its own beside set, and gw_run parsed the command line beside daemon. set now knows real numbers (SET_REAL), opts is the command line of daemon.c as a part that needs GLib only, so that the gateway does not link what the other daemons need.

--- a/include/goldcresthatch/set.h
+++ b/include/goldcresthatch/set.h
@@ -27,6 +27,7 @@
   SET_TEXT,
   SET_ADDRESS, /* "IP:PORT" */
   SET_NUMBER,
+  SET_REAL,
   SET_ADDRESSES, /* list of "IP:PORT" */
   SET_TEXTS      /* list of texts */
 };
@@ -38,7 +39,7 @@
 };
 
 /* One member: TEXT and ADDRESS fill a char array of SET_TEXT_MAX bytes, NUMBER
-   an int64_t, ADDRESSES and TEXTS a struct set_list.  */
+   an int64_t, REAL a double, ADDRESSES and TEXTS a struct set_list.  */
 struct set_member
 {
   const char *name;
@@ -50,6 +51,9 @@
   int64_t min;       /* of a number */
   int64_t max;       /* of a number; bytes of a text, 0 for the most */
   const char *words; /* allowed words of a text, split by '|', or null */
+  double real;       /* default of a REAL */
+  double low;        /* of a REAL */
+  double high;       /* of a REAL */
 };
 
 /* Reads FILE into OUT through the COUNT members of TABLE.  Returns 0, or -1
--- a/src/ctl_main.c
+++ b/src/ctl_main.c
@@ -6,8 +6,8 @@
 #include <string.h>
 
 #include "ctl.h"
-#include "daemon.h"
 #include "http.h"
+#include "opts.h"
 
 enum
 {
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -10,6 +10,7 @@
 
 #include "goldcresthatch/log.h"
 #include "http.h"
+#include "opts.h"
 
 enum start
 {
@@ -19,11 +20,6 @@
   START_USAGE   /* bad command line */
 };
 
-enum
-{
-  EXIT_USAGE = 2
-};
-
 /* Reads the keys in FILE, unless its name is empty, into *KEYS, which lives as
    long as the process.  */
 static int
@@ -47,60 +43,34 @@
 read_command_line (const struct daemon_program *program, int argc, char **argv,
                    void *out)
 {
-  char *file = NULL;
-  gboolean check = FALSE;
-  gboolean version = FALSE;
-  const GOptionEntry entries[] = {
-    { "settings", 's', 0, G_OPTION_ARG_FILENAME, &file,
-      "Settings, JSON with comments", "FILE" },
-    { "check", 'c', 0, G_OPTION_ARG_NONE, &check,
-      "Check the settings and exit", NULL },
-    { "version", 'V', 0, G_OPTION_ARG_NONE, &version,
-      "Print the version and exit", NULL },
-    { NULL, 0, 0, 0, NULL, NULL, NULL },
-  };
-  GOptionContext *options = g_option_context_new (NULL);
+  static const enum start starts[] = { [OPTS_RUN] = START_RUN,
+                                       [OPTS_DONE] = START_DONE,
+                                       [OPTS_USAGE] = START_USAGE };
+  struct opts opts;
+  enum start start = starts[opts_read (program->name, program->summary, NULL,
+                                       argc, argv, &opts)];
   GString *errors = g_string_new (NULL);
-  GError *error = NULL;
   struct net_keys *keys = NULL;
-  enum start start = START_USAGE;
 
-  g_option_context_set_summary (options, program->summary);
-  g_option_context_add_main_entries (options, entries, NULL);
-  if (!g_option_context_parse (options, &argc, &argv, &error))
-    {
-      fprintf (stderr, "%s: %s\n", program->name, error->message);
-      g_error_free (error);
-      goto out;
-    }
-  if (version)
-    {
-      printf ("%s %s\n", program->name, GOLDCRESTHATCH_VERSION);
-      start = START_DONE;
-      goto out;
-    }
-  if (file == NULL || argc > 1)
-    {
-      fprintf (stderr, "%s: expected --settings FILE and no arguments\n",
-               program->name);
-      goto out;
-    }
-  start = check ? START_DONE : START_RUN;
-  if (set_read (file, program->members, program->member_count, out, errors)
+  if (start != START_RUN)
+    goto out;
+  if (opts.check)
+    start = START_DONE;
+  if (set_read (opts.settings, program->members, program->member_count, out,
+                errors)
       != 0)
     {
       fputs (errors->str, stderr);
       start = START_FAILED;
     }
-  else if (check && read_keys ((char *)out + program->keys, &keys) != 0)
+  else if (opts.check && read_keys ((char *)out + program->keys, &keys) != 0)
     start = START_FAILED;
-  else if (check)
-    printf ("%s: settings are valid\n", file);
+  else if (opts.check)
+    printf ("%s: settings are valid\n", opts.settings);
 out:
   g_free (keys);
   g_string_free (errors, TRUE);
-  g_option_context_free (options);
-  g_free (file);
+  g_free (opts.settings);
   return start;
 }
 
@@ -160,7 +130,7 @@
 {
   static const int statuses[] = { [START_DONE] = EXIT_SUCCESS,
                                   [START_FAILED] = EXIT_FAILURE,
-                                  [START_USAGE] = EXIT_USAGE };
+                                  [START_USAGE] = OPTS_EXIT_USAGE };
   enum start start = read_command_line (program, argc, argv, settings);
   struct net_keys *keys = NULL;
   struct err err = { 0 };
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -11,8 +11,6 @@
 #include "goldcresthatch/net.h"
 #include "goldcresthatch/set.h"
 
-#define GOLDCRESTHATCH_VERSION "0.1"
-
 struct daemon_program
 {
   const char *name;
--- a/src/gw_run.c
+++ b/src/gw_run.c
@@ -1,4 +1,5 @@
 /* Command line, event loop, start and stop of the gateway.  */
+#include <json-c/json.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -8,6 +9,7 @@
 #include <xxhash.h>
 
 #include "gw.h"
+#include "opts.h"
 
 enum
 {
@@ -197,13 +199,19 @@
 {
   const char *path = gw->loop.data;
   struct gw_set next;
-  struct err err;
+  GString *errors = g_string_new (NULL);
 
-  if (gw_set_read (path, &next, &err) != 0)
+  if (gw_set_read (path, &next, errors) != 0)
     {
-      jlog ("reload", NULL, "\"outcome\":\"kept\",\"error\":\"%s\"", err.text);
+      struct json_object *text = json_object_new_string (errors->str);
+
+      jlog ("reload", NULL, "\"outcome\":\"kept\",\"error\":%s",
+            json_object_to_json_string (text));
+      json_object_put (text);
+      g_string_free (errors, TRUE);
       return;
     }
+  g_string_free (errors, TRUE);
   /* Addresses and names hold for the life of the process.  */
   gw->set.repeat_ratio = next.repeat_ratio;
   gw->set.repeat_slack = next.repeat_slack;
@@ -266,46 +274,6 @@
   tmr_add (gw->tmr, 0, gw_ms (LOOK_MS), on_look, driver);
 }
 
-static int
-options (int argc, char **argv, char **path, int *check)
-{
-  gboolean only_check = FALSE;
-  gboolean version = FALSE;
-  GOptionEntry entries[] = {
-    { "settings", 0, 0, G_OPTION_ARG_FILENAME, path, "settings file", "FILE" },
-    { "check", 0, 0, G_OPTION_ARG_NONE, &only_check,
-      "validate the settings and stop", NULL },
-    { "version", 0, 0, G_OPTION_ARG_NONE, &version, "print the version",
-      NULL },
-    { NULL, 0, 0, 0, NULL, NULL, NULL },
-  };
-  GOptionContext *context = g_option_context_new ("- serve callers");
-  GError *error = NULL;
-  int rc = 0;
-
-  g_option_context_add_main_entries (context, entries, NULL);
-  if (!g_option_context_parse (context, &argc, &argv, &error))
-    {
-      fprintf (stderr, "goldcresthatch-gateway: %s\n", error->message);
-      g_error_free (error);
-      rc = 2;
-    }
-  else if (version)
-    {
-      puts ("goldcresthatch-gateway 1");
-      rc = 1;
-    }
-  else if (*path == NULL
-           && (*path = g_strdup (g_getenv ("GOLDCRESTHATCH_CONFIG"))) == NULL)
-    {
-      fprintf (stderr, "goldcresthatch-gateway: --settings is missing\n");
-      rc = 2;
-    }
-  g_option_context_free (context);
-  *check = only_check;
-  return rc;
-}
-
 static int
 doors_open (struct gw *gw, struct err *err)
 {
@@ -341,20 +309,24 @@
   static struct gw gw;
   static struct driver driver;
   uint64_t entropy;
+  struct opts opts;
+  enum opts_start start
+      = opts_read ("goldcresthatch-gateway",
+                   "Gateway: callers' interface on the users' platform.",
+                   "GOLDCRESTHATCH_CONFIG", argc, argv, &opts);
+  GString *errors = g_string_new (NULL);
   struct err err;
-  char *path = NULL;
-  int check = 0;
-  int rc = options (argc, argv, &path, &check);
 
-  if (rc != 0)
-    return rc == 1 ? 0 : rc;
-  if (gw_set_read (path, &gw.set, &err) != 0)
+  if (start != OPTS_RUN)
+    return start == OPTS_DONE ? EXIT_SUCCESS : OPTS_EXIT_USAGE;
+  if (gw_set_read (opts.settings, &gw.set, errors) != 0)
     {
-      fprintf (stderr, "goldcresthatch-gateway: %s: %s\n", path, err.text);
-      return 1;
+      fputs (errors->str, stderr);
+      return EXIT_FAILURE;
     }
-  if (check)
-    return 0;
+  g_string_free (errors, TRUE);
+  if (opts.check)
+    return EXIT_SUCCESS;
   jlog_open (gw.set.node);
   if (uv_random (NULL, NULL, &entropy, sizeof entropy, 0, NULL) != 0)
     {
@@ -372,7 +344,7 @@
   gw.plc = plc_new (&plc_speed_default, MEMORY_MAX);
   gw.budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   gw.processes = PROCESSES_UNKNOWN;
-  drive (&gw, &driver, path);
+  drive (&gw, &driver, opts.settings);
   if (doors_open (&gw, &err) != 0 || gw_pages_open (&gw, &err) != 0
       || gw_share_open (&gw, &err) != 0)
     {
--- a/src/gw_set.h
+++ b/src/gw_set.h
@@ -4,20 +4,20 @@
  * NAME
  *   gw_set - checked settings of the gateway, JSON with comments
  */
-#include <stdint.h>
-
-#include "goldcresthatch/err.h"
+#include "goldcresthatch/set.h"
 
 struct gw_set
 {
-  char node[64];
-  char zone[64];
-  char listen_front[32];
-  char listen_ready[32];
-  char listen_metrics[32]; /* may be empty */
-  char listen_relay[32];   /* requests of other gateways; may be empty */
-  char listen_load[32];    /* datagrams of other gateways; may be empty */
-  char store[32];
+  char node[SET_TEXT_MAX];
+  char zone[SET_TEXT_MAX];
+  char listen_front[SET_TEXT_MAX];
+  char listen_ready[SET_TEXT_MAX];
+  char listen_metrics[SET_TEXT_MAX]; /* may be empty */
+  char listen_relay[SET_TEXT_MAX]; /* requests of other gateways; may be empty
+                                    */
+  char listen_load[SET_TEXT_MAX];  /* datagrams of other gateways; may be empty
+                                    */
+  char store[SET_TEXT_MAX];
   double link_mbit;    /* of this VM */
   double lease_ms;     /* least time between the orders of two holders */
   double settled_ms;   /* within which changes are in force after trouble */
@@ -33,6 +33,6 @@
   double direct_tokens;  /* a shorter prompt isn't read apart */
 };
 
-/* Reads PATH.  Returns 0, or -1 with the first error.  */
-int gw_set_read (const char *path, struct gw_set *set, struct err *err);
+/* Reads PATH.  Returns 0, or -1 with a line in ERRORS for each.  */
+int gw_set_read (const char *path, struct gw_set *set, GString *errors);
 #endif
--- a/src/set.c
+++ b/src/set.c
@@ -153,6 +153,21 @@
     *dst = number;
 }
 
+static void
+read_real (struct reader *reader, const struct set_member *member,
+           struct json_object *value, double *dst)
+{
+  double real = json_object_get_double (value);
+
+  if ((!json_object_is_type (value, json_type_double)
+       && !json_object_is_type (value, json_type_int))
+      || !(real >= member->low && real <= member->high))
+    fail (reader, member->name, "expected a number from %g to %g, found %.*s",
+          member->low, member->high, FOUND_MAX, found (value));
+  else
+    *dst = real;
+}
+
 static int
 is_item (const struct set_member *member, struct json_object *item)
 {
@@ -209,6 +224,8 @@
                                           : "a text");
       else if (member->kind == SET_NUMBER)
         *(int64_t *)at = member->number;
+      else if (member->kind == SET_REAL)
+        *(double *)at = member->real;
       else if (member->text != NULL)
         snprintf (at, SET_TEXT_MAX, "%s", member->text);
       return;
@@ -222,6 +239,9 @@
     case SET_NUMBER:
       read_number (reader, member, value, (int64_t *)at);
       return;
+    case SET_REAL:
+      read_real (reader, member, value, (double *)at);
+      return;
     case SET_ADDRESSES:
     case SET_TEXTS:
       read_list (reader, member, value, (struct set_list *)at);
--- a/tests/scripts/settings_check.sh
+++ b/tests/scripts/settings_check.sh
@@ -97,3 +97,12 @@
 "kv":"127.0.0.1:3",
 "config_peers":%s}\n' "$list" | check
 done
+
+PROGRAM=$BUILD/goldcresthatch-gateway
+echo "== numbers of the gateway"
+for value in 0.5 1 0 -0.1 1.01 '"0.5"' null 1e400; do
+  echo "-- $value"
+  printf '{"node":"g","zone":"z","listen_front":"127.0.0.1:1",
+"listen_ready":"127.0.0.1:2","store":"127.0.0.1:3", // shares
+"prefill_share":%s}\n' "$value" | check
+done
