Share the reading of bodies, and use the HTTP library's own tables

The server and the client each had a callback that pauses the parser at the end of a message, and three copies of the settings around it; hhead_body has them. Reason phrases and status numbers come from http-parser: the own table lacked 204 and 409, which the entry sends, and called both "Status" (413 is now "Payload Too Large", as the library has it). A server's owner need not say what happens when a client leaves its pages. The client copies a request only while it waits for a connection, not for each send, and closes one that no call can use like any other.

--- a/src/entry_admin.c
+++ b/src/entry_admin.c
@@ -1,5 +1,6 @@
 #include "entry.h"
 
+#include <http_parser.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,14 +9,6 @@
 #include "goldcresthatch/ctr.h"
 #include "peer.h"
 
-enum
-{
-  STATUS_OK = 200,
-  STATUS_NO_CONTENT = 204,
-  STATUS_BAD_REQUEST = 400,
-  STATUS_UNAVAILABLE = 503
-};
-
 static void
 put_number (struct entry_page *out, const char *name, uint64_t number)
 {
@@ -60,7 +53,7 @@
     {
       put_number (out, PEER_INCARNATION, entry->incarnation);
       put_number (out, PEER_READY, 0);
-      out->status = STATUS_UNAVAILABLE;
+      out->status = HTTP_STATUS_SERVICE_UNAVAILABLE;
       return;
     }
   have = query_value (query, "have");
@@ -73,7 +66,7 @@
       g_string_append (out->body, text);
     }
   else
-    out->status = STATUS_NO_CONTENT;
+    out->status = HTTP_STATUS_NO_CONTENT;
   put_number (out, PEER_GENERATION, generation);
   put_number (out, PEER_INCARNATION, entry->incarnation);
   put_number (out, PEER_READY, 1);
@@ -138,7 +131,7 @@
       put_type (out, "application/json");
       return;
     }
-  out->status = STATUS_BAD_REQUEST;
+  out->status = HTTP_STATUS_BAD_REQUEST;
   put_type (out, "text/plain");
   g_string_assign (out->body, "id: expected 32 hexadecimal digits\n");
 }
@@ -169,7 +162,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (pages); i++)
     if (strcmp (pages[i].path, path) == 0)
       {
-        out->status = STATUS_OK;
+        out->status = HTTP_STATUS_OK;
         pages[i].make (entry, query, out);
         return 0;
       }
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -11,9 +11,6 @@
 
 enum
 {
-  STATUS_OK = 200,
-  STATUS_NOT_FOUND = 404,
-  STATUS_UNAVAILABLE = 503,
   HEADER_BYTES_MAX = 32 << 10,
   HEADER_MS = 10 * 1000, /* from the first byte of a head to its end */
   IDLE_MS = 300 * 1000,  /* longer than callers keep a connection */
@@ -190,17 +187,18 @@
 page (struct entry *entry, struct hsrv *srv, uint64_t conn, const char *path)
 {
   if (strcmp (path, "/healthz") == 0)
-    answer_text (srv, conn, STATUS_OK, "ok\n");
+    answer_text (srv, conn, HTTP_STATUS_OK, "ok\n");
   else if (strcmp (path, "/readyz") != 0)
-    answer_text (srv, conn, STATUS_NOT_FOUND, "no such page\n");
+    answer_text (srv, conn, HTTP_STATUS_NOT_FOUND, "no such page\n");
   else if (g_atomic_int_get (&entry->draining))
-    answer_text (srv, conn, STATUS_UNAVAILABLE, "draining\n");
+    answer_text (srv, conn, HTTP_STATUS_SERVICE_UNAVAILABLE, "draining\n");
   else if (!entry_config_ready (entry))
-    answer_text (srv, conn, STATUS_UNAVAILABLE, "no configuration yet\n");
+    answer_text (srv, conn, HTTP_STATUS_SERVICE_UNAVAILABLE,
+                 "no configuration yet\n");
   else if (!entry_fleet_settled (entry))
-    answer_text (srv, conn, STATUS_UNAVAILABLE, "starting\n");
+    answer_text (srv, conn, HTTP_STATUS_SERVICE_UNAVAILABLE, "starting\n");
   else
-    answer_text (srv, conn, STATUS_OK, "ready\n");
+    answer_text (srv, conn, HTTP_STATUS_OK, "ready\n");
 }
 
 /* Operators' pages stay off the callers' address.  */
@@ -307,13 +305,6 @@
   g_free (path);
 }
 
-static void
-on_admin_left (void *ctx, uint64_t conn)
-{
-  (void)ctx;
-  (void)conn;
-}
-
 /* Ends the calls that a stop cuts, and closes all handles of the loop.  */
 static void
 close_all (struct entry_http *http)
@@ -374,8 +365,7 @@
 entry_http_open (struct entry *entry, struct err *err)
 {
   static const struct hsrv_ops callers = { on_request, on_left, on_unread };
-  static const struct hsrv_ops admins
-      = { on_admin_request, on_admin_left, NULL };
+  static const struct hsrv_ops admins = { on_admin_request, NULL, NULL };
   static const struct hsrv_limits limits
       = { HEADER_BYTES_MAX, ENTRY_BODY_MAX, HEADER_MS, IDLE_MS };
   struct entry_http *http = g_new0 (struct entry_http, 1);
--- a/src/entry_request.c
+++ b/src/entry_request.c
@@ -9,9 +9,6 @@
 
 enum
 {
-  STATUS_BAD_REQUEST = 400,
-  STATUS_NOT_FOUND = 404,
-  STATUS_UNAVAILABLE = 503,
   DEADLINE_MAX_MS = 3600 * 1000,
   PRIORITY_MAX = 9,
   DRAIN_RETRY_AFTER_S = 1, /* by a new connection, which another entry takes */
@@ -50,7 +47,7 @@
     return 0;
   snprintf (message, sizeof message, "%s: expected a whole number up to %llu",
             name, (unsigned long long)max);
-  reject (call, STATUS_BAD_REQUEST, "headers", message);
+  reject (call, HTTP_STATUS_BAD_REQUEST, "headers", message);
   return -1;
 }
 
@@ -67,7 +64,7 @@
       g_strlcpy (dst, text, size);
       return 0;
     }
-  reject (call, STATUS_BAD_REQUEST, "headers", "a header is too long");
+  reject (call, HTTP_STATUS_BAD_REQUEST, "headers", "a header is too long");
   return -1;
 }
 
@@ -163,7 +160,7 @@
         }
     }
   if (problem != NULL)
-    reject (call, STATUS_BAD_REQUEST, "body", problem);
+    reject (call, HTTP_STATUS_BAD_REQUEST, "body", problem);
   json_object_put (root);
   json_tokener_free (tokener);
   return problem == NULL ? 0 : -1;
@@ -187,7 +184,8 @@
 
   if (route == NULL)
     {
-      reject (call, STATUS_NOT_FOUND, "route", "no such model or service");
+      reject (call, HTTP_STATUS_NOT_FOUND, "route",
+              "no such model or service");
       return -1;
     }
   limit_us = g_get_monotonic_time () + (gint64)service->timeout_ms * 1000;
@@ -219,7 +217,7 @@
   int keyed = hhead_get (head, "Idempotency-Key").p != NULL;
 
   pthread_mutex_lock (&call->lock);
-  entry_call_fail (call, STATUS_UNAVAILABLE,
+  entry_call_fail (call, HTTP_STATUS_SERVICE_UNAVAILABLE,
                    keyed ? ENTRY_OUTCOME_UNKNOWN : ENTRY_OUTCOME_NOT_RUN,
                    ERR_LIMIT, "config", NULL, "no configuration yet");
   pthread_mutex_unlock (&call->lock);
@@ -230,8 +228,9 @@
 refuse_draining (struct entry_call *call)
 {
   pthread_mutex_lock (&call->lock);
-  entry_call_fail (call, STATUS_UNAVAILABLE, ENTRY_OUTCOME_NOT_RUN, ERR_LIMIT,
-                   "drain", NULL, "the entry is shutting down");
+  entry_call_fail (call, HTTP_STATUS_SERVICE_UNAVAILABLE,
+                   ENTRY_OUTCOME_NOT_RUN, ERR_LIMIT, "drain", NULL,
+                   "the entry is shutting down");
   call->failure.retry_after_s = DRAIN_RETRY_AFTER_S;
   pthread_mutex_unlock (&call->lock);
 }
@@ -261,7 +260,8 @@
   if (!entry_fleet_knows (call->entry, call->service)
       && entry_fleet_settled (call->entry))
     {
-      reject (call, STATUS_NOT_FOUND, "route", "no such model or service");
+      reject (call, HTTP_STATUS_NOT_FOUND, "route",
+              "no such model or service");
       return;
     }
   if (g_atomic_int_get (&call->entry->draining))
--- a/src/gw_page.c
+++ b/src/gw_page.c
@@ -15,13 +15,6 @@
   hsrv_answer (gw->ready, conn, status, NULL, "", 0);
 }
 
-static void
-ignore_left (void *ctx, uint64_t conn)
-{
-  (void)ctx;
-  (void)conn;
-}
-
 static void
 metrics_text (const struct gw *gw, GString *out)
 {
@@ -92,8 +85,8 @@
 int
 gw_pages_open (struct gw *gw, struct err *err)
 {
-  static const struct hsrv_ops ready = { on_ready, ignore_left, NULL };
-  static const struct hsrv_ops metrics = { on_metrics, ignore_left, NULL };
+  static const struct hsrv_ops ready = { on_ready, NULL, NULL };
+  static const struct hsrv_ops metrics = { on_metrics, NULL, NULL };
 
   gw->ready = hsrv_new (&gw->loop, gw->set.listen_ready, &ready, gw, err);
   if (gw->ready == NULL)
--- a/src/gw_set.c
+++ b/src/gw_set.c
@@ -11,7 +11,8 @@
   {                                                                           \
     .name = #n, .kind = k, .offset = offsetof (struct gw_set, n), __VA_ARGS__ \
   }
-#define REAL(n, d, l, h) MEMBER (n, SET_REAL, .real = d, .low = l, .high = h)
+#define REAL(n, d, l, h)                                                      \
+  MEMBER (n, SET_REAL, .real = (d), .low = (l), .high = (h))
 
 static const struct set_member members[] = {
   MEMBER (node, SET_TEXT, .required = 1, .max = NAME_BYTES_MAX),
--- a/src/hcli.c
+++ b/src/hcli.c
@@ -36,7 +36,7 @@
   int in_body;
   int whole;
   int skipping;
-  GString *request; /* until it is written */
+  GString *request; /* until there is a connection */
   GString *in;      /* the head of an answer */
   struct hhead head;
   http_parser parser;
@@ -148,16 +148,6 @@
   return c->closing || c->call != call ? -1 : 0;
 }
 
-static int
-on_complete (http_parser *parser)
-{
-  struct conn *c = parser->data;
-
-  c->whole = 1;
-  http_parser_pause (parser, 1);
-  return 0;
-}
-
 /* Returns for how long the connection may be kept after this answer.  */
 static int64_t
 keep_ms (struct conn *c)
@@ -226,8 +216,6 @@
 static void
 take_input (struct conn *c)
 {
-  static const http_parser_settings settings
-      = { .on_body = on_body, .on_message_complete = on_complete };
   size_t n;
   int rc;
 
@@ -243,8 +231,8 @@
         }
       n = 0;
       if (!c->whole && c->in->len > 0)
-        n = http_parser_execute (&c->parser, &settings, c->in->str,
-                                 c->in->len);
+        n = hhead_body (&c->parser, c->in->str, c->in->len, on_body,
+                        &c->whole);
       if (c->closing)
         return;
       if (!c->whole && HTTP_PARSER_ERRNO (&c->parser) != HPE_OK)
@@ -278,8 +266,6 @@
 static void
 take_end (struct conn *c)
 {
-  static const http_parser_settings settings
-      = { .on_body = on_body, .on_message_complete = on_complete };
   uint64_t call = c->call;
   char rest[4096];
   ssize_t n;
@@ -293,7 +279,7 @@
     }
   c->keep_ms = 0;
   if (n == 0 && c->in_body && !c->skipping && ends_with_connection (&c->parser)
-      && http_parser_execute (&c->parser, &settings, NULL, 0) == 0 && c->whole)
+      && hhead_body (&c->parser, NULL, 0, on_body, &c->whole) == 0 && c->whole)
     conn_whole (c);
   else
     conn_fail (c);
@@ -444,12 +430,7 @@
       if (c->connected)
         g_queue_push_head (&peer->idle, c);
       else
-        {
-          c->closing = 1;
-          peer->total--;
-          peer_drop (cli, peer);
-          uv_close ((uv_handle_t *)&c->tcp, conn_free);
-        }
+        conn_close (c);
       return 0;
     }
   peer->busy++;
@@ -458,19 +439,16 @@
   c->ctx = ctx;
   c->sent = 0;
   c->in = g_string_sized_new (1024);
-  c->request = g_string_new_len (request, (gssize)size);
   begin_head (c);
-  if (c->connected)
+  if (!c->connected)
     {
-      c->sent = 1;
-      if (hnet_write ((uv_stream_t *)&c->tcp, request, size) != 0)
-        {
-          /* The loop's next read reports the failure to the owner.  */
-          uv_read_start ((uv_stream_t *)&c->tcp, hnet_alloc, on_read);
-        }
-      g_string_free (c->request, TRUE);
-      c->request = NULL;
+      c->request = g_string_new_len (request, (gssize)size);
+      return call;
     }
+  c->sent = 1;
+  /* The loop's next read reports a failure to the owner.  */
+  if (hnet_write ((uv_stream_t *)&c->tcp, request, size) != 0)
+    uv_read_start ((uv_stream_t *)&c->tcp, hnet_alloc, on_read);
   return call;
 }
 
--- a/src/hhead.c
+++ b/src/hhead.c
@@ -215,32 +215,22 @@
   return 0;
 }
 
-const char *
-hhead_reason (int status)
+static int
+pause_at_end (http_parser *parser)
 {
-  static const struct
-  {
-    int status;
-    const char *reason;
-  } reasons[] = {
-    { 200, "OK" },
-    { 400, "Bad Request" },
-    { 404, "Not Found" },
-    { 408, "Request Timeout" },
-    { 413, "Content Too Large" },
-    { 421, "Misdirected Request" },
-    { 422, "Unprocessable Content" },
-    { 429, "Too Many Requests" },
-    { 431, "Request Header Fields Too Large" },
-    { 500, "Internal Server Error" },
-    { 502, "Bad Gateway" },
-    { 503, "Service Unavailable" },
-    { 504, "Gateway Timeout" },
-  };
-  size_t i;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+size_t
+hhead_body (http_parser *parser, const char *data, size_t size,
+            http_data_cb on_body, int *whole)
+{
+  const http_parser_settings settings
+      = { .on_body = on_body, .on_message_complete = pause_at_end };
+  size_t n = http_parser_execute (parser, &settings, data, size);
 
-  for (i = 0; i < G_N_ELEMENTS (reasons); i++)
-    if (reasons[i].status == status)
-      return reasons[i].reason;
-  return "Status";
+  if (HTTP_PARSER_ERRNO (parser) == HPE_PAUSED)
+    *whole = 1;
+  return n;
 }
--- a/src/hhead.h
+++ b/src/hhead.h
@@ -71,5 +71,9 @@
 /* Returns nonzero for a field that concerns one connection only.  */
 int hhead_is_hop (struct hspan name);
 
-const char *hhead_reason (int status);
+/* Runs PARSER over the next SIZE bytes of a body, or with none over the end of
+   the connection, and gives them to ON_BODY.  Stops after the message's last
+   byte and then sets WHOLE.  Returns the number of bytes used.  */
+size_t hhead_body (http_parser *parser, const char *data, size_t size,
+                   http_data_cb on_body, int *whole);
 #endif
--- a/src/hsrv.c
+++ b/src/hsrv.c
@@ -80,7 +80,8 @@
     return;
   c->closing = 1;
   tab_remove (c->srv->conns, c->handle);
-  if (tell && (c->phase == PHASE_BUSY || c->phase == PHASE_ANSWER))
+  if (tell && c->srv->ops.left != NULL
+      && (c->phase == PHASE_BUSY || c->phase == PHASE_ANSWER))
     c->srv->ops.left (c->srv->ctx, c->handle);
   uv_close ((uv_handle_t *)&c->tcp, conn_free);
 }
@@ -130,28 +131,16 @@
   return 0;
 }
 
-static int
-on_complete (http_parser *parser)
-{
-  struct conn *c = parser->data;
-
-  c->whole = 1;
-  http_parser_pause (parser, 1);
-  return 0;
-}
-
 static void
 read_body (struct conn *c)
 {
-  static const http_parser_settings settings
-      = { .on_body = on_body, .on_message_complete = on_complete };
   size_t start = c->head_length;
   size_t n = 0;
 
   /* Zero bytes would stand for the end of the connection.  */
   if (!c->whole && c->in->len > start)
-    n = http_parser_execute (&c->parser, &settings, c->in->str + start,
-                             c->in->len - start);
+    n = hhead_body (&c->parser, c->in->str + start, c->in->len - start,
+                    on_body, &c->whole);
   if (c->whole || HTTP_PARSER_ERRNO (&c->parser) == HPE_OK)
     g_string_erase (c->in, (gssize)start, (gssize)n);
   if (c->whole)
@@ -366,7 +355,8 @@
   if (length < 0 && !c->chunked)
     c->keep = 0;
   g_string_append_printf (out, "HTTP/1.1 %d %s\r\n%s", status,
-                          hhead_reason (status), fields ? fields : "");
+                          http_status_str ((enum http_status)status),
+                          fields ? fields : "");
   if (length >= 0)
     g_string_append_printf (out, "Content-Length: %" G_GINT64_FORMAT "\r\n",
                             length);
--- a/src/hsrv.h
+++ b/src/hsrv.h
@@ -30,7 +30,7 @@
   /* A whole request; HEAD and BODY are valid until it is answered.  */
   void (*request) (void *ctx, uint64_t conn, const struct hhead *head,
                    const char *body, size_t size);
-  /* The client has left before its answer was complete.  */
+  /* The client has left before its answer was complete; may be null.  */
   void (*left) (void *ctx, uint64_t conn);
   /* A request is refused with STATUS before it is whole; may be null.  FIELDS
      takes header lines and BODY the body of the answer.  */
