Say once what the gateway said twice, and drop what nothing reads

- gw_send: the start of an answer and the budget's settings; gw_stage: an order that may be carried out.
- gw_stage_place and memb_put had a parameter that they ignored, gw_sync a constant that nothing used; a comment in gw.h stood above the wrong function.
- lshr looked every row of every gateway up by a search over all runners, with each datagram; it now tries first where the runner was the last time.

--- a/src/gw.h
+++ b/src/gw.h
@@ -134,9 +134,9 @@
 struct gw_stage *gw_stage_new (struct gw *gw);
 /* Gives up the authority; no order is given any more.  */
 void gw_stage_resign (struct gw *gw);
-/* Tells the place of this gateway among COUNT, by name: the first ones stand
-   by to take over the authority, the others look rarely.  */
-void gw_stage_place (struct gw *gw, size_t place, size_t count);
+/* Tells the place of this gateway among all, by name: the first ones stand by
+   to take over the authority, the others look rarely.  */
+void gw_stage_place (struct gw *gw, size_t place);
 /* Notes that a prompt of which UNREAD tokens are to be read apart was asked
    for, whether or not it is taken.  */
 void gw_stage_demand (struct gw *gw, double unread);
@@ -145,10 +145,10 @@
 
 /* gw_share.c: what gateways tell each other */
 int gw_share_open (struct gw *gw, struct err *err);
-/* Sets the addresses of the registered gateways; this one's may be among
-   them.  */
 /* Returns the engines that the prompts asked of the others keep busy.  */
 double gw_share_reading (const struct gw *gw);
+/* Sets the addresses of the registered gateways; this one's may be among
+   them.  */
 void gw_share_others (struct gw *gw, const char *const *addresses, size_t n);
 
 /* gw_page.c: readiness and metrics */
--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -233,13 +233,12 @@
           .zone = gw->set.zone,
           .excluded = (const struct memb_runner *const *)call->excluded,
           .n_excluded = call->n_excluded };
+  struct plc_choice choice = { NULL, 0, 0, 0 };
 
   /* A runner resets the connections beyond those that it accepts from all.  */
   if (call->service != NULL)
     where.calls_max
         = MAX (call->service->connections_max / MAX (gw->processes, 1u), 1u);
-  struct plc_choice choice = { NULL, 0, 0, 0 };
-
   if (call->door == &gw->doors[GW_DOOR_CLIENTS] && call->outc.sends == 0)
     choice.runner
         = gw_relay_choose (gw, call->size, call->excluded, call->n_excluded);
--- a/src/gw_run.c
+++ b/src/gw_run.c
@@ -121,7 +121,6 @@
 on_tick (void *ctx, int64_t now)
 {
   struct gw *gw = ctx;
-
   int i;
 
   for (i = 0; i < GW_DOOR_MAX; i++)
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -93,12 +93,20 @@
   call->memory[0] = '\0';
 }
 
+static struct sbud_config
+budget_config (const struct gw *gw)
+{
+  struct sbud_config config = { gw->set.repeat_ratio, gw->set.repeat_slack,
+                                (int64_t)(gw->set.repeat_window_ms * 1000) };
+
+  return config;
+}
+
 int
 gw_send_budget (struct gw_call *call)
 {
   struct gw *gw = call->gw;
-  struct sbud_config config = { gw->set.repeat_ratio, gw->set.repeat_slack,
-                                (int64_t)(gw->set.repeat_window_ms * 1000) };
+  struct sbud_config config = budget_config (gw);
 
   return sbud_take (gw_budget (gw, call->service_name), &config, gw->processes,
                     gw_now (gw));
@@ -108,8 +116,7 @@
 budget_first (struct gw_call *call)
 {
   struct gw *gw = call->gw;
-  struct sbud_config config = { gw->set.repeat_ratio, gw->set.repeat_slack,
-                                (int64_t)(gw->set.repeat_window_ms * 1000) };
+  struct sbud_config config = budget_config (gw);
 
   call->sent_once = 1;
   sbud_first (gw_budget (gw, call->service_name), &config, gw_now (gw));
@@ -223,6 +230,16 @@
   return 0;
 }
 
+/* Begins the answer; from here on it can only go on.  */
+static void
+start_answer (struct gw_call *call)
+{
+  call->streaming = 1;
+  outc_apply (&call->outc, OUTC_EV_START);
+  hsrv_start (call->door->srv, call->conn, call->answer.status,
+              call->fields->str, -1);
+}
+
 static void
 pass_events (struct gw_call *call)
 {
@@ -231,12 +248,7 @@
   if (n == 0)
     return;
   if (!call->streaming)
-    {
-      call->streaming = 1;
-      outc_apply (&call->outc, OUTC_EV_START);
-      hsrv_start (call->door->srv, call->conn, call->answer.status,
-                  call->fields->str, -1);
-    }
+    start_answer (call);
   note_events (call, call->data->str, n);
   hsrv_send (call->door->srv, call->conn, call->data->str, n);
   g_string_erase (call->data, 0, (gssize)n);
@@ -252,13 +264,8 @@
     return;
   if (call->data->len + size > BUFFER_MAX && call->route->kind != RTAB_STREAM
       && !call->streaming && call->answer.stamped)
-    {
-      /* Too long to hold: what follows can't be repeated.  */
-      call->streaming = 1;
-      outc_apply (&call->outc, OUTC_EV_START);
-      hsrv_start (call->door->srv, call->conn, call->answer.status,
-                  call->fields->str, -1);
-    }
+    /* Too long to hold: what follows can't be repeated.  */
+    start_answer (call);
   g_string_append_len (call->data, data, (gssize)size);
   if (call->phase != ADP_PROMPT_ONLY && call->route->kind == RTAB_STREAM
       && call->answer.status == 200 && call->answer.stamped)
--- a/src/gw_stage.c
+++ b/src/gw_stage.c
@@ -178,11 +178,18 @@
   g_string_append_len (gw->stage->body, data, (gssize)size);
 }
 
+/* Ends an order.  One that was sent and for which there is no answer may still
+   be carried out, like one that was taken: POSSIBLE.  */
 static void
-order_over (struct gw *gw)
+order_over (struct gw *gw, int possible)
 {
   struct gw_stage *stage = gw->stage;
 
+  if (stage->ordering && possible)
+    {
+      stage->runner->ordered = stage->to;
+      stage->runner->ordered_us = gw_now (gw);
+    }
   stage->runner->calls--;
   stage->runner = NULL;
   stage->call = 0;
@@ -214,15 +221,8 @@
               ",\"status\":%d,\"end\":%d",
               stage->runner->entry.id, stage->to, stage->token, stage->status,
               end);
-      if (stage->ordering
-          && (end == HCLI_BROKEN
-              || (end == HCLI_WHOLE && stage->status == 202)))
-        {
-          /* Without an answer it may still be carried out.  */
-          stage->runner->ordered = stage->to;
-          stage->runner->ordered_us = now;
-        }
-      order_over (gw);
+      order_over (gw, end == HCLI_BROKEN
+                          || (end == HCLI_WHOLE && stage->status == 202));
       return;
     }
   order.orders = report.orders;
@@ -232,7 +232,7 @@
   stage->ordering = 1;
   stage->status = 0;
   if (send_to_runner (gw, out) != 0)
-    order_over (gw);
+    order_over (gw, 0);
   g_string_free (out, TRUE);
 }
 
@@ -262,7 +262,7 @@
   runner->calls++;
   gw->adp->report_write (out, runner->entry.address);
   if (send_to_runner (gw, out) != 0)
-    order_over (gw);
+    order_over (gw, 0);
   g_string_free (out, TRUE);
 }
 
@@ -341,12 +341,7 @@
       if (now - stage->sent < gw_ms (ORDER_MS))
         return;
       hcli_cancel (gw->cli, stage->call);
-      if (stage->ordering)
-        {
-          stage->runner->ordered = stage->to;
-          stage->runner->ordered_us = now;
-        }
-      order_over (gw);
+      order_over (gw, 1);
     }
   may_order = stage->token != 0 && !gw->stopping
               && auth_token (&stage->auth, now) == stage->token;
@@ -381,14 +376,13 @@
 }
 
 void
-gw_stage_place (struct gw *gw, size_t place, size_t count)
+gw_stage_place (struct gw *gw, size_t place)
 {
   enum
   {
     NEAR = 3 /* gateways that are quick to take over */
   };
 
-  (void)count;
   gw->stage->placed = 1;
   auth_stand_set (&gw->stage->auth, place < NEAR, place, NEAR);
 }
--- a/src/gw_sync.c
+++ b/src/gw_sync.c
@@ -8,7 +8,6 @@
   WATCH_LEAST_MS = 1000,
   WATCH_SPARE_MS = 1000, /* a silent connection is noticed this long before the
                             configuration has to be in force */
-  WATCH_RETURN_MS = 200, /* the first one after a failure: is it back? */
   GATHER_MS = 250,       /* changes that come close together share a call */
   POLL_MS = 3000,        /* between two listings of the gateways */
   POLL_FIRST_MS = 600,
@@ -132,7 +131,7 @@
       return;
     }
   else
-    runner = memb_put (gw->memb, &entry, item->revision, now);
+    runner = memb_put (gw->memb, &entry, item->revision);
   if (runner == NULL)
     return;
   runner_log (runner, item->revision);
@@ -151,7 +150,7 @@
   g_hash_table_iter_init (&iter, gw->sync->processes);
   while (g_hash_table_iter_next (&iter, &name, NULL))
     place += strcmp (name, gw->set.node) < 0;
-  gw_stage_place (gw, place, n);
+  gw_stage_place (gw, place);
   gw_relay_known (gw, gw->sync->processes);
   /* Entries may have lapsed though their gateways live: a larger number holds
      for a while, so that the parts of a budget don't add up to more.  */
--- a/src/lshr.c
+++ b/src/lshr.c
@@ -16,6 +16,7 @@
 struct row
 {
   uint64_t runner; /* memb_runner.hash */
+  size_t at;       /* place of the runner when it was last looked up */
   unsigned calls;
   double tokens;
   enum memb_stage ordered;
@@ -126,6 +127,7 @@
       || uint_of (&from->via.array.ptr[2], UINT32_MAX, &tokens) != 0
       || uint_of (&from->via.array.ptr[3], MEMB_STAGE_DECODE, &ordered) != 0)
     return -1;
+  row->at = 0;
   row->calls = (unsigned)calls;
   row->tokens = (double)tokens;
   row->ordered = (enum memb_stage)ordered;
@@ -151,14 +153,22 @@
   return 0;
 }
 
+/* Returns the runner of ROW, or null.  Each word sums up the rows of all, so
+   the place is kept: runners rarely move.  */
 static struct memb_runner *
-runner_of (struct memb *memb, uint64_t hash)
+runner_of (struct memb *memb, struct row *row)
 {
   size_t i;
 
+  if (row->at < memb_count (memb)
+      && memb_at (memb, row->at)->hash == row->runner)
+    return memb_at (memb, row->at);
   for (i = 0; i < memb_count (memb); i++)
-    if (memb_at (memb, i)->hash == hash)
-      return memb_at (memb, i);
+    if (memb_at (memb, i)->hash == row->runner)
+      {
+        row->at = i;
+        return memb_at (memb, i);
+      }
   return NULL;
 }
 
@@ -185,8 +195,8 @@
       const struct teller *teller = value;
       for (k = 0; k < teller->rows->len; k++)
         {
-          const struct row *row = &g_array_index (teller->rows, struct row, k);
-          struct memb_runner *runner = runner_of (memb, row->runner);
+          struct row *row = &g_array_index (teller->rows, struct row, k);
+          struct memb_runner *runner = runner_of (memb, row);
           if (runner == NULL)
             continue;
           runner->others_calls += row->calls;
--- a/src/memb.c
+++ b/src/memb.c
@@ -94,13 +94,11 @@
 }
 
 struct memb_runner *
-memb_put (struct memb *memb, const struct memb_entry *entry, uint64_t revision,
-          int64_t now)
+memb_put (struct memb *memb, const struct memb_entry *entry, uint64_t revision)
 {
   struct memb_runner *runner = memb_find (memb, entry->id);
   int was_leaving;
 
-  (void)now;
   if (runner == NULL)
     return add (memb, entry, revision);
   if (entry->born_ms < runner->entry.born_ms)
--- a/src/memb.h
+++ b/src/memb.h
@@ -83,7 +83,7 @@
    matters to routing changed, else null.  */
 struct memb_runner *memb_put (struct memb *memb,
                               const struct memb_entry *entry,
-                              uint64_t revision, int64_t now);
+                              uint64_t revision);
 /* Applies the removal of an entry.  Returns the runner when it was present. */
 struct memb_runner *memb_remove (struct memb *memb, const char *id,
                                  uint64_t revision, int64_t now);
--- a/tests/unit_gw_call.cc
+++ b/tests/unit_gw_call.cc
@@ -116,7 +116,7 @@
     g_strlcpy (e.zone, i == 0 ? "z" : "y", sizeof e.zone);
     e.slots = 8;
     e.stage = stage;
-    memb_put (gw.memb, &e, 1, 0);
+    memb_put (gw.memb, &e, 1);
   }
 
   void
--- a/tests/unit_gw_rules.cc
+++ b/tests/unit_gw_rules.cc
@@ -301,7 +301,7 @@
   for (const char *id : { "a", "b", "c" })
     {
       struct memb_entry e = gw_test::entry (id, 1, MEMB_STAGE_PREFILL);
-      memb_put (memb, &e, 1, 0);
+      memb_put (memb, &e, 1);
       for (int i = 0; i < 20; i++)
         memb_refused (memb_find (memb, id), 0);
     }
--- a/tests/unit_lshr.cc
+++ b/tests/unit_lshr.cc
@@ -21,8 +21,8 @@
     for (const char *id : { "x", "y" })
       {
         struct memb_entry e = entry (id, 1, MEMB_STAGE_PREFILL);
-        memb_put (mine, &e, 1, 0);
-        memb_put (theirs, &e, 1, 0);
+        memb_put (mine, &e, 1);
+        memb_put (theirs, &e, 1);
       }
   }
   ~Lshr () override
--- a/tests/unit_memb.cc
+++ b/tests/unit_memb.cc
@@ -16,9 +16,9 @@
   ~Memb () override { memb_free (memb); }
 
   struct memb_runner *
-  put (const struct memb_entry &e, uint64_t revision, int64_t now = 0)
+  put (const struct memb_entry &e, uint64_t revision)
   {
-    memb_put (memb, &e, revision, now);
+    memb_put (memb, &e, revision);
     return memb_find (memb, e.id);
   }
 };
@@ -48,7 +48,7 @@
   EXPECT_TRUE (memb_usable (second_life, 0));
   EXPECT_EQ (memb_load (second_life, 0), 0);
   // A late word of the first lifetime changes nothing.
-  EXPECT_EQ (memb_put (memb, &first->entry, 9, 0), nullptr);
+  EXPECT_EQ (memb_put (memb, &first->entry, 9), nullptr);
   EXPECT_EQ (memb_find (memb, "r"), second_life);
 }
 
@@ -88,7 +88,7 @@
   memb_list_end (memb, 9, 20 * second);
   EXPECT_TRUE (memb_usable (stays, 20 * second));
   EXPECT_TRUE (memb_usable (gone, 20 * second));
-  put (entry ("s"), 10, 21 * second);
+  put (entry ("s"), 10);
   memb_tick (memb, 20 * second + MEMB_RETURN_US + 1);
   EXPECT_EQ (memb_find (memb, "g"), nullptr);
   ASSERT_EQ (memb_find (memb, "s"), stays);
--- a/tests/unit_plc.cc
+++ b/tests/unit_plc.cc
@@ -34,7 +34,7 @@
   add (const std::string &id, enum memb_stage stage = MEMB_STAGE_PREFILL)
   {
     struct memb_entry e = entry (id.c_str (), 1, stage);
-    memb_put (memb, &e, 1, 0);
+    memb_put (memb, &e, 1);
     return memb_find (memb, id.c_str ());
   }
 
