--- a/Makefile
+++ b/Makefile
@@ -65,10 +65,10 @@
 	mkdir -p $@
 
 $(BUILD)/%.o: src/%.c | $(BUILD)
-	$(CC) $(CPPFLAGS) $(PKG_CFLAGS) $(CFLAGS) -fPIC -MMD -c $< -o $@
+	$(CC) $(CPPFLAGS) $(PKG_CFLAGS) $(CFLAGS) -fPIC -MMD -MP -c $< -o $@
 
 $(BUILD)/platform-%.o: platform/%.c | $(BUILD)
-	$(CC) $(CPPFLAGS) -Iplatform $(PKG_CFLAGS) $(CFLAGS) -MMD -c $< -o $@
+	$(CC) $(CPPFLAGS) -Iplatform $(PKG_CFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
 
 $(BUILD)/goldcresthatch-gateway: $(PLATFORM_OBJ) $(LIB)
 	$(CC) $(LDFLAGS) -Wl,--as-needed -o $@ $^ $(PKG_LIBS)
@@ -78,13 +78,13 @@
 	$(MAKE) -s -j$$(nproc) BUILD=target target/goldcresthatch-gateway
 
 $(BUILD)/test-%.o: tests/%.c | $(BUILD)
-	$(CC) $(CPPFLAGS) $(PKG_CFLAGS) $(CFLAGS) -MMD -c $< -o $@
+	$(CC) $(CPPFLAGS) $(PKG_CFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
 
 $(BUILD)/bench-%.o: bench/%.c | $(BUILD)
-	$(CC) $(CPPFLAGS) $(PKG_CFLAGS) $(CFLAGS) -MMD -c $< -o $@
+	$(CC) $(CPPFLAGS) $(PKG_CFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
 
 $(BUILD)/cc-%.o: tests/%.cc | $(BUILD)
-	$(CXX) $(CPPFLAGS) -Iplatform $(PKG_CFLAGS) $(CXXFLAGS) -MMD -c $< -o $@
+	$(CXX) $(CPPFLAGS) -Iplatform $(PKG_CFLAGS) $(CXXFLAGS) -MMD -MP -c $< -o $@
 
 $(LIB): $(LIB_OBJ)
 	rm -f $@
--- a/src/gw.h
+++ b/src/gw.h
@@ -33,6 +33,13 @@
 struct gw_peers;
 struct gw_relay;
 
+/* Demand for each stage, as the number of engines that it keeps busy.  */
+struct gw_demand
+{
+  double prefill;
+  double decode;
+};
+
 /* A listener for requests, with the requests in progress on it.  */
 struct gw_listener
 {
@@ -149,18 +156,35 @@
 /* Adds a prompt with UNCACHED_TOKENS to the prefill demand, whether or
    not the request is admitted.  */
 void gw_stage_note_demand (struct gw *gw, double uncached_tokens);
-/* Returns the prefill demand of this gateway's requests, as the number of
-   engines that it keeps busy.  */
-double gw_stage_prefill_demand (const struct gw *gw);
 
-/* gw_peers.c: load reports between gateways */
+/* gw_peers.c: sums of the load of all gateways */
+struct gw_peer
+{
+  const char *name;
+  const char *load_address;
+  double link_mbit;
+};
+
 int gw_peers_open (struct gw *gw, struct err *err);
-/* Returns the prefill demand at the peer gateways, in engines.  */
-double gw_peers_prefill_demand (const struct gw *gw);
-/* Sets the addresses that load reports are sent to.  The address of this
-   gateway may be among them and is left out.  */
-void gw_peers_set_addresses (struct gw *gw, const char *const *addresses,
-                             size_t n);
+/* Sets the other gateways that take part in the sums.  */
+void gw_peers_set (struct gw *gw, const struct gw_peer *peers, size_t n);
+/* Contributes this gateway's current load at RUNNER.  */
+void gw_peers_note_load (struct gw *gw, const struct pool_runner *runner);
+/* Asks for the load of the other gateways at N runners, which the caller keeps
+   referenced.  It is up to date when FN is called with CTX, or as far as the
+   homes have replied within FLEETSUM_QUERY_US.  Returns the number of the
+   query, or 0 when the load is up to date already; FN isn't called then.  */
+uint64_t gw_peers_query (struct gw *gw, struct pool_runner *const *runners,
+                         size_t n, void (*fn) (void *ctx), void *ctx);
+/* Ends QUERY without a call of its function.  */
+void gw_peers_cancel (struct gw *gw, uint64_t query);
+/* Contributes the demand of this gateway's requests.  */
+void gw_peers_set_demand (struct gw *gw, const struct gw_demand *demand);
+/* Returns the demand at the other gateways as of the last query of it, and
+   asks for it again.  */
+struct gw_demand gw_peers_demand (struct gw *gw);
+/* Writes counters of this part as metrics.  */
+void gw_peers_metrics (const struct gw *gw, GString *out);
 
 /* gw_page.c: HTTP pages with readiness and metrics */
 int gw_pages_open (struct gw *gw, struct err *err);
--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -23,12 +23,23 @@
          || (call->route->kind == ROUTING_STREAM && call->route->resumable);
 }
 
+void
+gw_call_forget_view (struct gw_call *call)
+{
+  gw_peers_cancel (call->gw, call->query);
+  call->query = 0;
+  memset (call->asked, 0, sizeof call->asked);
+  while (call->n_sample > 0)
+    call->sample[--call->n_sample]->references--;
+}
+
 void
 gw_call_end (struct gw_call *call)
 {
   struct gw *gw = call->gw;
 
   gw_send_cancel (call);
+  gw_call_forget_view (call);
   gw_send_free_handle (call);
   gw_send_set_source (call, NULL);
   while (call->n_excluded > 0)
@@ -157,39 +168,106 @@
                   "late");
 }
 
+static void
+on_view (void *ctx)
+{
+  struct gw_call *call = ctx;
+
+  call->query = 0;
+  gw_call_dispatch (call);
+}
+
+/* Brings the load of the candidates of VIEW up to date, and selects the sample
+   that WHERE is limited to.  Returns nonzero when that takes until a later
+   dispatch of the call.  */
+static int
+update_view (struct gw_call *call, struct lb_filter *where, enum gw_view view)
+{
+  struct gw *gw = call->gw;
+  struct pool_runner *candidate[LB_SESSION_CANDIDATES];
+  struct pool_runner **runners = candidate;
+  int64_t now = gw_now (gw);
+  size_t n;
+  size_t i;
+
+  if (!call->asked[view])
+    {
+      call->asked[view] = 1;
+      if (view == GW_VIEW_SESSION)
+        n = lb_session_candidates (gw->runner_pool, where, &call->in.prompt,
+                                   now, candidate);
+      else
+        {
+          n = lb_sample (gw->runner_pool, where, gw_random (gw), now,
+                         call->sample);
+          for (i = 0; i < n; i++)
+            call->sample[i]->references++;
+          call->n_sample = n;
+          runners = call->sample;
+        }
+      call->query = gw_peers_query (gw, runners, n, on_view, call);
+    }
+  if (view == GW_VIEW_SAMPLE)
+    {
+      where->sample = (const struct pool_runner *const *)call->sample;
+      where->n_sample = call->n_sample;
+    }
+  return call->query != 0;
+}
+
 /* Chooses the engine that reads a long prompt: a prefill engine, when there is
    also a decode engine; if that would be late, a lightly loaded decode engine
-   that does both.  */
-static struct lb_choice
+   that does both.  Returns nonzero when the choice takes until a later
+   dispatch of the call.  */
+static int
 choose_prefill_engine (struct gw_call *call, struct lb_filter *where,
-                       double limit, enum adapter_phase *phase)
+                       double limit, struct lb_choice *choice,
+                       enum adapter_phase *phase)
 {
   struct gw *gw = call->gw;
   const struct lb_prompt *prompt = &call->in.prompt;
   int64_t now = gw_now (gw);
-  struct lb_choice decode
-      = lb_decode (gw->lb, gw->runner_pool, where, NULL, now);
-  struct lb_choice separate;
+  struct lb_choice decode;
   struct lb_choice combined;
 
-  *phase = ADAPTER_PREFILL_ONLY;
   where->stage = POOL_STAGE_PREFILL;
-  separate = lb_prefill (gw->lb, gw->runner_pool, where, prompt, now);
-  separate.first_byte_us += decode.first_byte_us;
-  if (call->reqstate.sends == 0 && call->n_excluded == 0)
-    gw_stage_note_demand (gw, separate.uncached_tokens);
+  if (update_view (call, where, GW_VIEW_SESSION))
+    return 1;
+  *phase = ADAPTER_PREFILL_ONLY;
+  *choice = lb_prefill (gw->lb, gw->runner_pool, where, prompt, now);
+  where->stage = POOL_STAGE_DECODE;
+  decode = lb_decode (gw->lb, gw->runner_pool, where, NULL, now);
+  choice->first_byte_us += decode.first_byte_us;
+  if (!call->demand_noted)
+    gw_stage_note_demand (gw, choice->uncached_tokens);
+  call->demand_noted = 1;
   /* Without a decode engine the prefill would be wasted.  */
   if (decode.runner == NULL)
-    separate.runner = NULL;
-  if (separate.runner == NULL || !lb_exceeds_limit (&separate, limit))
-    return separate;
-  where->stage = POOL_STAGE_DECODE;
+    choice->runner = NULL;
+  if (choice->runner == NULL || !lb_exceeds_limit (choice, limit))
+    return 0;
+  if (update_view (call, where, GW_VIEW_SAMPLE))
+    return 1;
   combined = lb_overflow (gw->lb, gw->runner_pool, where, prompt,
                           gw->set.overflow_share, now);
   if (combined.runner == NULL || lb_exceeds_limit (&combined, limit))
-    return separate;
+    return 0;
   *phase = ADAPTER_WHOLE;
-  return combined;
+  *choice = combined;
+  return 0;
+}
+
+/* Returns nonzero when the prompt is read by a prefill engine.  */
+static int
+has_separate_prefill (struct gw_call *call, const struct lb_filter *where)
+{
+  if (call->in.prompt.tokens < (uint32_t)call->gw->set.direct_tokens
+      || where->stage != POOL_STAGE_DECODE || call->last_event != 0
+      || !has_stage (call, POOL_STAGE_PREFILL, 1))
+    return 0;
+  if (call->prompt_read && !call->reread_granted)
+    call->reread_granted = gw_send_take_retry (call);
+  return !call->prompt_read || call->reread_granted;
 }
 
 static void
@@ -207,20 +285,19 @@
 
   where->stage = has_stage (call, POOL_STAGE_ANY, 0) ? POOL_STAGE_DECODE
                                                      : POOL_STAGE_ANY;
-  if (call->kv_handle[0] != '\0')
+  if (call->kv_handle[0] == '\0' && has_separate_prefill (call, where))
     {
-      choice = lb_decode (gw->lb, gw->runner_pool, where, NULL, now);
-      choice.uncached_tokens = 0;
+      if (choose_prefill_engine (call, where, limit, &choice, &phase))
+        return;
     }
-  else if (prompt->tokens >= (uint32_t)gw->set.direct_tokens
-           && where->stage == POOL_STAGE_DECODE && call->last_event == 0
-           && has_stage (call, POOL_STAGE_PREFILL, 1)
-           && (!call->prompt_read || gw_send_take_retry (call)))
-    choice = choose_prefill_engine (call, where, limit, &phase);
   else
     {
-      choice = lb_decode (gw->lb, gw->runner_pool, where, prompt, now);
-      choice.uncached_tokens = prompt->tokens;
+      int has_kv_cache = call->kv_handle[0] != '\0';
+      if (update_view (call, where, GW_VIEW_SAMPLE))
+        return;
+      choice = lb_decode (gw->lb, gw->runner_pool, where,
+                          has_kv_cache ? NULL : prompt, now);
+      choice.uncached_tokens = has_kv_cache ? 0 : prompt->tokens;
     }
   if (choice.runner == NULL)
     gw_call_refuse (call, NO_RUNNER_RETRY_AFTER_MS, "no runner");
--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -12,6 +12,14 @@
   GW_EXCLUDED_MAX = 4 /* runners excluded from retries of one request */
 };
 
+/* Candidates whose load a choice depends on.  */
+enum gw_view
+{
+  GW_VIEW_SESSION, /* prefill engines of the prompt's session */
+  GW_VIEW_SAMPLE,  /* a random sample of the decode engines */
+  GW_VIEW_MAX
+};
+
 struct gw_call
 {
   struct gw *gw;
@@ -48,6 +56,14 @@
   struct pool_runner *excluded[GW_EXCLUDED_MAX];
   size_t n_excluded;
   uint64_t last_event; /* id of the last event sent to the client */
+  /* Candidates of the next send, whose load at the other gateways is asked
+     for.  */
+  uint64_t query; /* in progress, or 0 */
+  int asked[GW_VIEW_MAX];
+  struct pool_runner *sample[LB_SAMPLE_MAX]; /* for a decode */
+  size_t n_sample;
+  int demand_noted;
+  int reread_granted; /* the budget allows another prefill */
 };
 
 /* Returns nonzero when the request may run more than once.  */
@@ -60,6 +76,8 @@
 /* The same, but answers 503 with a Retry-After of about AFTER_MS if the
    request has certainly not run.  */
 void gw_call_refuse (struct gw_call *call, int64_t after_ms, const char *why);
+/* Forgets the candidates of the last choice.  */
+void gw_call_forget_view (struct gw_call *call);
 /* Frees the call and cancels what is in progress for it.  */
 void gw_call_end (struct gw_call *call);
 
--- a/src/gw_page.c
+++ b/src/gw_page.c
@@ -46,6 +46,7 @@
   for (i = 0; i < G_N_ELEMENTS (rows); i++)
     g_string_append_printf (out, "goldcresthatch_%s %" G_GUINT64_FORMAT "\n",
                             rows[i].name, rows[i].value);
+  gw_peers_metrics (gw, out);
   for (i = 0; i < GW_LATENCY_BUCKETS; i++)
     {
       sum += gw->latency[i];
--- a/src/gw_peers.c
+++ b/src/gw_peers.c
@@ -1,34 +1,254 @@
-/* Sends the load reports of this gateway and receives those of its peers.  */
+/* Sums of the load of all gateways, exchanged by datagrams.  */
 #include <string.h>
+#include <xxhash.h>
 
+#include "fleetsum.h"
 #include "goldcresthatch/settings.h"
 #include "gw.h"
 #include "tcp.h"
-#include "peerload.h"
+
+enum
+{
+  FLUSH_MS = 2,     /* changes within this time share a datagram */
+  EXPIRE_MS = 200,  /* between two checks for what is due or out of date */
+  DEMAND_KEYS = 16, /* the gateways share out the reports of demand over these,
+                       so that no home receives those of all */
+  DEMAND_QUERY_MS = 1000,
+  DEMAND_SCALE = 1000, /* the demand is sent as an integer */
+  /* A gateway whose link is narrower than the widest by more than this is no
+     home: its processor is as small.  */
+  HOME_LINK_RATIO_MAX = 4
+};
+
+/* A query whose end is awaited.  */
+struct waiting
+{
+  uint64_t query;
+  void (*fn) (void *ctx);
+  void *ctx;
+};
 
 struct gw_peers
 {
-  struct peerload *peerload;
+  struct fleetsum *sums;
   uv_udp_t udp;
-  uint64_t sequence;
-  struct sockaddr_in self;
-  GArray *peer_addresses; /* struct sockaddr_in */
-  unsigned malformed;
+  uint64_t self;
+  GHashTable *addresses; /* gateway's number -> struct sockaddr_in */
+  GHashTable *waiting;   /* query -> struct waiting */
+  int64_t timer_at;      /* when the end of a query is awaited, or -1 */
+  int flushing;          /* a flush is due */
+  uint64_t demand_keys[DEMAND_KEYS];
+  struct gw_demand demand[DEMAND_KEYS]; /* of the other gateways */
+  int64_t demand_asked_us;
+  uint64_t queries;
+  uint64_t incomplete; /* queries to which not all homes have replied */
+  uint64_t sent;
+  uint64_t received;
+  uint64_t malformed;
 };
 
+static void
+on_flush (void *ctx, int64_t now)
+{
+  struct gw *gw = ctx;
+
+  gw->peers->flushing = 0;
+  fleetsum_flush (gw->peers->sums, now);
+}
+
+static void
+contribute (struct gw *gw, uint64_t key, const struct fleetsum_value *value)
+{
+  struct gw_peers *peers = gw->peers;
+
+  if (!fleetsum_set (peers->sums, key, value) || peers->flushing)
+    return;
+  peers->flushing = 1;
+  tmr_add (gw->tmr, gw_ms_to_us (FLUSH_MS), 0, on_flush, gw);
+}
+
+void
+gw_peers_note_load (struct gw *gw, const struct pool_runner *runner)
+{
+  struct fleetsum_value value
+      = { runner->calls, (uint32_t)runner->tokens, runner->ordered };
+
+  if (runner->entry.stage != POOL_STAGE_ANY)
+    contribute (gw, runner->hash, &value);
+}
+
 void
-gw_peers_set_addresses (struct gw *gw, const char *const *addresses, size_t n)
+gw_peers_set_demand (struct gw *gw, const struct gw_demand *demand)
 {
   struct gw_peers *peers = gw->peers;
-  struct sockaddr_in sa;
+  struct fleetsum_value value
+      = { (uint32_t)(demand->decode * DEMAND_SCALE),
+          (uint32_t)(demand->prefill * DEMAND_SCALE), 0 };
+
+  contribute (gw, peers->demand_keys[peers->self % DEMAND_KEYS], &value);
+}
+
+struct gw_demand
+gw_peers_demand (struct gw *gw)
+{
+  struct gw_peers *peers = gw->peers;
+  struct gw_demand sum = { 0, 0 };
+  int64_t now = gw_now (gw);
+  int i;
+
+  if (now - peers->demand_asked_us >= gw_ms_to_us (DEMAND_QUERY_MS))
+    {
+      peers->demand_asked_us = now;
+      fleetsum_query (peers->sums, peers->demand_keys, DEMAND_KEYS, now);
+    }
+  for (i = 0; i < DEMAND_KEYS; i++)
+    {
+      sum.prefill += peers->demand[i].prefill;
+      sum.decode += peers->demand[i].decode;
+    }
+  return sum;
+}
+
+static void
+send_datagram (void *ctx, uint64_t home, const char *data, size_t size)
+{
+  struct gw *gw = ctx;
+  const struct sockaddr *to
+      = g_hash_table_lookup (gw->peers->addresses, &home);
+  uv_buf_t buf = uv_buf_init ((char *)data, (unsigned)size);
+
+  if (to == NULL)
+    return;
+  gw->peers->sent++;
+  /* A datagram that the socket doesn't accept counts as lost.  */
+  uv_udp_try_send (&gw->peers->udp, &buf, 1, to);
+}
+
+static void
+on_sum (void *ctx, uint64_t key, const struct fleetsum_value *sum, int64_t now)
+{
+  struct gw *gw = ctx;
+  struct gw_peers *peers = gw->peers;
+  struct pool_runner *runner = pool_find_hash (gw->runner_pool, key);
+  int i;
+
+  if (runner != NULL)
+    {
+      runner->peer_calls = sum->count;
+      runner->peer_tokens = sum->amount;
+      runner->peer_report_us = now;
+      runner->peer_ordered = sum->state <= POOL_STAGE_DECODE
+                                     && sum->state != runner->entry.stage
+                                 ? (enum pool_stage)sum->state
+                                 : POOL_STAGE_ANY;
+      return;
+    }
+  for (i = 0; i < DEMAND_KEYS; i++)
+    if (peers->demand_keys[i] == key)
+      {
+        peers->demand[i].decode = (double)sum->count / DEMAND_SCALE;
+        peers->demand[i].prefill = (double)sum->amount / DEMAND_SCALE;
+      }
+}
+
+static void
+on_query_done (void *ctx, uint64_t query, size_t silent)
+{
+  struct gw *gw = ctx;
+  struct waiting *waiting = g_hash_table_lookup (gw->peers->waiting, &query);
+  struct waiting ended;
+
+  gw->peers->incomplete += silent > 0;
+  if (waiting == NULL)
+    return;
+  ended = *waiting;
+  g_hash_table_remove (gw->peers->waiting, &query);
+  ended.fn (ended.ctx);
+}
+
+static void
+on_query_time (void *ctx, int64_t now)
+{
+  struct gw *gw = ctx;
+  struct gw_peers *peers = gw->peers;
+
+  peers->timer_at = -1;
+  peers->timer_at = fleetsum_advance (peers->sums, now);
+  if (peers->timer_at >= 0)
+    tmr_add (gw->tmr, MAX (peers->timer_at - now, 0), 0, on_query_time, gw);
+}
+
+uint64_t
+gw_peers_query (struct gw *gw, struct pool_runner *const *runners, size_t n,
+                void (*fn) (void *ctx), void *ctx)
+{
+  struct gw_peers *peers = gw->peers;
+  uint64_t keys[FLEETSUM_KEYS_MAX];
+  int64_t now = gw_now (gw);
+  struct waiting *waiting;
+  size_t i;
+
+  n = MIN (n, (size_t)FLEETSUM_KEYS_MAX);
+  for (i = 0; i < n; i++)
+    keys[i] = runners[i]->hash;
+  waiting = g_new0 (struct waiting, 1);
+  waiting->fn = fn;
+  waiting->ctx = ctx;
+  waiting->query = fleetsum_query (peers->sums, keys, n, now);
+  if (waiting->query == 0)
+    {
+      g_free (waiting);
+      return 0;
+    }
+  peers->queries++;
+  g_hash_table_insert (peers->waiting, &waiting->query, waiting);
+  if (peers->timer_at < 0)
+    {
+      peers->timer_at = now + FLEETSUM_QUERY_US;
+      tmr_add (gw->tmr, FLEETSUM_QUERY_US, 0, on_query_time, gw);
+    }
+  return waiting->query;
+}
+
+void
+gw_peers_cancel (struct gw *gw, uint64_t query)
+{
+  if (query == 0)
+    return;
+  fleetsum_cancel (gw->peers->sums, query);
+  g_hash_table_remove (gw->peers->waiting, &query);
+}
+
+void
+gw_peers_set (struct gw *gw, const struct gw_peer *peer, size_t n)
+{
+  struct gw_peers *peers = gw->peers;
+  GArray *homes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  double widest = gw->set.link_mbit;
   size_t i;
 
-  g_array_set_size (peers->peer_addresses, 0);
   for (i = 0; i < n; i++)
-    if (settings_parse_address (addresses[i], &sa) == 0
-        && (sa.sin_addr.s_addr != peers->self.sin_addr.s_addr
-            || sa.sin_port != peers->self.sin_port))
-      g_array_append_val (peers->peer_addresses, sa);
+    widest = MAX (widest, peer[i].link_mbit);
+  g_hash_table_remove_all (peers->addresses);
+  for (i = 0; i < n; i++)
+    {
+      uint64_t id = fleetsum_id (peer[i].name);
+      struct sockaddr_in *address = g_new0 (struct sockaddr_in, 1);
+      if (settings_parse_address (peer[i].load_address, address) != 0)
+        {
+          g_free (address);
+          continue;
+        }
+      g_hash_table_insert (peers->addresses, g_memdup2 (&id, sizeof id),
+                           address);
+      if (peer[i].link_mbit * HOME_LINK_RATIO_MAX >= widest)
+        g_array_append_val (homes, id);
+    }
+  if (gw->set.link_mbit * HOME_LINK_RATIO_MAX >= widest)
+    g_array_append_val (homes, peers->self);
+  fleetsum_set_homes (peers->sums, (const uint64_t *)(void *)homes->data,
+                      homes->len, gw_now (gw));
+  g_array_free (homes, TRUE);
 }
 
 static void
@@ -40,66 +260,72 @@
 
   if (n <= 0 || from == NULL || (flags & UV_UDP_PARTIAL))
     return;
-  if (peerload_apply (gw->peers->peerload, gw->runner_pool, gw->set.node,
-                      buf->base, (size_t)n, gw_now (gw), &err)
+  gw->peers->received++;
+  if (fleetsum_receive (gw->peers->sums, buf->base, (size_t)n, gw_now (gw),
+                        &err)
       != 0)
     gw->peers->malformed++;
 }
 
 static void
-on_report_time (void *ctx, int64_t now)
+on_expire (void *ctx, int64_t now)
 {
   struct gw *gw = ctx;
-  struct gw_peers *peers = gw->peers;
-  GString *report = g_string_new (NULL);
-  uv_buf_t buf;
-  guint i;
 
-  peerload_expire (peers->peerload, gw->runner_pool, now);
-  if (peers->peer_addresses->len > 0)
-    {
-      peerload_encode (gw->set.node, ++peers->sequence,
-                       gw_stage_prefill_demand (gw), gw->runner_pool, report);
-      buf = uv_buf_init (report->str, (unsigned)report->len);
-      for (i = 0; i < peers->peer_addresses->len; i++)
-        /* A datagram that the socket doesn't accept counts as lost.  */
-        uv_udp_try_send (&peers->udp, &buf, 1,
-                         (const struct sockaddr *)&g_array_index (
-                             peers->peer_addresses, struct sockaddr_in, i));
-    }
-  g_string_free (report, TRUE);
-  tmr_add (gw->tmr, peerload_interval (gw->processes), 0, on_report_time, gw);
+  fleetsum_expire (gw->peers->sums, now);
 }
 
-double
-gw_peers_prefill_demand (const struct gw *gw)
+void
+gw_peers_metrics (const struct gw *gw, GString *out)
 {
-  return peerload_prefill_demand (gw->peers->peerload);
+  const struct gw_peers *peers = gw->peers;
+
+  g_string_append_printf (
+      out,
+      "goldcresthatch_load_queries_total %" G_GUINT64_FORMAT
+      "\ngoldcresthatch_load_queries_incomplete_total %" G_GUINT64_FORMAT
+      "\ngoldcresthatch_load_datagrams_sent_total %" G_GUINT64_FORMAT
+      "\ngoldcresthatch_load_datagrams_received_total %" G_GUINT64_FORMAT
+      "\ngoldcresthatch_load_datagrams_malformed_total %" G_GUINT64_FORMAT
+      "\ngoldcresthatch_load_homes_silent %zu\n",
+      peers->queries, peers->incomplete, peers->sent, peers->received,
+      peers->malformed, fleetsum_silent (peers->sums, tmr_now (gw->tmr)));
 }
 
 int
 gw_peers_open (struct gw *gw, struct err *err)
 {
+  static const struct fleetsum_ops ops
+      = { send_datagram, on_sum, on_query_done };
   struct gw_peers *peers = g_new0 (struct gw_peers, 1);
+  struct sockaddr_in listen;
+  uint64_t i;
   int rc;
 
   gw->peers = peers;
-  peers->peerload = peerload_new ();
-  peers->peer_addresses
-      = g_array_new (FALSE, FALSE, sizeof (struct sockaddr_in));
+  peers->self = fleetsum_id (gw->set.node);
   /* The sequence numbers must rise over a restart of this process.  */
-  peers->sequence = (uint64_t)g_get_real_time ();
+  peers->sums
+      = fleetsum_new (peers->self, (uint64_t)g_get_real_time (), &ops, gw);
+  peers->addresses
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  peers->waiting
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  peers->timer_at = -1;
+  for (i = 0; i < DEMAND_KEYS; i++)
+    peers->demand_keys[i] = XXH64 (&i, sizeof i, 0);
   if (gw->set.listen_load[0] == '\0')
     return 0;
-  settings_parse_address (gw->set.listen_load, &peers->self);
+  settings_parse_address (gw->set.listen_load, &listen);
   uv_udp_init (&gw->loop, &peers->udp);
   peers->udp.data = gw;
-  rc = uv_udp_bind (&peers->udp, (struct sockaddr *)&peers->self, 0);
+  rc = uv_udp_bind (&peers->udp, (struct sockaddr *)&listen, 0);
   if (rc == 0)
     rc = uv_udp_recv_start (&peers->udp, tcp_alloc_buffer, on_datagram);
   if (rc != 0)
     return err_set (err, ERR_IO, "listen for load", gw->set.listen_load, "%s",
                     uv_strerror (rc));
-  tmr_add (gw->tmr, peerload_interval (1), 0, on_report_time, gw);
+  tmr_add (gw->tmr, gw_ms_to_us (EXPIRE_MS), gw_ms_to_us (EXPIRE_MS),
+           on_expire, gw);
   return 0;
 }
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -12,8 +12,9 @@
 enum
 {
   RELAY_MIN_BYTES = 2048, /* shorter requests don't saturate a link */
-  RELAY_LINK_RATIO_MIN
-  = 4 /* to this gateway's: a relay serves many slow ones */
+  /* To this gateway's: a relay serves many slow ones.  */
+  RELAY_LINK_RATIO_MIN = 4,
+  REPORTS_VERSION = 2 /* of the messages of fleetsum */
 };
 
 struct gw_relay
@@ -26,6 +27,7 @@
   struct pool_runner runner; /* health and calls of the gateway */
   double link_mbit;
   char load_address[32];
+  int reports; /* version of the reports of load that it understands */
   int present;
 };
 
@@ -41,10 +43,10 @@
 void
 gw_relay_presence_write (const struct gw *gw, GString *out)
 {
-  g_string_append_printf (out, "%s %s %.2f %s",
+  g_string_append_printf (out, "%s %s %.2f %s %d",
                           gw->set.listen_load[0] ? gw->set.listen_load : "-",
                           gw->set.listen_relay[0] ? gw->set.listen_relay : "-",
-                          gw->set.link_mbit, gw->set.zone);
+                          gw->set.link_mbit, gw->set.zone, REPORTS_VERSION);
 }
 
 static void
@@ -53,10 +55,11 @@
   struct peer_gateway *peer = g_hash_table_lookup (relay->peers, name);
   struct peer_gateway next = { 0 };
 
-  if (sscanf (presence, "%31s %31s %lf %63s", next.load_address,
+  /* Gateways that send reports of the first version have four fields.  */
+  if (sscanf (presence, "%31s %31s %lf %63s %d", next.load_address,
               next.runner.entry.address, &next.link_mbit,
-              next.runner.entry.zone)
-      != 4)
+              next.runner.entry.zone, &next.reports)
+      < 4)
     {
       event_log_write ("gateway_malformed", NULL, "\"gateway\":\"%s\"", name);
       return;
@@ -78,6 +81,7 @@
   memcpy (peer->runner.peer, next.runner.peer, sizeof next.runner.peer);
   memcpy (peer->load_address, next.load_address, sizeof next.load_address);
   peer->link_mbit = next.link_mbit;
+  peer->reports = next.reports;
   peer->present = 1;
 }
 
@@ -85,7 +89,7 @@
 gw_relay_update (struct gw *gw, GHashTable *present)
 {
   struct gw_relay *relay = gw->relay;
-  GPtrArray *addresses = g_ptr_array_new ();
+  GArray *peers = g_array_new (FALSE, TRUE, sizeof (struct gw_peer));
   GHashTableIter iter;
   gpointer name;
   gpointer value;
@@ -101,14 +105,15 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct peer_gateway *peer = value;
-      if (peer->present)
-        g_ptr_array_add (addresses, peer->load_address);
-      else if (peer->runner.calls + peer->runner.references == 0)
+      struct gw_peer entry
+          = { peer->runner.entry.id, peer->load_address, peer->link_mbit };
+      if (peer->present && peer->reports == REPORTS_VERSION)
+        g_array_append_val (peers, entry);
+      if (!peer->present && peer->runner.calls + peer->runner.references == 0)
         g_hash_table_iter_remove (&iter);
     }
-  gw_peers_set_addresses (gw, (const char *const *)addresses->pdata,
-                          addresses->len);
-  g_ptr_array_free (addresses, TRUE);
+  gw_peers_set (gw, (const struct gw_peer *)(void *)peers->data, peers->len);
+  g_array_free (peers, TRUE);
 }
 
 struct pool_runner *
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -20,6 +20,7 @@
 {
   call->runner->tokens = MAX (call->runner->tokens - call->queued_tokens, 0.0);
   call->queued_tokens = 0;
+  gw_peers_note_load (call->gw, call->runner);
 }
 
 /* Updates the load of the runner at the end of the send in progress.  */
@@ -533,12 +534,14 @@
     g_string_truncate (call->data, 0);
   if (!call->first_send_counted && phase != ADAPTER_RELAY)
     budget_first (call);
+  gw_call_forget_view (call);
   call->phase = phase;
   call->runner = runner;
   call->sent = now;
   call->queued_tokens = choice->uncached_tokens;
   runner->calls++;
   runner->tokens += choice->uncached_tokens;
+  gw_peers_note_load (gw, runner);
   if (phase != ADAPTER_RELAY && call->in.prompt.n_blocks > 0)
     lb_note_prefill (gw->lb, runner, &call->in.prompt, now);
   if (phase == ADAPTER_PREFILL_ONLY)
--- a/src/gw_stage.c
+++ b/src/gw_stage.c
@@ -9,6 +9,7 @@
 enum
 {
   STEP_MS = 250,
+  DEMAND_STEPS = 4, /* between two contributions to the fleet's demand */
   CONNECT_MS = 400,
   ORDER_TIMEOUT_MS = 1500, /* a later answer counts as lost */
   /* Added to lease_ms, for delayed orders of the last leader.  */
@@ -26,8 +27,11 @@
   uint64_t token;    /* fencing token of this leader, or 0 */
   int64_t confirmed; /* start of the last read that returned TOKEN */
   int confirming;
-  double requested_us;   /* engine time requested since the last step */
-  double prefill_demand; /* prefill demand in engines; moving average */
+  double requested_us;     /* engine time requested since the last step */
+  struct gw_demand demand; /* of this gateway's requests; prefill is a moving
+                              average */
+  unsigned steps;
+  int standby; /* may have to take over leadership */
   struct stageplan_state plan;
   /* One order at a time.  */
   struct pool_runner *runner;
@@ -197,6 +201,7 @@
       stage->runner->ordered_us = gw_now (gw);
     }
   stage->runner->calls--;
+  gw_peers_note_load (gw, stage->runner);
   stage->runner = NULL;
   stage->call = 0;
 }
@@ -301,10 +306,15 @@
   struct gw_stage *stage = gw->stage;
   int64_t now = gw_now (gw);
   struct stageplan_view view = { 0 };
+  struct gw_demand others = { 0, 0 };
   size_t i;
 
+  if (stage->standby)
+    others = gw_peers_demand (gw);
+
   view.share = gw->set.prefill_share;
-  view.prefill_demand = stage->prefill_demand + gw_peers_prefill_demand (gw);
+  view.prefill_demand = stage->demand.prefill + others.prefill;
+  view.decode_demand = stage->demand.decode + others.decode;
   for (i = 0; i < pool_count (gw->runner_pool); i++)
     {
       struct pool_runner *engine = pool_at (gw->runner_pool, i);
@@ -313,7 +323,10 @@
         continue;
       if (engine->ordered != POOL_STAGE_ANY
           && now - engine->ordered_us > gw_ms_to_us (STAGE_CHANGE_TIMEOUT_MS))
-        engine->ordered = POOL_STAGE_ANY;
+        {
+          engine->ordered = POOL_STAGE_ANY;
+          gw_peers_note_load (gw, engine);
+        }
       if (pool_is_changing_stage (engine))
         {
           at = engine->ordered != POOL_STAGE_ANY ? engine->ordered
@@ -327,9 +340,6 @@
         *(engine->entry.stage == POOL_STAGE_PREFILL ? &view.prefill_now
                                                     : &view.decode_now)
             += 1;
-      if (engine->entry.stage == POOL_STAGE_DECODE)
-        view.decode_demand
-            += pool_load (engine, now) / MAX (engine->entry.slots, 1u);
     }
   stageplan_update (&stage->plan, &view, now);
   if (!may_order || !stageplan_next (&stage->plan, &view, to))
@@ -370,6 +380,29 @@
   order_start (gw, runner, to);
 }
 
+/* Updates the demand of this gateway's requests.  */
+static void
+update_demand (struct gw *gw)
+{
+  struct gw_stage *stage = gw->stage;
+  size_t i;
+
+  stage->demand.prefill += (stage->requested_us / (gw_ms_to_us (STEP_MS))
+                            - stage->demand.prefill)
+                           * STEP_MS / DEMAND_AVERAGE_MS;
+  stage->requested_us = 0;
+  stage->demand.decode = 0;
+  for (i = 0; i < pool_count (gw->runner_pool); i++)
+    {
+      const struct pool_runner *engine = pool_at (gw->runner_pool, i);
+      if (engine->entry.stage == POOL_STAGE_DECODE && engine->present)
+        stage->demand.decode
+            += (double)engine->calls / MAX (engine->entry.slots, 1u);
+    }
+  if (++stage->steps % DEMAND_STEPS == 0)
+    gw_peers_set_demand (gw, &stage->demand);
+}
+
 static void
 on_step (void *ctx, int64_t now)
 {
@@ -378,10 +411,7 @@
   struct authority_event event = { .kind = AUTHORITY_EV_TIME, .now_us = now };
 
   event.draw = random_id (gw);
-  stage->prefill_demand += (stage->requested_us / (gw_ms_to_us (STEP_MS))
-                            - stage->prefill_demand)
-                           * STEP_MS / DEMAND_AVERAGE_MS;
-  stage->requested_us = 0;
+  update_demand (gw);
   if (!gw->stopping && stage->rank_known)
     auth_step (gw, &event);
   step (gw);
@@ -396,6 +426,7 @@
   };
 
   gw->stage->rank_known = 1;
+  gw->stage->standby = rank < STANDBY_MAX;
   authority_rank_set (&gw->stage->authority, rank < STANDBY_MAX, rank,
                       STANDBY_MAX);
 }
@@ -408,12 +439,6 @@
          + uncached_tokens / lb_speed_default.prefill_tokens_per_us;
 }
 
-double
-gw_stage_prefill_demand (const struct gw *gw)
-{
-  return gw->stage->prefill_demand;
-}
-
 static void
 on_resigned (void *ctx, const struct store_reply *reply)
 {
--- a/src/lb.c
+++ b/src/lb.c
@@ -10,7 +10,6 @@
 
 enum
 {
-  SESSION_CANDIDATES = 2,    /* candidate engines of a session */
   CROSS_ZONE_COST_US = 1500, /* for another availability zone */
   CALL_DEFAULT_US = 30000,   /* expected time of a plain call */
   /* Cost of a failure beyond the time lost: a prefill is repeated at another
@@ -161,6 +160,20 @@
   return 1;
 }
 
+/* Returns nonzero when RUNNER is eligible and in the sample, if there is one.
+ */
+static int
+is_in_sample (const struct pool_runner *runner, const struct lb_filter *where,
+              int64_t now)
+{
+  size_t i;
+
+  for (i = 0; i < where->n_sample && where->sample[i] != runner; i++)
+    ;
+  return (i < where->n_sample || where->n_sample == 0)
+         && is_eligible (runner, where, now);
+}
+
 /* Returns the time in which RUNNER reads its queue.  The queued tokens of this
    process and of gateways that report them are known; other requests are
    assumed to have as many tokens each as ours.  */
@@ -205,40 +218,67 @@
                                                        : 0;
 }
 
-struct lb_choice
-lb_prefill (const struct lb *lb, const struct runner_pool *runner_pool,
-            const struct lb_filter *where, const struct lb_prompt *prompt,
-            int64_t now)
+/* A set of the runners with the highest weights.  */
+struct sample
+{
+  struct pool_runner *runner[LB_SAMPLE_MAX];
+  uint64_t weight[LB_SAMPLE_MAX];
+  size_t n;
+};
+
+static void
+sample_add (struct sample *sample, struct pool_runner *runner, uint64_t weight,
+            size_t max)
+{
+  size_t at;
+
+  for (at = sample->n; at > 0 && weight > sample->weight[at - 1]; at--)
+    if (at < max)
+      {
+        sample->runner[at] = sample->runner[at - 1];
+        sample->weight[at] = sample->weight[at - 1];
+      }
+  if (at == max)
+    return;
+  sample->runner[at] = runner;
+  sample->weight[at] = weight;
+  sample->n = MIN (sample->n + 1, max);
+}
+
+size_t
+lb_session_candidates (const struct runner_pool *runner_pool,
+                       const struct lb_filter *where,
+                       const struct lb_prompt *prompt, int64_t now,
+                       struct pool_runner **candidate)
 {
   uint64_t session = lb_session_hash (prompt);
-  struct pool_runner *candidate[SESSION_CANDIDATES] = { NULL };
-  uint64_t weight[SESSION_CANDIDATES] = { 0 };
-  struct weighted_choice best = { { NULL, 0, 0, 0 }, 0 };
+  struct sample sample = { .n = 0 };
   size_t i;
-  int k;
 
   for (i = 0; i < pool_count (runner_pool); i++)
     {
       struct pool_runner *runner = pool_at (runner_pool, i);
-      uint64_t w;
-      int at;
-      if (!is_eligible (runner, where, now))
-        continue;
-      w = chain_hash (runner->hash, session);
-      for (at = SESSION_CANDIDATES;
-           at > 0 && (candidate[at - 1] == NULL || w > weight[at - 1]); at--)
-        if (at < SESSION_CANDIDATES)
-          {
-            candidate[at] = candidate[at - 1];
-            weight[at] = weight[at - 1];
-          }
-      if (at < SESSION_CANDIDATES)
-        {
-          candidate[at] = runner;
-          weight[at] = w;
-        }
+      if (is_eligible (runner, where, now))
+        sample_add (&sample, runner, chain_hash (runner->hash, session),
+                    LB_SESSION_CANDIDATES);
     }
-  for (k = 0; k < SESSION_CANDIDATES && candidate[k] != NULL; k++)
+  for (i = 0; i < sample.n; i++)
+    candidate[i] = sample.runner[i];
+  return sample.n;
+}
+
+struct lb_choice
+lb_prefill (const struct lb *lb, const struct runner_pool *runner_pool,
+            const struct lb_filter *where, const struct lb_prompt *prompt,
+            int64_t now)
+{
+  struct pool_runner *candidate[LB_SESSION_CANDIDATES];
+  struct weighted_choice best = { { NULL, 0, 0, 0 }, 0 };
+  size_t n
+      = lb_session_candidates (runner_pool, where, prompt, now, candidate);
+  size_t k;
+
+  for (k = 0; k < n; k++)
     {
       struct lb_choice choice = { candidate[k], 0, 0, 0 };
       choice.uncached_tokens
@@ -255,6 +295,39 @@
   return best.choice;
 }
 
+size_t
+lb_sample (const struct runner_pool *runner_pool,
+           const struct lb_filter *where, uint64_t random, int64_t now,
+           struct pool_runner **sample)
+{
+  struct sample near = { .n = 0 };
+  struct sample all = { .n = 0 };
+  size_t found = 0;
+  size_t i;
+  size_t k;
+
+  for (i = 0; i < pool_count (runner_pool); i++)
+    {
+      struct pool_runner *runner = pool_at (runner_pool, i);
+      uint64_t weight = chain_hash (runner->hash, random);
+      if (!is_eligible (runner, where, now))
+        continue;
+      if (strcmp (runner->entry.zone, where->zone) == 0)
+        sample_add (&near, runner, weight, LB_SAMPLE_MAX / 2);
+      sample_add (&all, runner, weight, LB_SAMPLE_MAX);
+    }
+  for (i = 0; i < near.n; i++)
+    sample[found++] = near.runner[i];
+  for (i = 0; i < all.n && found < LB_SAMPLE_MAX; i++)
+    {
+      for (k = 0; k < near.n && near.runner[k] != all.runner[i]; k++)
+        ;
+      if (k == near.n)
+        sample[found++] = all.runner[i];
+    }
+  return found;
+}
+
 struct lb_choice
 lb_decode (const struct lb *lb, const struct runner_pool *runner_pool,
            const struct lb_filter *where, const struct lb_prompt *prompt,
@@ -269,7 +342,7 @@
       struct lb_choice choice = { runner, 0, 0, 0 };
       double load;
       double cost;
-      if (!is_eligible (runner, where, now))
+      if (!is_in_sample (runner, where, now))
         continue;
       load = pool_load (runner, now);
       if (runner->entry.slots > 0 && load >= runner->entry.slots)
@@ -303,7 +376,7 @@
       struct pool_runner *runner = pool_at (runner_pool, i);
       struct lb_choice choice = { runner, 0, 0, 0 };
       double load;
-      if (!is_eligible (runner, where, now) || runner->entry.slots == 0
+      if (!is_in_sample (runner, where, now) || runner->entry.slots == 0
           || runner->tokens + runner->peer_tokens > 0)
         continue;
       load = pool_load (runner, now);
--- a/src/lb.h
+++ b/src/lb.h
@@ -22,7 +22,9 @@
 
 enum
 {
-  LB_BLOCKS_MAX = 16
+  LB_BLOCKS_MAX = 16,
+  LB_SESSION_CANDIDATES = 2, /* candidate engines of a session */
+  LB_SAMPLE_MAX = 4          /* runners of a random sample */
 };
 
 /* Speed of an engine.  */
@@ -95,8 +97,26 @@
   const struct pool_runner *const *excluded;
   size_t n_excluded;
   unsigned calls_max; /* of this process at one runner; 0: no limit */
+  const struct pool_runner *const *sample; /* the only ones for a decode */
+  size_t n_sample;                         /* 0: no such limit */
 };
 
+/* Sets CANDIDATE to the eligible engines of PROMPT's session, the preferred
+   one first.  Returns their number, at most LB_SESSION_CANDIDATES.  */
+size_t lb_session_candidates (const struct runner_pool *runner_pool,
+                              const struct lb_filter *where,
+                              const struct lb_prompt *prompt, int64_t now,
+                              struct pool_runner **candidate);
+/* Sets SAMPLE to eligible runners chosen by RANDOM, half of them in the
+   preferred zone where it has enough.  Returns their number, at most
+   LB_SAMPLE_MAX.  A choice among few runners whose load is known exactly keeps
+   gateways from all choosing the runner that seemed idle a moment ago
+   (Mitzenmacher, "The power of two choices in randomized load balancing",
+   2001).  */
+size_t lb_sample (const struct runner_pool *runner_pool,
+                  const struct lb_filter *where, uint64_t random, int64_t now,
+                  struct pool_runner **sample);
+
 /* Each function below returns the choice with the lowest expected cost; its
    RUNNER is null when no runner is eligible.  */
 struct lb_choice lb_prefill (const struct lb *lb,
--- a/src/pool.c
+++ b/src/pool.c
@@ -15,6 +15,9 @@
 static const double reported_load_half_life_us = 150000;
 /* Faulty runners recover within seconds.  */
 static const double failure_rate_half_life_us = 3e6;
+/* An engine whose change of stage a peer has reported is left out of queries,
+   so the report is forgotten after this time.  */
+#define PEER_ORDER_US INT64_C (1000000)
 /* Weight of the old value in the moving averages.  */
 static const double average_decay = 0.9;
 
@@ -28,6 +31,7 @@
 struct runner_pool
 {
   GPtrArray *runners;
+  GHashTable *by_hash; /* pool_runner.hash -> struct pool_runner */
   int reachable;
   int64_t registry_returned_us; /* when the registry last became reachable */
 };
@@ -38,6 +42,7 @@
   struct runner_pool *runner_pool = g_new0 (struct runner_pool, 1);
 
   runner_pool->runners = g_ptr_array_new_with_free_func (g_free);
+  runner_pool->by_hash = g_hash_table_new (g_int64_hash, g_int64_equal);
   runner_pool->reachable = 1;
   runner_pool->registry_returned_us = INT64_MIN / 2;
   return runner_pool;
@@ -46,6 +51,7 @@
 void
 pool_free (struct runner_pool *runner_pool)
 {
+  g_hash_table_destroy (runner_pool->by_hash);
   g_ptr_array_free (runner_pool->runners, TRUE);
   g_free (runner_pool);
 }
@@ -80,6 +86,12 @@
   return found;
 }
 
+struct pool_runner *
+pool_find_hash (const struct runner_pool *runner_pool, uint64_t hash)
+{
+  return g_hash_table_lookup (runner_pool->by_hash, &hash);
+}
+
 static struct pool_runner *
 add (struct runner_pool *runner_pool, const struct pool_entry *entry,
      uint64_t revision)
@@ -95,6 +107,7 @@
   runner->leaving = entry->draining;
   runner->listed = 1;
   g_ptr_array_add (runner_pool->runners, runner);
+  g_hash_table_insert (runner_pool->by_hash, &runner->hash, runner);
   return runner;
 }
 
@@ -219,8 +232,15 @@
           runner->present = 0;
           runner->leaving = 1;
         }
+      if (runner->peer_ordered == runner->entry.stage
+          || now - runner->peer_report_us > PEER_ORDER_US)
+        runner->peer_ordered = POOL_STAGE_ANY;
       if (!runner->present && runner->calls + runner->references == 0)
-        g_ptr_array_remove_index_fast (runner_pool->runners, i);
+        {
+          if (pool_find_hash (runner_pool, runner->hash) == runner)
+            g_hash_table_remove (runner_pool->by_hash, &runner->hash);
+          g_ptr_array_remove_index_fast (runner_pool->runners, i);
+        }
       else
         i++;
     }
--- a/src/pool.h
+++ b/src/pool.h
@@ -59,10 +59,10 @@
   int64_t load_reported_us;
   double tokens; /* prompt tokens sent whose prefill has not ended */
   uint64_t hash; /* of PEER */
-  /* Requests of the peer gateways, from their load reports.  */
+  /* Requests of the peer gateways, as of the last query.  */
   unsigned peer_calls;
   double peer_tokens;
-  int64_t peer_report_us; /* 0: no report yet */
+  int64_t peer_report_us; /* time of the reply; 0: none yet */
   enum pool_stage peer_ordered;
   unsigned refusals;             /* in a row */
   unsigned kv_transfer_failures; /* failed KV transfers from here, in a row */
@@ -101,14 +101,17 @@
 void pool_set_registry_reachable (struct runner_pool *runner_pool,
                                   int reachable, int64_t now);
 
-/* Removes absent runners without calls or references; to be called
-   periodically.  */
+/* Removes absent runners without calls or references, and forgets what peers
+   have reported of stage changes a while ago; to be called periodically.  */
 void pool_tick (struct runner_pool *runner_pool, int64_t now);
 
 size_t pool_count (const struct runner_pool *runner_pool);
 struct pool_runner *pool_at (const struct runner_pool *runner_pool, size_t i);
 struct pool_runner *pool_find (const struct runner_pool *runner_pool,
                                const char *id);
+/* Returns the runner with HASH, or null.  */
+struct pool_runner *pool_find_hash (const struct runner_pool *runner_pool,
+                                    uint64_t hash);
 
 /* Returns nonzero when RUNNER may get new work: it is registered, not draining
    and not in back-off.  */
@@ -118,8 +121,8 @@
 int pool_is_changing_stage (const struct pool_runner *runner);
 
 /* Returns the estimated number of requests at RUNNER from all callers: this
-   process's calls, and those of others by the load reports of the gateways
-   or, without them, by the runner's last answer.  */
+   process's calls, and those of others by the last query of the peer gateways
+   or, without one, by the runner's last answer.  */
 double pool_load (const struct pool_runner *runner, int64_t now);
 
 /* Returns the failed share of the calls to RUNNER, as a moving average that
