--- a/src/gw.h
+++ b/src/gw.h
@@ -21,6 +21,7 @@
 #include "http_client.h"
 #include "http_server.h"
 #include "event_log.h"
+#include "fleetfeed.h"
 #include "pool.h"
 #include "reqstate.h"
 #include "lb.h"
@@ -144,6 +145,9 @@
 int gw_is_ready (const struct gw *gw);
 /* Removes the registry entry of this gateway.  */
 void gw_sync_withdraw (struct gw *gw);
+/* Applies changes in the store that another gateway has passed on.  */
+void gw_sync_apply_notice (struct gw *gw,
+                           const struct fleetfeed_notice *notice);
 
 /* gw_stage.c: leadership and the stages of the engines */
 struct gw_stage *gw_stage_new (struct gw *gw);
@@ -157,7 +161,8 @@
    not the request is admitted.  */
 void gw_stage_note_demand (struct gw *gw, double uncached_tokens);
 
-/* gw_peers.c: sums of the load of all gateways */
+/* gw_peers.c: sums of the load of all gateways, and changes in the store that
+   gateways pass on */
 struct gw_peer
 {
   const char *name;
@@ -183,6 +188,13 @@
 /* Returns the demand at the other gateways as of the last query of it, and
    asks for it again.  */
 struct gw_demand gw_peers_demand (struct gw *gw);
+/* Sends changes in the store to the gateways that follow this one.  */
+void gw_peers_publish (struct gw *gw, const struct fleetfeed_notice *notice);
+/* Returns nonzero when this gateway watches the store for others.  */
+int gw_peers_is_source (const struct gw *gw);
+/* Returns nonzero when the changes of FEED up to REVISION are all that the
+   followed gateways know of, and they can read the store.  */
+int gw_peers_is_current (struct gw *gw, unsigned feed, uint64_t revision);
 /* Writes counters of this part as metrics.  */
 void gw_peers_metrics (const struct gw *gw, GString *out);
 
--- a/src/gw_peers.c
+++ b/src/gw_peers.c
@@ -1,4 +1,4 @@
-/* Sums of the load of all gateways, exchanged by datagrams.  */
+/* Datagrams between gateways: sums of their load, and changes in the store. */
 #include <string.h>
 #include <xxhash.h>
 
@@ -31,6 +31,7 @@
 struct gw_peers
 {
   struct fleetsum *sums;
+  struct fleetfeed *feeds;
   uv_udp_t udp;
   uint64_t self;
   GHashTable *addresses; /* gateway's number -> struct sockaddr_in */
@@ -45,6 +46,7 @@
   uint64_t sent;
   uint64_t received;
   uint64_t malformed;
+  uint64_t notices;
 };
 
 static void
@@ -224,9 +226,13 @@
 {
   struct gw_peers *peers = gw->peers;
   GArray *homes = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  GArray *all = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   double widest = gw->set.link_mbit;
   size_t i;
 
+  /* Without a socket this gateway takes no part.  */
+  if (gw->set.listen_load[0] == '\0')
+    n = 0;
   for (i = 0; i < n; i++)
     widest = MAX (widest, peer[i].link_mbit);
   g_hash_table_remove_all (peers->addresses);
@@ -241,6 +247,7 @@
         }
       g_hash_table_insert (peers->addresses, g_memdup2 (&id, sizeof id),
                            address);
+      g_array_append_val (all, id);
       if (peer[i].link_mbit * HOME_LINK_RATIO_MAX >= widest)
         g_array_append_val (homes, id);
     }
@@ -248,7 +255,52 @@
     g_array_append_val (homes, peers->self);
   fleetsum_set_homes (peers->sums, (const uint64_t *)(void *)homes->data,
                       homes->len, gw_now (gw));
+  g_array_append_val (all, peers->self);
+  fleetfeed_set_members (peers->feeds, (const uint64_t *)(void *)homes->data,
+                         homes->len, (const uint64_t *)(void *)all->data,
+                         all->len);
   g_array_free (homes, TRUE);
+  g_array_free (all, TRUE);
+}
+
+/* Passes a datagram on to the gateways that follow this one.  */
+static void
+send_to_followers (void *ctx, const char *data, size_t size)
+{
+  struct gw *gw = ctx;
+  size_t n;
+  const uint64_t *followers = fleetfeed_followers (gw->peers->feeds, &n);
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    send_datagram (gw, followers[i], data, size);
+}
+
+void
+gw_peers_publish (struct gw *gw, const struct fleetfeed_notice *notice)
+{
+  fleetfeed_write (gw->peers->feeds, notice, send_to_followers, gw);
+}
+
+int
+gw_peers_is_source (const struct gw *gw)
+{
+  return fleetfeed_is_source (gw->peers->feeds);
+}
+
+int
+gw_peers_is_current (struct gw *gw, unsigned feed, uint64_t revision)
+{
+  return fleetfeed_is_current (gw->peers->feeds, feed, revision, gw_now (gw));
+}
+
+static void
+on_notice (void *ctx, const struct fleetfeed_notice *notice)
+{
+  struct gw *gw = ctx;
+
+  gw->peers->notices++;
+  gw_sync_apply_notice (gw, notice);
 }
 
 static void
@@ -257,14 +309,18 @@
 {
   struct gw *gw = udp->data;
   struct err err;
+  int rc;
 
   if (n <= 0 || from == NULL || (flags & UV_UDP_PARTIAL))
     return;
   gw->peers->received++;
-  if (fleetsum_receive (gw->peers->sums, buf->base, (size_t)n, gw_now (gw),
-                        &err)
-      != 0)
-    gw->peers->malformed++;
+  if (fleetfeed_is_datagram (buf->base, (size_t)n))
+    rc = fleetfeed_receive (gw->peers->feeds, buf->base, (size_t)n,
+                            gw_now (gw), on_notice, gw, &err);
+  else
+    rc = fleetsum_receive (gw->peers->sums, buf->base, (size_t)n, gw_now (gw),
+                           &err);
+  gw->peers->malformed += rc != 0;
 }
 
 static void
@@ -287,9 +343,12 @@
       "\ngoldcresthatch_load_datagrams_sent_total %" G_GUINT64_FORMAT
       "\ngoldcresthatch_load_datagrams_received_total %" G_GUINT64_FORMAT
       "\ngoldcresthatch_load_datagrams_malformed_total %" G_GUINT64_FORMAT
-      "\ngoldcresthatch_load_homes_silent %zu\n",
+      "\ngoldcresthatch_load_homes_silent %zu"
+      "\ngoldcresthatch_store_notices_total %" G_GUINT64_FORMAT
+      "\ngoldcresthatch_store_source %d\n",
       peers->queries, peers->incomplete, peers->sent, peers->received,
-      peers->malformed, fleetsum_silent (peers->sums, tmr_now (gw->tmr)));
+      peers->malformed, fleetsum_silent (peers->sums, tmr_now (gw->tmr)),
+      peers->notices, fleetfeed_is_source (peers->feeds));
 }
 
 int
@@ -307,6 +366,7 @@
   /* The sequence numbers must rise over a restart of this process.  */
   peers->sums
       = fleetsum_new (peers->self, (uint64_t)g_get_real_time (), &ops, gw);
+  peers->feeds = fleetfeed_new (peers->self);
   peers->addresses
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   peers->waiting
--- a/src/gw_sync.c
+++ b/src/gw_sync.c
@@ -10,8 +10,13 @@
   /* A dead connection is detected this long before the configuration has to
      be in force.  */
   WATCH_MARGIN_MS = 1000,
-  BATCH_DELAY_MS = 250, /* changes within this time share one call */
-  POLL_MS = 3000,       /* between two listings of the gateways */
+  /* A source whose connection is dead tells its followers within this part of
+     the time in which a change has to be in force.  */
+  SOURCE_WATCH_PART = 4,
+  SOURCE_WATCH_MIN_MS = 500,
+  FOLLOW_CHECK_MS = 200, /* between two checks of the followed sources */
+  BATCH_DELAY_MS = 250,  /* changes within this time share one call */
+  POLL_MS = 3000,        /* between two listings of the gateways */
   POLL_FIRST_MS = 600,
   PROCESSES_HOLD_MS = 60000, /* several times the lease of a registry entry */
   /* Delays before the retry of a failed call.  A store that does not answer
@@ -39,10 +44,13 @@
   enum feed_id id;
   const char *prefix;
   uint64_t revision;
-  uint64_t list_revision; /* of the first page of the listing in progress */
-  char *after;            /* last key of the page before */
+  uint64_t list_revision;   /* of the first page of the listing in progress */
+  uint64_t change_revision; /* of the last change that is known */
+  char *after;              /* last key of the page before */
   int listed;
   int failing;
+  int following;  /* other gateways pass on the changes */
+  uint64_t timer; /* of the next call, while FOLLOWING */
 };
 
 struct gw_sync
@@ -193,6 +201,38 @@
         [FEED_RUNNERS] = runner_item,
         [FEED_PROCESSES] = process_item };
 
+/* Passes on N ITEMS, the changes after SINCE, and whether the store answers.
+ */
+static void
+feed_publish (struct feed *feed, uint64_t since,
+              const struct store_item *items, size_t n)
+{
+  struct fleetfeed_notice notice = { .feed = feed->id,
+                                     .store_ok = !feed->failing,
+                                     .since = since,
+                                     .upto = feed->change_revision,
+                                     .items = items,
+                                     .n_items = n };
+
+  if (n == 0)
+    notice.since = feed->change_revision;
+  if (feed->id != FEED_PROCESSES && feed->listed)
+    gw_peers_publish (feed->gw, &notice);
+}
+
+/* Applies changes in the order of their revisions.  */
+static void
+feed_apply (struct feed *feed, const struct store_item *items, size_t n)
+{
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    {
+      feed_item[feed->id](feed, &items[i]);
+      feed->change_revision = MAX (feed->change_revision, items[i].revision);
+    }
+}
+
 static void
 feed_state (struct feed *feed, int ok)
 {
@@ -203,6 +243,8 @@
   if (feed->failing == !ok)
     return;
   feed->failing = !ok;
+  if (!ok)
+    feed_publish (feed, 0, NULL, 0);
   event_log_write (ok ? "store_regained" : "store_lost", NULL,
                    "\"feed\":\"%s\"", feed->prefix);
 }
@@ -275,6 +317,7 @@
                    gw_now (feed->gw));
   feed->listed = 1;
   feed->revision = feed->list_revision;
+  feed->change_revision = MAX (feed->change_revision, feed->list_revision);
   if (feed->id == FEED_PROCESSES)
     {
       processes_changed (feed->gw);
@@ -297,7 +340,7 @@
 on_watched (void *ctx, const struct store_reply *reply)
 {
   struct feed *feed = ctx;
-  size_t i;
+  uint64_t since = feed->change_revision;
 
   feed->gw->counts.store_calls++;
   feed_state (feed, reply->rc == STORE_OK || reply->rc == STORE_COMPACTED);
@@ -311,24 +354,87 @@
       feed_retry (feed, reply->rc);
       return;
     }
-  for (i = 0; i < reply->n_items; i++)
-    feed_item[feed->id](feed, &reply->items[i]);
+  feed_apply (feed, reply->items, reply->n_items);
   feed->revision = MAX (feed->revision, reply->revision);
   if (reply->n_items > 0)
-    tmr_add (feed->gw->tmr, gw_ms_to_us (BATCH_DELAY_MS), 0, on_retry, feed);
+    {
+      feed_publish (feed, since, reply->items, reply->n_items);
+      tmr_add (feed->gw->tmr, gw_ms_to_us (BATCH_DELAY_MS), 0, on_retry, feed);
+    }
   else
     feed_watch (feed);
 }
 
+static void
+on_follow_check (void *ctx, int64_t now)
+{
+  struct feed *feed = ctx;
+
+  (void)now;
+  feed->following = 0;
+  feed_watch (feed);
+}
+
+void
+gw_sync_apply_notice (struct gw *gw, const struct fleetfeed_notice *notice)
+{
+  struct feed *feed;
+
+  if (notice->feed >= FEED_PROCESSES)
+    return;
+  feed = &gw->sync->feeds[notice->feed];
+  if (!feed->listed)
+    return;
+  if (notice->since <= feed->revision)
+    {
+      feed_apply (feed, notice->items, notice->n_items);
+      feed->revision = MAX (feed->revision, notice->upto);
+    }
+  if (!feed->following || gw_peers_is_current (gw, feed->id, feed->revision))
+    return;
+  tmr_cancel (gw->tmr, feed->timer);
+  on_follow_check (feed, gw_now (gw));
+}
+
+/* Tells the followers that this gateway is alive, and of changes that they may
+   have missed.  */
+static void
+on_beat (void *ctx, int64_t now)
+{
+  struct gw *gw = ctx;
+
+  (void)now;
+  if (!gw_peers_is_source (gw) || gw->stopping)
+    return;
+  feed_publish (&gw->sync->feeds[FEED_CONFIG], 0, NULL, 0);
+  feed_publish (&gw->sync->feeds[FEED_RUNNERS], 0, NULL, 0);
+}
+
+/* Returns for how long a watch of the store may be silent.  */
+static int
+watch_wait_ms (const struct gw *gw)
+{
+  if (gw_peers_is_source (gw))
+    return (int)MAX (gw->set.settled_ms / SOURCE_WATCH_PART,
+                     SOURCE_WATCH_MIN_MS);
+  return (int)MAX (gw->set.settled_ms - WATCH_MARGIN_MS, WATCH_MIN_MS);
+}
+
 static void
 feed_watch (struct feed *feed)
 {
   struct gw *gw = feed->gw;
 
-  gw->store_api->watch (
-      gw->store_ctx, feed->prefix, feed->revision,
-      (int)MAX (gw->set.settled_ms - WATCH_MARGIN_MS, WATCH_MIN_MS),
-      on_watched, feed);
+  if (gw_peers_is_current (gw, feed->id, feed->revision))
+    {
+      feed_state (feed, 1);
+      feed->following = 1;
+      feed->timer = tmr_add (gw->tmr, gw_ms_to_us (FOLLOW_CHECK_MS), 0,
+                             on_follow_check, feed);
+      return;
+    }
+  gw->store_api->watch (gw->store_ctx, feed->prefix, feed->revision,
+                        watch_wait_ms (gw), on_watched, feed);
 }
 
 /* Registry entry of this process, kept by a lease.  */
@@ -437,6 +543,7 @@
       if (i != FEED_PROCESSES)
         feed_list (&sync->feeds[i]);
     }
+  tmr_add (gw->tmr, FLEETFEED_BEAT_US, FLEETFEED_BEAT_US, on_beat, gw);
   tmr_add (gw->tmr, gw_ms_to_us (POLL_FIRST_MS), 0, on_poll,
            &sync->feeds[FEED_PROCESSES]);
   presence_start (gw);
--- a/tests/unit_gw_sync.cc
+++ b/tests/unit_gw_sync.cc
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "gw_headers.hh"
+#include "raw_socket.hh"
 
 extern "C"
 {
@@ -33,11 +33,13 @@
 class Sync : public testing::Test
 {
 protected:
+  std::string gw_test_load; // where the gateway hears others, or empty
   struct gw gw = {};
   std::vector<item> log; // all changes, oldest first
   uint64_t revision = 100;
   uint64_t compacted = 0;
   enum store_rc fails = STORE_OK; // of every call
+  unsigned watches = 0;           // calls of the store
   struct watch
   {
     Sync *self;
@@ -64,6 +66,8 @@
     g_strlcpy (gw.set.node, "gw", sizeof gw.set.node);
     gw.set.settled_ms = 3000;
     gw.set.lease_ms = 3000;
+    g_strlcpy (gw.set.listen_load, gw_test_load.c_str (),
+               sizeof gw.set.listen_load);
     ASSERT_EQ (gw_peers_open (&gw, nullptr), 0);
     gw_relay_new (&gw);
     gw_stage_new (&gw);
@@ -209,6 +213,7 @@
           store_done *done, void *ctx)
   {
     auto *self = static_cast<Sync *> (store_api);
+    self->watches++;
     if (self->failing (done, ctx))
       return;
     int64_t until = tmr_now (self->gw.tmr) + wait_ms * ms;
@@ -391,4 +396,151 @@
   EXPECT_EQ (gw.table->version, 4U);
 }
 
+// The gateway in a fleet of which it follows two others.
+class FollowerSync : public Sync
+{
+protected:
+  std::vector<std::string> names;
+  std::vector<uint64_t> ids;
+  std::vector<struct fleetfeed *> sources; // that the gateway follows
+  int udp = -1;
+
+  void
+  SetUp () override
+  {
+    gw_test_load = raw_socket::free_address ();
+    Sync::SetUp ();
+    udp = socket (AF_INET, SOCK_DGRAM, 0);
+    for (int i = 0; i < 40; i++)
+      names.push_back ("gateway-" + std::to_string (i));
+    for (const std::string &name : names)
+      {
+        ids.push_back (fleetsum_id (name.c_str ()));
+        change ("gateways/" + name, "127.0.0.1:9 - 100.00 z 2");
+      }
+    ids.push_back (fleetsum_id ("gw"));
+    gw.set.link_mbit = 1;
+    for (size_t i = 0; i + 1 < ids.size (); i++)
+      {
+        struct fleetfeed *ff = fleetfeed_new (ids[i]);
+        fleetfeed_set_members (ff, ids.data (), ids.size () - 1, ids.data (),
+                               ids.size ());
+        size_t n;
+        const uint64_t *followers = fleetfeed_followers (ff, &n);
+        if (std::find (followers, followers + n, ids.back ()) != followers + n)
+          sources.push_back (ff);
+        else
+          fleetfeed_free (ff);
+      }
+    ASSERT_EQ (sources.size (), static_cast<size_t> (FLEETFEED_FOLLOWED));
+  }
+  void
+  TearDown () override
+  {
+    for (struct fleetfeed *ff : sources)
+      fleetfeed_free (ff);
+    close (udp);
+  }
+  // A source tells of the changes after SINCE in both feeds, or only of the
+  // revision of the last one.
+  void
+  tell (size_t source, uint64_t since, bool with_items = true)
+  {
+    for (unsigned feed = 0; feed < 2; feed++)
+      {
+        std::string prefix = feed == 0 ? "op/config" : "servers/";
+        std::vector<struct store_item> items;
+        uint64_t before = 0; // the last change up to SINCE
+        uint64_t upto = 0;
+        for (const item &i : log)
+          if (i.key.compare (0, prefix.size (), prefix) == 0)
+            {
+              upto = i.revision;
+              before = i.revision <= since ? i.revision : before;
+              if (with_items && i.revision > since)
+                items.push_back ({ i.key.c_str (), i.value.data (),
+                                   i.value.size (), i.revision, i.revision,
+                                   i.deleted });
+            }
+        struct fleetfeed_notice notice = {
+          feed,         1, with_items ? before : upto, upto, items.data (),
+          items.size ()
+        };
+        fleetfeed_write (
+            sources[source], &notice,
+            [] (void *ctx, const char *data, size_t size) {
+              auto *self = static_cast<FollowerSync *> (ctx);
+              struct sockaddr_in to;
+              settings_parse_address (self->gw_test_load.c_str (), &to);
+              sendto (self->udp, data, size, 0,
+                      reinterpret_cast<struct sockaddr *> (&to), sizeof to);
+            },
+            this);
+      }
+    for (int i = 0; i < 4; i++)
+      uv_run (&gw.loop, UV_RUN_NOWAIT);
+  }
+  void
+  beats (int n)
+  {
+    for (int i = 0; i < n; i++)
+      {
+        tell (0, revision, false);
+        tell (1, revision, false);
+        advance (700);
+      }
+  }
+};
+
+// Pattern: a change of the registry in a large fleet ends the watch of each
+// gateway.  A gateway that follows others makes no call for it.
+TEST_F (FollowerSync, ChangesArriveWithoutCalls)
+{
+  runner ("a", "ready");
+  config (1);
+  gw_sync_new (&gw);
+  advance (100);
+  beats (8);
+  unsigned before = watches;
+  uint64_t since = revision;
+  runner ("b", "ready");
+  runner ("a", "draining");
+  tell (0, since);
+  EXPECT_TRUE (usable ("b"));
+  EXPECT_FALSE (usable ("a"));
+  tell (1, since);
+  beats (4);
+  EXPECT_EQ (watches, before);
+  fails = STORE_UNKNOWN; // it is cut off from the store, its sources are not
+  since = revision;
+  config (2);
+  tell (1, since);
+  EXPECT_EQ (gw.table->version, 2U);
+}
+
+// Pattern: a notice is lost, or the sources fall silent.  The gateway reads
+// the store itself.
+TEST_F (FollowerSync, LostNoticesAndSilentSources)
+{
+  runner ("a", "ready");
+  config (1);
+  gw_sync_new (&gw);
+  advance (100);
+  beats (8);
+  runner ("a", "draining");
+  EXPECT_TRUE (usable ("a"));
+  tell (0, revision, false);
+  advance (100);
+  EXPECT_FALSE (usable ("a")) << "a beat shows that a notice was lost";
+  beats (8);
+  advance (2000);
+  unsigned before = watches;
+  runner ("b", "ready");
+  config (2);
+  advance (100);
+  EXPECT_TRUE (usable ("b")) << "the sources are silent";
+  EXPECT_EQ (gw.table->version, 2U);
+  EXPECT_GE (watches, before);
+}
+
 }
