--- a/src/gw.h
+++ b/src/gw.h
@@ -132,9 +132,10 @@
 /* Replaces the peer gateways by those in PRESENT, a map from name to the value
    of the registry entry.  */
 void gw_relay_update (struct gw *gw, GHashTable *present);
-/* Returns the gateway to which a request of SIZE bytes is relayed, or null if
-   this gateway sends it to a runner itself.  */
+/* Returns the gateway to which a request of SIZE bytes is relayed, in ZONE if
+   possible, or null if this gateway sends it to a runner itself.  */
 struct pool_runner *gw_relay_choose (struct gw *gw, size_t size,
+                                     const char *zone,
                                      struct pool_runner *const *excluded,
                                      size_t n_excluded);
 
--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -283,6 +283,9 @@
   struct lb_choice choice;
   enum adapter_phase phase = ADAPTER_WHOLE;
 
+  /* The KV cache moves faster within a zone.  */
+  if (call->kv_handle[0] != '\0' && call->source != NULL)
+    where->zone = call->source->entry.zone;
   where->stage = has_stage (call, POOL_STAGE_ANY, 0) ? POOL_STAGE_DECODE
                                                      : POOL_STAGE_ANY;
   if (call->kv_handle[0] == '\0' && has_separate_prefill (call, where))
@@ -308,6 +311,25 @@
     gw_call_refuse (call, NO_RUNNER_RETRY_AFTER_MS, "no connection");
 }
 
+/* Returns the zone of the gateway that a request is relayed to: that of the
+   engine that is likely to read its prompt, since a relay sends the prompt
+   twice.  */
+static const char *
+relay_zone (const struct gw_call *call, const struct lb_filter *where)
+{
+  struct pool_runner *candidate[LB_SESSION_CANDIDATES];
+  struct lb_filter prefill = *where;
+
+  prefill.stage = POOL_STAGE_PREFILL;
+  if (call->service != NULL && call->service->is_engine
+      && call->in.prompt.tokens >= (uint32_t)call->gw->set.direct_tokens
+      && lb_session_candidates (call->gw->runner_pool, &prefill,
+                                &call->in.prompt, gw_now (call->gw), candidate)
+             > 0)
+    return candidate[0]->entry.zone;
+  return where->zone;
+}
+
 void
 gw_call_dispatch (struct gw_call *call)
 {
@@ -326,8 +348,8 @@
         = MAX (call->service->connections_max / MAX (gw->processes, 1u), 1u);
   if (call->request_listener == &gw->request_listeners[GW_LISTENER_CLIENTS]
       && call->reqstate.sends == 0)
-    choice.runner
-        = gw_relay_choose (gw, call->size, call->excluded, call->n_excluded);
+    choice.runner = gw_relay_choose (gw, call->size, relay_zone (call, &where),
+                                     call->excluded, call->n_excluded);
   if (choice.runner != NULL && gw_send (call, &choice, ADAPTER_RELAY) == 0)
     return;
   if (call->service != NULL && call->service->is_engine)
--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -50,6 +50,7 @@
   GString *fields; /* header of the runner's answer */
   GString *data;   /* part of its body that is not forwarded yet */
   int streaming;
+  int64_t answer_began; /* time of the first byte, while STREAMING */
   /* KV handle that no decode engine has fetched yet.  */
   char kv_handle[128];        /* "IP:PORT/HANDLE" or empty */
   struct pool_runner *source; /* engine that ran the prefill */
--- a/src/gw_relay.c
+++ b/src/gw_relay.c
@@ -117,10 +117,12 @@
 }
 
 struct pool_runner *
-gw_relay_choose (struct gw *gw, size_t size,
+gw_relay_choose (struct gw *gw, size_t size, const char *zone,
                  struct pool_runner *const *excluded, size_t n_excluded)
 {
   struct pool_runner *best = NULL;
+  int best_is_near = 0;
+  unsigned equal = 0; /* gateways as good as BEST */
   int64_t now = gw_now (gw);
   GHashTableIter iter;
   gpointer value;
@@ -133,7 +135,7 @@
     {
       struct peer_gateway *peer = value;
       struct pool_runner *runner = &peer->runner;
-      int near = strcmp (runner->entry.zone, gw->set.zone) == 0;
+      int near = strcmp (runner->entry.zone, zone) == 0;
       if (!peer->present
           || peer->link_mbit < gw->set.link_mbit * RELAY_LINK_RATIO_MIN
           || runner->entry.address[0] == '-' || now < runner->backoff_until_us)
@@ -142,9 +144,15 @@
         ;
       if (i < n_excluded)
         continue;
-      if (best == NULL || runner->calls < best->calls
-          || (runner->calls == best->calls && near))
+      if (best == NULL || near > best_is_near
+          || (near == best_is_near && runner->calls < best->calls))
+        equal = 0;
+      else if (near < best_is_near || runner->calls > best->calls)
+        continue;
+      /* Random among equals, so that the gateways don't all take the same.  */
+      if (gw_random (gw) % ++equal == 0)
         best = runner;
+      best_is_near = near;
     }
   return best;
 }
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -247,6 +247,7 @@
 start_answer (struct gw_call *call)
 {
   call->streaming = 1;
+  call->answer_began = gw_now (call->gw);
   reqstate_apply (&call->reqstate, REQSTATE_EV_START);
   http_server_start_response (call->request_listener->srv, call->conn,
                               call->answer.status, call->fields->str, -1);
@@ -315,9 +316,13 @@
   event_log_write (
       "answered", call->in.id,
       "\"status\":%d,\"runner\":\"%s\",\"version\":%" G_GUINT64_FORMAT
-      ",\"sends\":%u,\"ms\":%" G_GINT64_FORMAT,
+      ",\"sends\":%u,\"first_ms\":%" G_GINT64_FORMAT
+      ",\"ms\":%" G_GINT64_FORMAT,
       call->answer.status, call->runner->entry.id, call->table->version,
-      call->reqstate.sends, (gw_now (gw) - call->arrived) / 1000);
+      call->reqstate.sends,
+      ((call->streaming ? call->answer_began : gw_now (gw)) - call->arrived)
+          / 1000,
+      (gw_now (gw) - call->arrived) / 1000);
   if (call->streaming)
     {
       http_server_send_body (call->request_listener->srv, call->conn,
--- a/tests/unit_gw_call.cc
+++ b/tests/unit_gw_call.cc
@@ -2,6 +2,7 @@
 // sockets and without a store.
 #include <csignal>
 #include <gtest/gtest.h>
+#include <map>
 #include <string>
 
 #include "raw_socket.hh"
@@ -433,4 +434,34 @@
   EXPECT_NE (got.find ("HTTP/1.1 500"), std::string::npos);
 }
 
+// Pattern: many gateways with narrow links in a few zones.  Guards against
+// relays that cross zones although the zone has one, and against all gateways
+// taking the first of several equal ones.
+TEST_F (GatewayCall, RelayIsChosenByZoneAndLoad)
+{
+  GHashTable *present = g_hash_table_new (g_str_hash, g_str_equal);
+  gw.set.link_mbit = 10;
+  for (const char *zone : { "y", "z" })
+    for (int i = 0; i < 3; i++)
+      g_hash_table_insert (
+          present, g_strdup_printf ("wide-%s-%d", zone, i),
+          g_strdup_printf ("- 127.0.0.1:%d 200 %s", 7000 + i, zone));
+  gw_relay_update (&gw, present);
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 300; i++)
+    chosen[gw_relay_choose (&gw, 9000, "y", nullptr, 0)->entry.id]++;
+  EXPECT_EQ (chosen.size (), 3U);
+  for (auto &[id, n] : chosen)
+    {
+      EXPECT_EQ (id.compare (0, 6, "wide-y"), 0) << id;
+      EXPECT_GT (n, 50) << id;
+    }
+  struct pool_runner *first = gw_relay_choose (&gw, 9000, "z", nullptr, 0);
+  first->calls = 1;
+  for (int i = 0; i < 20; i++)
+    EXPECT_NE (gw_relay_choose (&gw, 9000, "z", nullptr, 0), first);
+  EXPECT_NE (gw_relay_choose (&gw, 9000, "elsewhere", nullptr, 0), nullptr);
+  EXPECT_EQ (gw_relay_choose (&gw, 200, "z", nullptr, 0), nullptr);
+}
+
 }
--- a/tests/unit_lb.cc
+++ b/tests/unit_lb.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 #include <map>
+#include <set>
 #include <string>
 
 #include "gw_headers.hh"
@@ -293,4 +294,51 @@
   EXPECT_EQ (choose (1), nullptr);
 }
 
+// Pattern: many gateways with the same view of load.  Guards against samples
+// that favour an engine by its place in the table, that hold one twice, or
+// that have none of the gateway's zone.
+TEST_F (Lb, SamplesAreEvenAndHalfNear)
+{
+  std::map<std::string, int> drawn;
+  where.stage = POOL_STAGE_DECODE;
+  for (int i = 0; i < 20; i++)
+    {
+      std::string id (1, static_cast<char> ('a' + i));
+      struct pool_runner *engine = add (id, POOL_STAGE_DECODE);
+      g_strlcpy (engine->entry.zone, i % 5 == 0 ? "a" : "b",
+                 sizeof engine->entry.zone);
+      add ("p" + id);
+    }
+  enum
+  {
+    DRAWS = 2000
+  };
+  for (uint64_t random = 1; random <= DRAWS; random++)
+    {
+      struct pool_runner *sample[LB_SAMPLE_MAX];
+      std::set<struct pool_runner *> distinct;
+      int near = 0;
+      ASSERT_EQ (lb_sample (runner_pool, &where, random, 0, sample),
+                 static_cast<size_t> (LB_SAMPLE_MAX));
+      for (struct pool_runner *engine : sample)
+        {
+          distinct.insert (engine);
+          near += strcmp (engine->entry.zone, "a") == 0;
+          drawn[engine->entry.id]++;
+        }
+      EXPECT_EQ (distinct.size (), static_cast<size_t> (LB_SAMPLE_MAX));
+      EXPECT_GE (near, LB_SAMPLE_MAX / 2);
+    }
+  EXPECT_EQ (drawn.size (), 20U);
+  for (auto &[id, n] : drawn)
+    EXPECT_GT (n, DRAWS / 20) << id;
+  where.sample = nullptr;
+  struct pool_runner *one = pool_find (runner_pool, "c");
+  const struct pool_runner *only[] = { one };
+  where.sample = only;
+  where.n_sample = 1;
+  one->calls = 5;
+  EXPECT_EQ (lb_decode (lb, runner_pool, &where, nullptr, 0).runner, one);
+}
+
 }
