--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -47,8 +47,9 @@
   double queued_tokens;       /* prompt tokens added to the runner's queue */
   int64_t sent;
   struct adapter_answer answer;
-  GString *fields; /* header of the runner's answer */
-  GString *data;   /* part of its body that is not forwarded yet */
+  GString *fields;  /* header of the runner's answer */
+  GString *data;    /* part of its body that is not forwarded yet */
+  size_t discarded; /* bytes of its body that are not forwarded at all */
   int streaming;
   int64_t answer_began; /* time of the first byte, while STREAMING */
   /* KV handle that no decode engine has fetched yet.  */
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -11,7 +11,11 @@
      can't be retried when that happens during its send.  */
   REUSE_ONCE_MAX_IDLE_MS = 200,
   REUSE_IDEMPOTENT_MAX_IDLE_MS = 10000,
-  ANSWER_BUFFER_BYTES = 256 * 1024 /* of an answer that is not a stream */
+  /* Of an answer that is not a stream, and of one event of a stream.  */
+  ANSWER_BUFFER_BYTES = 256 * 1024,
+  PROMPT_ANSWER_MAX_BYTES = 64 * 1024, /* it holds a handle and two numbers */
+  FREE_ANSWER_MAX_BYTES = 64 * 1024,   /* of a freed handle; it is ignored */
+  FREE_ANSWER_MS = 2000
 };
 
 /* Removes the prompt from the runner's queue: its prefill has ended.  */
@@ -82,7 +86,8 @@
   /* The result is ignored: a handle that is not freed expires at the engine.
    */
   static const struct http_client_ops ops
-      = { ignore_head, ignore_body, ignore_done };
+      = { ignore_head, ignore_body, ignore_done, FREE_ANSWER_MAX_BYTES,
+          FREE_ANSWER_MS };
   GString *out;
   char *slash = strchr (call->kv_handle, '/');
 
@@ -268,23 +273,44 @@
   g_string_erase (call->data, 0, (gssize)n);
 }
 
+static void on_done (void *ctx, enum http_client_result end);
+
+/* Breaks off an answer that is longer than what can be held.  */
+static void
+break_off (struct gw_call *call)
+{
+  event_log_write ("answer_excess", call->in.id,
+                   "\"runner\":\"%s\",\"status\":%d,\"stamped\":%d,\"held\":"
+                   "%zu,\"limit\":%d",
+                   call->runner->entry.id, call->answer.status,
+                   call->answer.stamped, call->data->len, ANSWER_BUFFER_BYTES);
+  http_client_cancel (call->gw->cli, call->call);
+  on_done (call, HTTP_CLIENT_BROKEN);
+}
+
 static void
 on_body (void *ctx, const char *data, size_t size)
 {
   struct gw_call *call = ctx;
+  int is_stream = call->phase != ADAPTER_PREFILL_ONLY
+                  && call->route->kind == ROUTING_STREAM
+                  && call->answer.status == 200 && call->answer.stamped;
 
   /* The body of a refusal to resume a stream isn't part of the stream.  */
   if (call->streaming && (!call->answer.stamped || call->answer.status != 200))
-    return;
-  if (call->data->len + size > ANSWER_BUFFER_BYTES
-      && call->route->kind != ROUTING_STREAM && !call->streaming
-      && call->answer.stamped)
+    {
+      call->discarded += size;
+      if (call->discarded > ANSWER_BUFFER_BYTES)
+        break_off (call);
+      return;
+    }
+  if (call->data->len + size > ANSWER_BUFFER_BYTES && !is_stream
+      && !call->streaming && call->answer.stamped
+      && call->phase != ADAPTER_PREFILL_ONLY)
     /* Too long to buffer: from here on there is no retry.  */
     start_answer (call);
   g_string_append_len (call->data, data, (gssize)size);
-  if (call->phase != ADAPTER_PREFILL_ONLY
-      && call->route->kind == ROUTING_STREAM && call->answer.status == 200
-      && call->answer.stamped)
+  if (is_stream)
     pass_events (call);
   else if (call->streaming)
     {
@@ -292,6 +318,8 @@
                              call->data->str, call->data->len);
       g_string_truncate (call->data, 0);
     }
+  if (call->data->len > ANSWER_BUFFER_BYTES)
+    break_off (call);
 }
 
 static void
@@ -508,7 +536,10 @@
 gw_send (struct gw_call *call, const struct lb_choice *choice,
          enum adapter_phase phase)
 {
-  static const struct http_client_ops ops = { on_head, on_body, on_done };
+  static const struct http_client_ops ops
+      = { on_head, on_body, on_done, 0, 0 };
+  static const struct http_client_ops prompt_ops
+      = { on_head, on_body, on_done, PROMPT_ANSWER_MAX_BYTES, 0 };
   struct gw *gw = call->gw;
   struct pool_runner *runner = choice->runner;
   int64_t now = gw_now (gw);
@@ -524,17 +555,18 @@
   if (call->kv_handle[0] != '\0' && phase == ADAPTER_WHOLE)
     send.kv_handle = call->kv_handle;
   gw->adapter->request_write (out, call->head, call->body, call->size, &send);
-  call->call = http_client_call (gw->cli, runner->entry.address, runner->peer,
-                                 out->str, out->len, CONNECT_MS,
-                                 gw_call_idempotent (call)
-                                         || phase == ADAPTER_PREFILL_ONLY
-                                     ? REUSE_IDEMPOTENT_MAX_IDLE_MS
-                                     : REUSE_ONCE_MAX_IDLE_MS,
-                                 &ops, call);
+  call->call = http_client_call (
+      gw->cli, runner->entry.address, runner->peer, out->str, out->len,
+      CONNECT_MS,
+      gw_call_idempotent (call) || phase == ADAPTER_PREFILL_ONLY
+          ? REUSE_IDEMPOTENT_MAX_IDLE_MS
+          : REUSE_ONCE_MAX_IDLE_MS,
+      phase == ADAPTER_PREFILL_ONLY ? &prompt_ops : &ops, call);
   g_string_free (out, TRUE);
   if (call->call == 0)
     return -1;
   memset (&call->answer, 0, sizeof call->answer);
+  call->discarded = 0;
   if (call->data != NULL)
     g_string_truncate (call->data, 0);
   if (!call->first_send_counted && phase != ADAPTER_RELAY)
--- a/src/gw_stage.c
+++ b/src/gw_stage.c
@@ -12,6 +12,8 @@
   DEMAND_STEPS = 4, /* between two contributions to the fleet's demand */
   CONNECT_MS = 400,
   ORDER_TIMEOUT_MS = 1500, /* a later answer counts as lost */
+  REPORT_MAX_BYTES
+  = 64 * 1024, /* of a runner's report or answer to an order */
   /* Added to lease_ms, for delayed orders of the last leader.  */
   HANDOVER_MARGIN_MS = 500,
   /* Greatest age of the read of the leader's key that precedes an order.  */
@@ -252,7 +254,8 @@
 static int
 send_to_runner (struct gw *gw, const GString *request)
 {
-  static const struct http_client_ops ops = { on_head, on_body, on_done };
+  static const struct http_client_ops ops
+      = { on_head, on_body, on_done, REPORT_MAX_BYTES, 0 };
   struct gw_stage *stage = gw->stage;
 
   stage->sent = gw_now (gw);
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -3,6 +3,7 @@
 #include <limits.h>
 #include <string.h>
 
+#include "event_log.h"
 #include "goldcresthatch/settings.h"
 #include "goldcresthatch/slotmap.h"
 #include "tcp.h"
@@ -11,6 +12,13 @@
 {
   CALLS_MAX = 3600, /* below the descriptor limit of a small VM */
   RESPONSE_HEAD_MAX_BYTES = 64 * 1024, /* head of an answer */
+  INFORMATIONAL_MAX = 16,              /* heads with status 1xx of an answer */
+  /* A connection holds at most one answer of each request sent before.  */
+  SKIPPED_MAX = 4,
+  SKIPPED_MAX_BYTES = 1024 * 1024,
+  /* Of chunk heads and trailers beside a byte of the body.  */
+  CHUNK_HEAD_MAX_BYTES = 64 * 1024,
+  BODY_READ_MAX_BYTES = 64 * 1024, /* of one read, which may end a chunk */
   IDLE_MS = 4000, /* default; shorter than the usual idle timeout of servers */
   /* A connection is kept for one half of the time that the server states.  */
   KEEP_ALIVE_DIVISOR = 2
@@ -37,13 +45,18 @@
   int in_body;
   int body_complete;
   int skip_answer;
-  GString *request; /* until the connection is established */
-  GString *in;      /* input that hasn't been parsed */
+  unsigned informational;
+  unsigned skipped;
+  size_t body_bytes;  /* of this answer */
+  size_t other_bytes; /* received since the last byte of a body or head */
+  GString *request;   /* until the connection is established */
+  GString *in;        /* input that hasn't been parsed */
   struct http_head head;
   http_parser parser;
   struct http_client_ops ops;
   void *ctx;
   uint64_t connect_by_ms;
+  uint64_t answer_by_ms; /* 0: no limit */
   uint64_t idle_since_ms;
   uint64_t idle_until_ms;
   int64_t keep_ms;
@@ -138,12 +151,29 @@
   ops.done (ctx, HTTP_CLIENT_COMPLETE);
 }
 
+/* Logs that the peer sends more than LIMIT of WHAT.  Returns -1.  */
+static int
+log_excess (const struct conn *c, const char *what, size_t limit)
+{
+  event_log_write ("answer_excess", NULL,
+                   "\"peer\":\"%s\",\"what\":\"%s\",\"limit\":%zu",
+                   c->peer->name, what, limit);
+  return -1;
+}
+
 static int
 on_body (http_parser *parser, const char *at, size_t n)
 {
   struct conn *c = parser->data;
   uint64_t call = c->call;
 
+  c->other_bytes = 0;
+  c->body_bytes += n;
+  if (c->skip_answer && c->body_bytes > SKIPPED_MAX_BYTES)
+    return log_excess (c, "bytes of a skipped answer", SKIPPED_MAX_BYTES);
+  if (!c->skip_answer && c->ops.body_max > 0
+      && c->body_bytes > c->ops.body_max)
+    return log_excess (c, "bytes of a body", c->ops.body_max);
   if (!c->skip_answer)
     c->ops.body (c->ctx, at, n);
   /* The callback may have cancelled the call.  */
@@ -183,38 +213,59 @@
   c->in_body = 0;
   c->body_complete = 0;
   c->skip_answer = 0;
+  c->body_bytes = 0;
+  c->other_bytes = 0;
 }
 
-/* Returns 0 when the head is read, 1 when more is needed, -1 on a failure. */
+/* Reads the heads up to that of the final answer.  Returns 0 when it is read,
+   1 when more is needed, -1 on a failure.  */
 static int
 read_head (struct conn *c)
 {
   size_t length;
   uint64_t call = c->call;
-  enum http_head_result verdict = http_head_scan (
-      c->in->str, c->in->len, RESPONSE_HEAD_MAX_BYTES, 0, &length);
 
-  if (verdict == HTTP_HEAD_PARTIAL)
-    return 1;
-  if (verdict != HTTP_HEAD_OK
-      || http_head_parse (&c->parser, c->in->str, length, &c->head) != 0)
-    return -1;
-  if (c->head.status < 200)
+  for (;;)
     {
+      enum http_head_result verdict = http_head_scan (
+          c->in->str, c->in->len, RESPONSE_HEAD_MAX_BYTES, 0, &length);
+      if (verdict == HTTP_HEAD_PARTIAL)
+        return 1;
+      if (verdict == HTTP_HEAD_TOO_LARGE)
+        return log_excess (c, "bytes of a head", RESPONSE_HEAD_MAX_BYTES);
+      if (verdict != HTTP_HEAD_OK
+          || http_head_parse (&c->parser, c->in->str, length, &c->head) != 0)
+        return -1;
+      if (c->head.status >= 200)
+        break;
+      if (++c->informational > INFORMATIONAL_MAX)
+        return log_excess (c, "informational answers", INFORMATIONAL_MAX);
       g_string_erase (c->in, 0, (gssize)length);
       begin_head (c);
-      return c->in->len > 0 ? read_head (c) : 1;
     }
   c->keep_ms = keep_ms (c);
   c->skip_answer = c->ops.head (c->ctx, &c->head) == HTTP_CLIENT_SKIP;
   if (c->closing || c->call != call)
     return -1;
+  if (c->skip_answer && ++c->skipped > SKIPPED_MAX)
+    return log_excess (c, "skipped answers", SKIPPED_MAX);
   g_string_erase (c->in, 0, (gssize)length);
   c->in_body = 1;
   c->body_complete = c->head.complete;
   return 0;
 }
 
+/* Counts N bytes that were parsed after the last byte of the body: chunk heads
+   and trailers.  Returns 0, or -1 when they don't seem to end.  */
+static int
+check_chunk_heads (struct conn *c, size_t n)
+{
+  c->other_bytes += n;
+  if (c->other_bytes <= CHUNK_HEAD_MAX_BYTES + BODY_READ_MAX_BYTES)
+    return 0;
+  return log_excess (c, "bytes of a chunk's head", CHUNK_HEAD_MAX_BYTES);
+}
+
 static void
 process_input (struct conn *c)
 {
@@ -237,7 +288,9 @@
                                   &c->body_complete);
       if (c->closing)
         return;
-      if (!c->body_complete && HTTP_PARSER_ERRNO (&c->parser) != HPE_OK)
+      if (!c->body_complete
+          && (HTTP_PARSER_ERRNO (&c->parser) != HPE_OK
+              || check_chunk_heads (c, n) != 0))
         {
           conn_fail (c);
           return;
@@ -445,6 +498,10 @@
   c->ops = *ops;
   c->ctx = ctx;
   c->sent = 0;
+  c->informational = 0;
+  c->skipped = 0;
+  c->answer_by_ms
+      = ops->answer_ms > 0 ? uv_now (cli->loop) + (uint64_t)ops->answer_ms : 0;
   c->in = g_string_sized_new (1024);
   begin_head (c);
   if (!c->connected)
@@ -521,7 +578,8 @@
   while ((call = slotmap_next (cli->calls, call)) != 0)
     {
       struct conn *c = slotmap_get (cli->calls, call);
-      if (!c->connected && c->connect_by_ms < now)
+      if ((!c->connected && c->connect_by_ms < now)
+          || (c->answer_by_ms != 0 && c->answer_by_ms < now))
         g_ptr_array_add (expired, c);
     }
   for (i = 0; i < expired->len; i++)
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -9,7 +9,11 @@
  *   A request is sent once, on a connection without another request in
  *   progress.  DONE is called exactly once for every call that isn't
  *   cancelled.  A connection on which the peer sends anything but one complete
- *   answer for each request is closed.  Times are in milliseconds.
+ *   answer for each request is closed, and so is one whose peer sends what is
+ *   no answer without an end: a head of more than 64 KB, more than a few
+ *   informational or skipped answers, or a body beyond the call's limit.  The
+ *   call is then broken, and the log tells what was received.  Times are in
+ *   milliseconds.
  */
 #include <stddef.h>
 #include <stdint.h>
@@ -35,6 +39,8 @@
   enum http_client_verdict (*head) (void *ctx, const struct http_head *head);
   void (*body) (void *ctx, const char *data, size_t size);
   void (*done) (void *ctx, enum http_client_result end);
+  size_t body_max; /* bytes of the longest body that is of use; 0: no limit */
+  int64_t answer_ms; /* from the call to the end of its answer; 0: no limit */
 };
 
 struct http_client;
@@ -63,7 +69,8 @@
 /* Closes the idle connections to PEER.  */
 void http_client_close_idle (struct http_client *cli, const char *peer);
 
-/* Closes expired idle connections and fails the calls that could not connect
-   in time.  Must be called periodically.  */
+/* Closes expired idle connections, and fails the calls that could not connect
+   in time or whose answer isn't complete in time.  Must be called
+   periodically.  */
 void http_client_check_timeouts (struct http_client *cli);
 #endif
--- a/tests/raw_socket.hh
+++ b/tests/raw_socket.hh
@@ -1,8 +1,10 @@
 // Raw sockets on the loopback, beside an event loop.
+#include <algorithm>
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <functional>
 #include <gtest/gtest.h>
+#include <malloc.h>
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -67,6 +69,57 @@
   close (fd);
 }
 
+// Sends HEAD and then PIECE again and again until the peer closes the
+// connection or SENT_MAX bytes were sent.  Returns the number of bytes sent;
+// HELD_MAX is set to the most memory that the process used beyond that at the
+// start.
+inline size_t
+send_endlessly (uv_loop_t *loop, int fd, const std::string &head,
+                const std::string &piece, size_t *held_max,
+                size_t sent_max = 64 << 20)
+{
+  auto used = [] {
+    struct mallinfo2 info = mallinfo2 ();
+    return info.uordblks + info.hblkhd;
+  };
+  std::string pieces;
+  size_t at_start = used ();
+  size_t sent = 0;
+  while (pieces.size () < 64 * 1024)
+    pieces += piece;
+  std::string next = head + pieces;
+  size_t offset = 0;
+  *held_max = 0;
+  fcntl (fd, F_SETFL, O_NONBLOCK);
+  for (int idle = 0; sent < sent_max && idle < 2000;)
+    {
+      ssize_t n = send (fd, next.data () + offset, next.size () - offset,
+                        MSG_NOSIGNAL);
+      if (n < 0 && errno != EAGAIN)
+        break;
+      if (n > 0)
+        {
+          sent += static_cast<size_t> (n);
+          offset += static_cast<size_t> (n);
+          idle = 0;
+        }
+      else
+        {
+          idle++;
+          usleep (100);
+        }
+      if (offset == next.size ())
+        {
+          next = pieces;
+          offset = 0;
+        }
+      uv_run (loop, UV_RUN_NOWAIT);
+      size_t now = used ();
+      *held_max = std::max (*held_max, now > at_start ? now - at_start : 0);
+    }
+  return sent;
+}
+
 inline std::string
 free_address ()
 {
--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -738,7 +738,8 @@
       "X-Goldcresthatch-Prompt-Prefix: a:900,b:1100\r\n" },
     { "POST", "/chat/1", 0, 1, "X-Goldcresthatch-Token-Count: 90,4\r\n" },
   };
-  static const struct http_client_ops ops = { on_head, on_body, on_done };
+  static const struct http_client_ops ops
+      = { on_head, on_body, on_done, 0, 0 };
   static unsigned number;
   struct record *record = g_new0 (struct record, 1);
   int kind = g_rand_int_range (rand_state, 0, G_N_ELEMENTS (kinds));
--- a/tests/unit_gw_call.cc
+++ b/tests/unit_gw_call.cc
@@ -464,4 +464,78 @@
   EXPECT_EQ (gw_relay_choose (&gw, 200, "z", nullptr, 0), nullptr);
 }
 
+// Guards against a runner in trouble that sends without end what is no answer,
+// until its caller closes.  The request gets its outcome: what may have run is
+// never called "not run", and a prompt that was not read is read elsewhere.
+TEST_F (GatewayCall, EndlessAnswersOfRunnersEnd)
+{
+  static const struct
+  {
+    const char *what;
+    const char *path;
+    const char *fields; /* of the answer */
+    const char *piece;
+    const char *outcome;
+  } kinds[] = {
+    { "no stamp", "/order/1", "", "x", "HTTP/1.1 502" },
+    { "no stamp, chunked", "/order/1", "Transfer-Encoding: chunked\r\n",
+      "4\r\nabcd\r\n", "HTTP/1.1 502" },
+    { "a stream without the end of an event", "/chat/1",
+      "X-Goldcresthatch-Server-Stamp: s\r\n"
+      "X-Goldcresthatch-Request-Id: me\r\n",
+      "data: x", "HTTP/1.1 502" },
+  };
+  runner (0, "app");
+  runner (1, "llm", POOL_STAGE_DECODE);
+  for (const auto &kind : kinds)
+    {
+      size_t held;
+      int fd = -1;
+      int at = strncmp (kind.path, "/chat", 5) == 0 ? 1 : 0;
+      got.clear ();
+      send_request (kind.path);
+      receive_at_runner (at, &fd);
+      size_t sent = send_endlessly (&gw.loop, fd,
+                                    std::string ("HTTP/1.1 200 OK\r\n")
+                                        + kind.fields + "\r\n",
+                                    kind.piece, &held);
+      EXPECT_LT (sent, size_t{ 16 } << 20) << kind.what;
+      EXPECT_LT (held, size_t{ 4 } << 20) << kind.what;
+      EXPECT_TRUE (client_has (kind.outcome)) << kind.what << got;
+      close (fd);
+      close (client);
+    }
+}
+
+// The same where only the prompt is read: another engine reads it.
+TEST_F (GatewayCall, EndlessAnswerToAPromptIsRetried)
+{
+  size_t held;
+  int fd = -1;
+  int other = -1;
+  runner (0, "llm", POOL_STAGE_PREFILL);
+  runner (1, "llm", POOL_STAGE_PREFILL);
+  runner (2, "llm", POOL_STAGE_DECODE);
+  send_request ("/check/1", "X-Goldcresthatch-Token-Count: 2000,2\r\n"
+                            "X-Goldcresthatch-Prompt-Prefix: a:1000,b:1000"
+                            "\r\n");
+  int first = -1;
+  ASSERT_TRUE (run_until (&gw.loop, [&] {
+    for (int i = 0; i < 2 && first < 0; i++)
+      {
+        fd = accept (listeners[i], nullptr, nullptr);
+        first = fd >= 0 ? i : -1;
+      }
+    return first >= 0;
+  }));
+  size_t sent = send_endlessly (&gw.loop, fd, "HTTP/1.1 200 OK\r\n\r\n",
+                                "{\"handle\":", &held);
+  EXPECT_LT (sent, size_t{ 16 } << 20);
+  EXPECT_LT (held, size_t{ 4 } << 20);
+  EXPECT_NE (receive_at_runner (1 - first, &other).find ("prefill"),
+             std::string::npos);
+  close (fd);
+  close (other);
+}
+
 }
--- a/tests/unit_http_io.cc
+++ b/tests/unit_http_io.cc
@@ -277,6 +277,9 @@
   {
     static_cast<HttpClient *> (ctx)->ended = end;
   }
+  static inline const struct http_client_ops unlimited
+      = { on_head, on_body, on_done, 0, 0 };
+  const struct http_client_ops *ops = &unlimited;
 
   void
   SetUp () override
@@ -308,12 +311,11 @@
   void
   call ()
   {
-    static const struct http_client_ops ops = { on_head, on_body, on_done };
     static const char request[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
     ended = -1;
     body.clear ();
     EXPECT_NE (http_client_call (cli, address.c_str (), "peer", request,
-                                 sizeof request - 1, 400, max_idle_ms, &ops,
+                                 sizeof request - 1, 400, max_idle_ms, ops,
                                  this),
                0U);
   }
@@ -445,4 +447,69 @@
   close (fd);
 }
 
+// Guards against a server that sends without end what is no answer.  No more
+// is held than the head of an answer may have, and the call ends.
+TEST_F (HttpClient, EndlessHeadsAndSkippedAnswersEnd)
+{
+  static const struct
+  {
+    const char *head;
+    const char *piece;
+    int skips;
+  } kinds[] = {
+    { "", "HTTP/1.1 100 Continue\r\n\r\n", 0 },
+    { "", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n", 0 },
+    { "HTTP/1.1 200 OK\r\nX-Field: ", "value", 0 },
+    { "", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold", 1 << 30 },
+    { "HTTP/1.1 200 OK\r\n\r\n", "foreign", 1 << 30 },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x=y;", 0 },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+      "X-Trailer: value\r\n", 0 },
+  };
+  for (const auto &kind : kinds)
+    {
+      size_t held;
+      int fd = call_new ();
+      skip = kind.skips;
+      size_t sent = send_endlessly (&loop, fd, kind.head, kind.piece, &held);
+      EXPECT_LT (sent, size_t{ 16 } << 20) << kind.piece;
+      EXPECT_LT (held, size_t{ 1 } << 20) << kind.piece;
+      EXPECT_EQ (end (), HTTP_CLIENT_BROKEN) << kind.piece;
+      EXPECT_EQ (connections (), 0U);
+      close (fd);
+    }
+}
+
+// Guards against limits of a call that cut an answer of just that length, or
+// that don't hold.
+TEST_F (HttpClient, LimitsOfACall)
+{
+  static const struct http_client_ops limited
+      = { on_head, on_body, on_done, 1000, 50 };
+  ops = &limited;
+  int fd = call_new ();
+  put (fd, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n"
+               + std::string (1000, 'x'));
+  EXPECT_EQ (end (), HTTP_CLIENT_COMPLETE);
+  EXPECT_EQ (body.size (), 1000U);
+  close (fd);
+  run_until (&loop, [&] { return connections () == 0; });
+  fd = call_new ();
+  put (fd, "HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n"
+               + std::string (1001, 'x'));
+  EXPECT_EQ (end (), HTTP_CLIENT_BROKEN);
+  close (fd);
+  fd = call_new ();
+  put (fd, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+  run_until (&loop, [&] {
+    ssize_t n = send (fd, "", 0, MSG_NOSIGNAL);
+    (void)n;
+    http_client_check_timeouts (cli);
+    return ended >= 0;
+  });
+  EXPECT_EQ (ended, HTTP_CLIENT_BROKEN);
+  close (fd);
+}
+
 }
--- a/tests/unit_pf_store.cc
+++ b/tests/unit_pf_store.cc
@@ -190,4 +190,27 @@
   close (fd);
 }
 
+// Guards against a store that answers without end: the gateway of a VM with
+// 160 MB grew by 1.4 GB in five seconds.  A listing has about 1 MB.
+TEST_F (Store, EndlessAnswersEnd)
+{
+  for (const char *head :
+       { "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 503 Busy\r\n\r\n",
+         "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n" })
+    {
+      size_t held;
+      replies.clear ();
+      pf_store_ops.get (store, "k", on_reply, this);
+      int fd = accept_new ();
+      request (fd);
+      EXPECT_LT (send_endlessly (&loop, fd, head, "{\"items\":[", &held),
+                 size_t{ 32 } << 20)
+          << head;
+      EXPECT_LT (held, size_t{ 16 } << 20) << head;
+      run_until (&loop, [&] { return !replies.empty (); });
+      EXPECT_EQ (replies, std::vector<enum store_rc>{ STORE_UNKNOWN }) << head;
+      close (fd);
+    }
+}
+
 }
