--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -182,20 +182,43 @@
   gw_call_dispatch (call);
 }
 
+/* Decides whether the answer that begins is that to this request.  Runners
+   name the request in each answer.  A late second answer to the request before
+   may arrive on a connection that is used again, and must not be taken for
+   this one's, least of all as the promise that this one has not run.  */
+static enum http_client_verdict
+check_owner (const struct gw_call *call)
+{
+  const struct adapter_answer *answer = &call->answer;
+
+  if (answer->id.p != NULL)
+    return http_str_equal (answer->id, call->in.id) ? HTTP_CLIENT_ACCEPT
+                                                    : HTTP_CLIENT_SKIP;
+  if (call->phase != ADAPTER_RELAY
+      && http_client_is_reused (call->gw->cli, call->call))
+    return HTTP_CLIENT_REJECT;
+  return answer->status < 300 && answer->stamped ? HTTP_CLIENT_SKIP
+                                                 : HTTP_CLIENT_ACCEPT;
+}
+
 static enum http_client_verdict
 on_head (void *ctx, const struct http_head *head)
 {
   struct gw_call *call = ctx;
   struct gw *gw = call->gw;
   struct adapter_answer *answer = &call->answer;
+  enum http_client_verdict verdict;
 
   gw->adapter->answer_read (head, answer);
-  if (answer->id.p != NULL ? !http_str_equal (answer->id, call->in.id)
-                           : answer->status < 300 && answer->stamped)
+  verdict = check_owner (call);
+  if (verdict != HTTP_CLIENT_ACCEPT)
     {
-      event_log_write ("foreign_answer", call->in.id, "\"runner\":\"%s\"",
-                       call->runner->entry.id);
-      return HTTP_CLIENT_SKIP;
+      event_log_write ("foreign_answer", call->in.id,
+                       "\"runner\":\"%s\",\"status\":%d,\"named\":%d",
+                       call->runner->entry.id, answer->status,
+                       answer->id.p != NULL);
+      memset (answer, 0, sizeof *answer);
+      return verdict;
     }
   if (answer->has_load && call->phase != ADAPTER_RELAY)
     pool_note_load (call->runner, answer->running, answer->waiting,
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -45,6 +45,7 @@
   int in_body;
   int body_complete;
   int skip_answer;
+  int reused; /* it has carried a request before */
   unsigned informational;
   unsigned skipped;
   size_t body_bytes;  /* of this answer */
@@ -222,18 +223,19 @@
 static int
 read_head (struct conn *c)
 {
+  enum http_client_verdict verdict;
   size_t length;
   uint64_t call = c->call;
 
   for (;;)
     {
-      enum http_head_result verdict = http_head_scan (
+      enum http_head_result result = http_head_scan (
           c->in->str, c->in->len, RESPONSE_HEAD_MAX_BYTES, 0, &length);
-      if (verdict == HTTP_HEAD_PARTIAL)
+      if (result == HTTP_HEAD_PARTIAL)
         return 1;
-      if (verdict == HTTP_HEAD_TOO_LARGE)
+      if (result == HTTP_HEAD_TOO_LARGE)
         return log_excess (c, "bytes of a head", RESPONSE_HEAD_MAX_BYTES);
-      if (verdict != HTTP_HEAD_OK
+      if (result != HTTP_HEAD_OK
           || http_head_parse (&c->parser, c->in->str, length, &c->head) != 0)
         return -1;
       if (c->head.status >= 200)
@@ -244,9 +246,10 @@
       begin_head (c);
     }
   c->keep_ms = keep_ms (c);
-  c->skip_answer = c->ops.head (c->ctx, &c->head) == HTTP_CLIENT_SKIP;
-  if (c->closing || c->call != call)
+  verdict = c->ops.head (c->ctx, &c->head);
+  if (c->closing || c->call != call || verdict == HTTP_CLIENT_REJECT)
     return -1;
+  c->skip_answer = verdict == HTTP_CLIENT_SKIP;
   if (c->skip_answer && ++c->skipped > SKIPPED_MAX)
     return log_excess (c, "skipped answers", SKIPPED_MAX);
   g_string_erase (c->in, 0, (gssize)length);
@@ -498,6 +501,7 @@
   c->ops = *ops;
   c->ctx = ctx;
   c->sent = 0;
+  c->reused = c->connected;
   c->informational = 0;
   c->skipped = 0;
   c->answer_by_ms
@@ -516,6 +520,14 @@
   return call;
 }
 
+int
+http_client_is_reused (const struct http_client *cli, uint64_t call)
+{
+  const struct conn *c = slotmap_get (cli->calls, call);
+
+  return c != NULL && c->reused;
+}
+
 void
 http_client_cancel (struct http_client *cli, uint64_t call)
 {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -31,7 +31,8 @@
 enum http_client_verdict
 {
   HTTP_CLIENT_ACCEPT,
-  HTTP_CLIENT_SKIP /* it answers another request; wait for the next */
+  HTTP_CLIENT_SKIP,  /* it answers another request; wait for the next */
+  HTTP_CLIENT_REJECT /* it may answer another request; the call is broken */
 };
 
 struct http_client_ops
@@ -59,6 +60,10 @@
                            int64_t connect_ms, int64_t max_idle_ms,
                            const struct http_client_ops *ops, void *ctx);
 
+/* Returns nonzero when CALL uses a connection on which another request was
+   sent before, so that a late answer to that one may arrive.  */
+int http_client_is_reused (const struct http_client *cli, uint64_t call);
+
 /* Ends a call without DONE and closes its connection.  */
 void http_client_cancel (struct http_client *cli, uint64_t call);
 
--- a/tests/raw_socket.hh
+++ b/tests/raw_socket.hh
@@ -14,11 +14,12 @@
 namespace raw_socket
 {
 
-// Runs the loop until DONE returns true, for about 20 s at most.
+// Runs the loop until DONE returns true, for about LIMIT_MS at most.
 inline bool
-run_until (uv_loop_t *loop, const std::function<bool ()> &done)
+run_until (uv_loop_t *loop, const std::function<bool ()> &done,
+           int limit_ms = 20000)
 {
-  for (int i = 0; i < 20000; i++)
+  for (int i = 0; i < limit_ms; i++)
     {
       if (done ())
         return true;
--- a/tests/unit_gw_call.cc
+++ b/tests/unit_gw_call.cc
@@ -153,6 +153,16 @@
     });
     return text;
   }
+  // Reads what the client has received.  Returns whether it holds TEXT.
+  bool
+  client_has_now (const std::string &text)
+  {
+    char buffer[4000];
+    ssize_t n = read (client, buffer, sizeof buffer);
+    if (n > 0)
+      got.append (buffer, static_cast<size_t> (n));
+    return got.find (text) != std::string::npos;
+  }
   bool
   client_has (const std::string &text)
   {
@@ -538,4 +548,156 @@
   close (other);
 }
 
+// Guards against a late second copy of an answer on a connection in use again,
+// where the copy lacks the request's id: it must neither reach the next caller
+// nor count as the promise that the next request has not run.
+TEST_F (GatewayCall, LateCopyOnAReusedConnectionIsNotTheAnswer)
+{
+  static const struct
+  {
+    int status;
+    const char *fields;
+  } copies[] = {
+    { 503, "X-Goldcresthatch-Not-Run: 1\r\n" },
+    { 500, "X-Goldcresthatch-Server-Stamp: old\r\n" },
+    { 200, "X-Goldcresthatch-Server-Stamp: old\r\n" },
+    { 421, "" },
+    { 503, "X-Goldcresthatch-Not-Run: 1\r\n"
+           "X-Goldcresthatch-Request-Id: other\r\n" },
+  };
+  runner (0, "app");
+  runner (1, "app");
+  pool_find (gw.runner_pool, "r1")->backoff_until_us = INT64_MAX;
+  for (const auto &copy : copies)
+    {
+      int fd = -1;
+      send_request ("/order/1");
+      receive_at_runner (0, &fd);
+      got.clear ();
+      put (fd,
+           head (200, std::string (stamp) + "Content-Length: 5\r\n\r\nfirst"));
+      ASSERT_TRUE (client_has ("first"));
+      close (client);
+      got.clear ();
+      send_request ("/order/2");
+      std::string text;
+      ASSERT_TRUE (run_until (&gw.loop, [&] {
+        char buffer[4000];
+        ssize_t n = read (fd, buffer, sizeof buffer);
+        if (n > 0)
+          text.append (buffer, static_cast<size_t> (n));
+        return text.find ("body") != std::string::npos;
+      })) << "the connection is used again";
+      pool_find (gw.runner_pool, "r1")->backoff_until_us = 0;
+      put (fd, "HTTP/1.1 " + std::to_string (copy.status) + " X\r\n"
+                   + copy.fields + "Content-Length: 3\r\n\r\nold");
+      run_until (
+          &gw.loop, [&] { return client_has_now ("HTTP/1.1"); }, 300);
+      EXPECT_EQ (got.find ("old"), std::string::npos) << copy.status;
+      EXPECT_EQ (got.find ("HTTP/1.1 503"), std::string::npos) << copy.status;
+      EXPECT_LT (accept (listeners[1], nullptr, nullptr), 0)
+          << "sent again after a copy with status " << copy.status;
+      pool_find (gw.runner_pool, "r1")->backoff_until_us = INT64_MAX;
+      pool_find (gw.runner_pool, "r0")->backoff_until_us = 0;
+      close (fd);
+      close (client);
+      for (int i = 0; i < 20; i++)
+        uv_run (&gw.loop, UV_RUN_NOWAIT);
+    }
+}
+
+// Guards against cutting a stream that is slow but sound, and against keeping
+// one that only drips: the route's time ends both, and nothing before.
+TEST_F (GatewayCall, SlowStreamsGoOnAndDrippingOnesEnd)
+{
+  for (bool sound : { true, false })
+    {
+      int fd = -1;
+      got.clear ();
+      if (listeners[1] < 0)
+        runner (1, "llm", POOL_STAGE_DECODE);
+      send_request ("/chat/1");
+      receive_at_runner (1, &fd);
+      put (fd, head (200, stamp + std::string (chunked)) + chunk (event1));
+      ASSERT_TRUE (client_has (event1));
+      for (int piece = 0; piece < 4; piece++)
+        {
+          tmr_advance (gw.tmr, tmr_now (gw.tmr) + 1100000);
+          http_client_check_timeouts (gw.cli);
+          std::string event
+              = "id: " + std::to_string (piece + 2) + "\ndata: slow\n\n";
+          put (fd, chunk (sound ? event : ":"));
+          EXPECT_TRUE (!sound || client_has (event)) << piece;
+        }
+      EXPECT_FALSE (client_has_now ("\r\n0\r\n")) << got;
+      EXPECT_EQ (gw.active, 1U) << "it is not cut before its time";
+      if (sound)
+        {
+          put (fd, "0\r\n\r\n");
+          EXPECT_TRUE (client_has ("\r\n0\r\n\r\n"));
+        }
+      else
+        {
+          tmr_advance (gw.tmr, tmr_now (gw.tmr) + 700000);
+          EXPECT_TRUE (client_closed ());
+          EXPECT_EQ (got.find ("\r\n0\r\n\r\n"), std::string::npos)
+              << "a stream that was cut must not look complete";
+        }
+      EXPECT_EQ (gw.active, 0U);
+      close (fd);
+      close (client);
+    }
+}
+
+// Guards against giving up or repeating the running work of a runner whose
+// registry entry disappears while it is only slow to report.
+TEST_F (GatewayCall, RunningWorkOfASilentRunnerGoesOn)
+{
+  int fd = -1;
+  runner (0, "app");
+  send_request ("/read/1");
+  receive_at_runner (0, &fd);
+  runner (1, "app");
+  pool_remove (gw.runner_pool, "r0", 5, tmr_now (gw.tmr));
+  for (int i = 0; i < 20; i++)
+    {
+      tmr_advance (gw.tmr, tmr_now (gw.tmr) + 100000);
+      pool_tick (gw.runner_pool, tmr_now (gw.tmr));
+      uv_run (&gw.loop, UV_RUN_NOWAIT);
+    }
+  EXPECT_LT (accept (listeners[1], nullptr, nullptr), 0) << "sent elsewhere";
+  EXPECT_EQ (gw.active, 1U) << "given up";
+  put (fd, head (200, stamp + std::string ("Content-Length: 4\r\n\r\nslow")));
+  EXPECT_TRUE (client_has ("slow"));
+  close (fd);
+}
+
+// Guards against running a request again, or calling it "not run", after its
+// answer is lost at any point.
+TEST_F (GatewayCall, LostAnswerIsNeitherRepeatedNorCalledNotRun)
+{
+  static const std::string parts[]
+      = { "", "HTTP/1.1 200 O", head (200, stamp),
+          head (200, stamp + std::string ("Content-Length: 9\r\n\r\nhalf")) };
+  runner (0, "app");
+  runner (1, "app");
+  pool_find (gw.runner_pool, "r1")->backoff_until_us = INT64_MAX;
+  for (const std::string &part : parts)
+    {
+      int fd = -1;
+      got.clear ();
+      pool_find (gw.runner_pool, "r0")->backoff_until_us = 0;
+      send_request ("/order/1");
+      receive_at_runner (0, &fd);
+      pool_find (gw.runner_pool, "r1")->backoff_until_us = 0;
+      if (!part.empty ())
+        put (fd, part);
+      reset (fd);
+      EXPECT_TRUE (client_has ("HTTP/1.1 502")) << part << got;
+      EXPECT_LT (accept (listeners[1], nullptr, nullptr), 0) << part;
+      pool_find (gw.runner_pool, "r1")->backoff_until_us = INT64_MAX;
+      close (client);
+    }
+}
+
 }
