--- a/src/fleetsum.c
+++ b/src/fleetsum.c
@@ -617,14 +617,7 @@
   struct part part = { message->sender, message->sequence, now, *value };
   guint i;
 
-  if (fs->n_parts >= PARTS_MAX)
-    return;
-  if (parts == NULL)
-    {
-      parts = g_array_new (FALSE, FALSE, sizeof (struct part));
-      g_hash_table_insert (fs->hosted, g_memdup2 (&key, sizeof key), parts);
-    }
-  for (i = 0; i < parts->len; i++)
+  for (i = 0; parts != NULL && i < parts->len; i++)
     {
       struct part *old = &g_array_index (parts, struct part, i);
       if (old->sender != message->sender)
@@ -633,6 +626,13 @@
         *old = part;
       return;
     }
+  if (fs->n_parts >= PARTS_MAX)
+    return;
+  if (parts == NULL)
+    {
+      parts = g_array_new (FALSE, FALSE, sizeof (struct part));
+      g_hash_table_insert (fs->hosted, g_memdup2 (&key, sizeof key), parts);
+    }
   g_array_append_val (parts, part);
   fs->n_parts++;
 }
@@ -646,10 +646,8 @@
   uint32_t i;
 
   for (i = 0; i < message->rows->size; i++)
-    {
-      read_row (&message->rows->ptr[i], &key, &value);
+    if (read_row (&message->rows->ptr[i], &key, &value) == 0)
       keep_part (fs, message, key, &value, now);
-    }
   if (message->query == 0)
     return;
   report_init (&reply);
@@ -679,10 +677,8 @@
       home->silent_until = 0;
     }
   for (i = 0; i < message->rows->size; i++)
-    {
-      read_row (&message->rows->ptr[i], &key, &value);
+    if (read_row (&message->rows->ptr[i], &key, &value) == 0)
       fs->ops->sum (fs->ctx, key, &value, now);
-    }
   if (link == NULL)
     return;
   query = link->data;
--- a/src/gw.h
+++ b/src/gw.h
@@ -67,6 +67,13 @@
   uint64_t prefills; /* sends to a prefill engine */
   uint64_t relayed;  /* sends to a peer gateway */
   uint64_t store_calls;
+  /* Datagrams of peer gateways.  */
+  uint64_t load_queries; /* for the load of a request's candidates */
+  uint64_t load_queries_incomplete; /* not all homes have replied in time */
+  uint64_t store_notices;           /* changes in the store, or beats */
+  uint64_t datagrams_sent;
+  uint64_t datagrams_received;
+  uint64_t datagrams_malformed;
 };
 
 enum
@@ -196,8 +203,8 @@
 /* Returns nonzero when the changes of FEED up to REVISION are all that the
    followed gateways know of, and they can read the store.  */
 int gw_peers_is_current (struct gw *gw, unsigned feed, uint64_t revision);
-/* Writes counters of this part as metrics.  */
-void gw_peers_metrics (const struct gw *gw, GString *out);
+/* Returns the number of homes of sums that don't reply.  */
+size_t gw_peers_silent (const struct gw *gw);
 
 /* gw_page.c: HTTP pages with readiness and metrics */
 int gw_pages_open (struct gw *gw, struct err *err);
--- a/src/gw_page.c
+++ b/src/gw_page.c
@@ -32,6 +32,14 @@
     { "prompts_read_apart_total", gw->counts.prefills },
     { "relayed_total", gw->counts.relayed },
     { "store_calls_total", gw->counts.store_calls },
+    { "store_notices_total", gw->counts.store_notices },
+    { "store_source", (uint64_t)gw_peers_is_source (gw) },
+    { "load_queries_total", gw->counts.load_queries },
+    { "load_queries_incomplete_total", gw->counts.load_queries_incomplete },
+    { "load_homes_silent", gw_peers_silent (gw) },
+    { "datagrams_sent_total", gw->counts.datagrams_sent },
+    { "datagrams_received_total", gw->counts.datagrams_received },
+    { "datagrams_malformed_total", gw->counts.datagrams_malformed },
     { "active_requests", gw->active },
     { "client_connections",
       http_server_connections (
@@ -46,7 +54,6 @@
   for (i = 0; i < G_N_ELEMENTS (rows); i++)
     g_string_append_printf (out, "goldcresthatch_%s %" G_GUINT64_FORMAT "\n",
                             rows[i].name, rows[i].value);
-  gw_peers_metrics (gw, out);
   for (i = 0; i < GW_LATENCY_BUCKETS; i++)
     {
       sum += gw->latency[i];
--- a/src/gw_peers.c
+++ b/src/gw_peers.c
@@ -41,12 +41,6 @@
   uint64_t demand_keys[DEMAND_KEYS];
   struct gw_demand demand[DEMAND_KEYS]; /* of the other gateways */
   int64_t demand_asked_us;
-  uint64_t queries;
-  uint64_t incomplete; /* queries to which not all homes have replied */
-  uint64_t sent;
-  uint64_t received;
-  uint64_t malformed;
-  uint64_t notices;
 };
 
 static void
@@ -121,7 +115,7 @@
 
   if (to == NULL)
     return;
-  gw->peers->sent++;
+  gw->counts.datagrams_sent++;
   /* A datagram that the socket doesn't accept counts as lost.  */
   uv_udp_try_send (&gw->peers->udp, &buf, 1, to);
 }
@@ -160,7 +154,7 @@
   struct waiting *waiting = g_hash_table_lookup (gw->peers->waiting, &query);
   struct waiting ended;
 
-  gw->peers->incomplete += silent > 0;
+  gw->counts.load_queries_incomplete += silent > 0;
   if (waiting == NULL)
     return;
   ended = *waiting;
@@ -202,7 +196,7 @@
       g_free (waiting);
       return 0;
     }
-  peers->queries++;
+  gw->counts.load_queries++;
   g_hash_table_insert (peers->waiting, &waiting->query, waiting);
   if (peers->timer_at < 0)
     {
@@ -299,7 +293,7 @@
 {
   struct gw *gw = ctx;
 
-  gw->peers->notices++;
+  gw->counts.store_notices++;
   gw_sync_apply_notice (gw, notice);
 }
 
@@ -313,14 +307,14 @@
 
   if (n <= 0 || from == NULL || (flags & UV_UDP_PARTIAL))
     return;
-  gw->peers->received++;
+  gw->counts.datagrams_received++;
   if (fleetfeed_is_datagram (buf->base, (size_t)n))
     rc = fleetfeed_receive (gw->peers->feeds, buf->base, (size_t)n,
                             gw_now (gw), on_notice, gw, &err);
   else
     rc = fleetsum_receive (gw->peers->sums, buf->base, (size_t)n, gw_now (gw),
                            &err);
-  gw->peers->malformed += rc != 0;
+  gw->counts.datagrams_malformed += rc != 0;
 }
 
 static void
@@ -331,24 +325,10 @@
   fleetsum_expire (gw->peers->sums, now);
 }
 
-void
-gw_peers_metrics (const struct gw *gw, GString *out)
+size_t
+gw_peers_silent (const struct gw *gw)
 {
-  const struct gw_peers *peers = gw->peers;
-
-  g_string_append_printf (
-      out,
-      "goldcresthatch_load_queries_total %" G_GUINT64_FORMAT
-      "\ngoldcresthatch_load_queries_incomplete_total %" G_GUINT64_FORMAT
-      "\ngoldcresthatch_load_datagrams_sent_total %" G_GUINT64_FORMAT
-      "\ngoldcresthatch_load_datagrams_received_total %" G_GUINT64_FORMAT
-      "\ngoldcresthatch_load_datagrams_malformed_total %" G_GUINT64_FORMAT
-      "\ngoldcresthatch_load_homes_silent %zu"
-      "\ngoldcresthatch_store_notices_total %" G_GUINT64_FORMAT
-      "\ngoldcresthatch_store_source %d\n",
-      peers->queries, peers->incomplete, peers->sent, peers->received,
-      peers->malformed, fleetsum_silent (peers->sums, tmr_now (gw->tmr)),
-      peers->notices, fleetfeed_is_source (peers->feeds));
+  return fleetsum_silent (gw->peers->sums, tmr_now (gw->tmr));
 }
 
 int
