--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -46,6 +46,7 @@
   int closing;                /* the answer has "Connection: close" */
   double queued_tokens;       /* prompt tokens added to the runner's queue */
   int64_t sent;
+  uint64_t silence_timer; /* until the answer begins, or 0 */
   struct adapter_answer answer;
   GString *fields;  /* header of the runner's answer */
   GString *data;    /* part of its body that is not forwarded yet */
@@ -89,6 +90,8 @@
 int gw_send (struct gw_call *call, const struct lb_choice *choice,
              enum adapter_phase phase);
 void gw_send_cancel (struct gw_call *call);
+/* Ends the send in progress as if its connection had broken.  */
+void gw_send_break (struct gw_call *call);
 /* Takes one retry from the service's budget.  Returns 1, or 0 when there is
    none left.  */
 int gw_send_take_retry (struct gw_call *call);
@@ -96,4 +99,11 @@
 void gw_send_set_source (struct gw_call *call, struct pool_runner *runner);
 /* Frees a KV handle that will not be used.  */
 void gw_send_free_handle (struct gw_call *call);
+
+/* gw_probe.c */
+/* Watches for a runner that becomes unreachable before the answer begins,
+   which is expected after FIRST_BYTE_US.  The send then breaks; it must be one
+   that may be repeated.  */
+void gw_probe_watch (struct gw_call *call, double first_byte_us);
+void gw_probe_unwatch (struct gw_call *call);
 #endif
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -34,6 +34,7 @@
   if (call->call == 0)
     return;
   call->call = 0;
+  gw_probe_unwatch (call);
   call->runner->calls--;
   note_prefill_end (call);
 }
@@ -220,6 +221,7 @@
       memset (answer, 0, sizeof *answer);
       return verdict;
     }
+  gw_probe_unwatch (call);
   if (answer->has_load && call->phase != ADAPTER_RELAY)
     pool_note_load (call->runner, answer->running, answer->waiting,
                     gw_now (gw));
@@ -298,6 +300,13 @@
 
 static void on_done (void *ctx, enum http_client_result end);
 
+void
+gw_send_break (struct gw_call *call)
+{
+  http_client_cancel (call->gw->cli, call->call);
+  on_done (call, HTTP_CLIENT_BROKEN);
+}
+
 /* Breaks off an answer that is longer than what can be held.  */
 static void
 break_off (struct gw_call *call)
@@ -307,8 +316,7 @@
                    "%zu,\"limit\":%d",
                    call->runner->entry.id, call->answer.status,
                    call->answer.stamped, call->data->len, ANSWER_BUFFER_BYTES);
-  http_client_cancel (call->gw->cli, call->call);
-  on_done (call, HTTP_CLIENT_BROKEN);
+  gw_send_break (call);
 }
 
 static void
@@ -602,6 +610,9 @@
   runner->calls++;
   runner->tokens += choice->uncached_tokens;
   gw_peers_note_load (gw, runner);
+  if (phase == ADAPTER_PREFILL_ONLY
+      || (phase == ADAPTER_WHOLE && gw_call_idempotent (call)))
+    gw_probe_watch (call, choice->first_byte_us);
   if (phase != ADAPTER_RELAY && call->in.prompt.n_blocks > 0)
     lb_note_prefill (gw->lb, runner, &call->in.prompt, now);
   if (phase == ADAPTER_PREFILL_ONLY)
--- a/src/pool.h
+++ b/src/pool.h
@@ -67,7 +67,9 @@
   unsigned refusals;             /* in a row */
   unsigned kv_transfer_failures; /* failed KV transfers from here, in a row */
   /* Results of this process's own calls.  */
-  unsigned failures;        /* of connections, in a row */
+  unsigned failures;      /* of connections, in a row */
+  int probing;            /* a connection is opened to see whether it is up */
+  int64_t unreachable_us; /* when that failed last */
   int64_t backoff_until_us; /* back-off: no new work before this time */
   double failure_rate;      /* failed share of calls; moving average */
   int64_t failure_rate_us;  /* last update of that */
--- a/tests/unit_gw_call.cc
+++ b/tests/unit_gw_call.cc
@@ -700,4 +700,66 @@
     }
 }
 
+// Pattern: a machine fails without a word and its connections stay open.
+// Guards against requests that wait there until their deadline; against a
+// second run of one that is only slow, or must not run twice.
+TEST_F (GatewayCall, RequestsLeaveAnUnreachableRunner)
+{
+  static const struct
+  {
+    const char *path;
+    bool is_up;
+    bool repeated;
+  } cases[] = { { "/read/1", true, false },
+                { "/order/1", false, false },
+                { "/read/1", false, true } };
+  for (const auto &c : cases)
+    {
+      int fd = -1;
+      int other = -1;
+      got.clear ();
+      runner (0, "app");
+      runner (1, "app");
+      g_strlcpy (pool_find (gw.runner_pool, "r0")->entry.address,
+                 addresses[0].c_str (), 32);
+      g_strlcpy (pool_find (gw.runner_pool, "r1")->entry.address,
+                 addresses[1].c_str (), 32);
+      pool_find (gw.runner_pool, "r1")->backoff_until_us = INT64_MAX;
+      pool_find (gw.runner_pool, "r0")->backoff_until_us = 0;
+      send_request (c.path);
+      receive_at_runner (0, &fd);
+      pool_find (gw.runner_pool, "r1")->backoff_until_us = 0;
+      if (!c.is_up)
+        close (listeners[0]);
+      for (int i = 0; i < 20 && other < 0; i++)
+        {
+          tmr_advance (gw.tmr, tmr_now (gw.tmr) + 100000);
+          run_until (
+              &gw.loop,
+              [&] {
+                other = accept (listeners[1], nullptr, nullptr);
+                return other >= 0;
+              },
+              5);
+        }
+      EXPECT_EQ (other >= 0, c.repeated) << c.path << c.is_up;
+      EXPECT_EQ (gw.active, 1U) << "given up";
+      if (!c.repeated)
+        put (fd, head (200,
+                       stamp + std::string ("Content-Length: 4\r\n\r\nslow")));
+      else
+        put (
+            other,
+            head (200, stamp + std::string ("Content-Length: 4\r\n\r\nslow")));
+      EXPECT_TRUE (client_has ("slow"));
+      close (fd);
+      close (other);
+      close (client);
+      close (listeners[0]);
+      close (listeners[1]);
+      http_client_close_idle (gw.cli, pool_find (gw.runner_pool, "r0")->peer);
+      http_client_close_idle (gw.cli, pool_find (gw.runner_pool, "r1")->peer);
+    }
+}
+
 }
