--- a/bench/bench_route.c
+++ b/bench/bench_route.c
@@ -9,6 +9,7 @@
 #include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <time.h>
 
 #include "goldcresthatch/fleet.h"
@@ -28,6 +29,14 @@
   NS_PER_SECOND = 1000000000
 };
 
+static struct msg_str
+str_of (const char *text)
+{
+  struct msg_str str = { text, strlen (text) };
+
+  return str;
+}
+
 struct setup
 {
   struct fleet *fleet;
@@ -93,8 +102,8 @@
     }
   for (i = 0; i < n; i++)
     {
-      struct msg_report report = { .agent = msg_str (names[i]),
-                                   .service = msg_str ("model"),
+      struct msg_report report = { .agent = str_of (names[i]),
+                                   .service = str_of ("model"),
                                    .incarnation = 1,
                                    .endpoint_up = 1,
                                    .capacity = 32 };
