--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -235,7 +235,6 @@
     return 1;
   *phase = ADAPTER_PREFILL_ONLY;
   *choice = lb_prefill (gw->lb, gw->runner_pool, where, prompt, now);
-  call->prefill_us = choice->first_byte_us;
   where->stage = POOL_STAGE_DECODE;
   decode = lb_decode (gw->lb, gw->runner_pool, where, NULL, now);
   choice->first_byte_us += decode.first_byte_us;
--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -46,7 +46,6 @@
   int closing;                /* the answer has "Connection: close" */
   double queued_tokens;       /* prompt tokens added to the runner's queue */
   int64_t sent;
-  double prefill_us;      /* expected time of a prefill */
   uint64_t silence_timer; /* until the answer begins, or 0 */
   struct adapter_answer answer;
   GString *fields;  /* header of the runner's answer */
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -411,8 +411,6 @@
                   runner->entry.address, handle);
       pool_note_answer (runner, gw_now (gw) - call->sent, gw_now (gw));
       call->prompt_read = 1;
-      lb_note_prefill_time (gw->lb, call->prefill_us,
-                            (double)(gw_now (gw) - call->sent));
       gw_send_set_source (call, runner);
       gw_call_dispatch (call);
       return;
--- a/src/gw_stage.c
+++ b/src/gw_stage.c
@@ -438,8 +438,8 @@
 gw_stage_note_demand (struct gw *gw, double uncached_tokens)
 {
   gw->stage->requested_us
-      += lb_get_speed (gw->lb)->prefill_overhead_us
-         + uncached_tokens / lb_get_speed (gw->lb)->prefill_tokens_per_us;
+      += lb_speed_default.prefill_overhead_us
+         + uncached_tokens / lb_speed_default.prefill_tokens_per_us;
 }
 
 static void
--- a/src/lb.c
+++ b/src/lb.c
@@ -1,7 +1,6 @@
 #include "lb.h"
 
 #include <glib.h>
-#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -20,12 +19,6 @@
   CALL_FAILURE_COST_US = 300000
 };
 
-/* Weight of one prompt in the slowness of the engines.  */
-static const double sample_weight = 0.01;
-/* One prompt may have met a slow engine, or one that had its blocks.  */
-static const double sample_ratio_max = 4;
-static const double slowness_max = 8;
-
 const struct lb_speed lb_speed_default = {
   .prefill_tokens_per_us = 0.34,
   .decode_prefill_slowdown = 2,
@@ -38,8 +31,6 @@
 struct lb
 {
   struct lb_speed speed;
-  struct lb_speed assumed; /* before anything is known */
-  double slowness;         /* of the engines, beside what was assumed */
   size_t cache_entries_max;
   GHashTable *cached_blocks; /* hash of runner and block chain -> struct
                                 cached_block */
@@ -60,8 +51,6 @@
   struct lb *lb = g_new0 (struct lb, 1);
 
   lb->speed = *speed;
-  lb->assumed = *speed;
-  lb->slowness = 1;
   lb->cache_entries_max = cache_entries_max;
   lb->cached_blocks
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -152,29 +141,6 @@
     }
 }
 
-void
-lb_note_prefill_time (struct lb *lb, double expected_us, double took_us)
-{
-  double ratio;
-
-  if (expected_us <= 0)
-    return;
-  ratio
-      = CLAMP (took_us / expected_us, 1 / sample_ratio_max, sample_ratio_max);
-  lb->slowness = CLAMP (lb->slowness * pow (ratio, sample_weight),
-                        1 / slowness_max, slowness_max);
-  lb->speed.prefill_tokens_per_us
-      = lb->assumed.prefill_tokens_per_us / lb->slowness;
-  lb->speed.prefill_overhead_us
-      = lb->assumed.prefill_overhead_us * lb->slowness;
-}
-
-const struct lb_speed *
-lb_get_speed (const struct lb *lb)
-{
-  return &lb->speed;
-}
-
 /* Returns nonzero when RUNNER is eligible by WHERE.  */
 static int
 is_eligible (const struct pool_runner *runner, const struct lb_filter *where,
--- a/src/lb.h
+++ b/src/lb.h
@@ -75,13 +75,6 @@
 void lb_note_prefill (struct lb *lb, const struct pool_runner *runner,
                       const struct lb_prompt *prompt, int64_t now);
 
-/* Notes that a prompt that was expected to be read in EXPECTED_US, as
-   lb_prefill estimated it, was read in TOOK_US.  Later estimates follow the
-   speed of the fleet's engines, which is not configured.  */
-void lb_note_prefill_time (struct lb *lb, double expected_us, double took_us);
-/* Returns the speed of the engines as it is known now.  */
-const struct lb_speed *lb_get_speed (const struct lb *lb);
-
 struct lb_choice
 {
   struct pool_runner *runner; /* null: none is usable */
--- a/tests/unit_lb.cc
+++ b/tests/unit_lb.cc
@@ -341,29 +341,4 @@
   EXPECT_EQ (lb_decode (lb, runner_pool, &where, nullptr, 0).runner, one);
 }
 
-// Pattern: a fleet whose engines read at less than half of the assumed speed.
-// Guards against admitting what will be late, and against one slow or cached
-// prompt that changes the estimate for all.
-TEST_F (Lb, SpeedIsLearntFromPrompts)
-{
-  add ("a");
-  struct lb_prompt p = prompt (1);
-  auto expected = [&] {
-    return lb_prefill (lb, runner_pool, &where, &p, 0).first_byte_us;
-  };
-  double actual = 2.2 * expected ();
-  lb_note_prefill_time (lb, expected (), 100 * actual);
-  EXPECT_NEAR (expected (), actual / 2.2, actual / 2.2 * 0.02);
-  for (int i = 0; i < 500; i++)
-    lb_note_prefill_time (lb, expected (), actual);
-  EXPECT_NEAR (expected (), actual, actual * 0.05);
-  for (int i = 0; i < 500; i++)
-    lb_note_prefill_time (lb, expected (), actual / 2.2);
-  EXPECT_NEAR (expected (), actual / 2.2, actual / 2.2 * 0.05);
-  for (int i = 0; i < 5000; i++)
-    lb_note_prefill_time (lb, expected (), 1e9);
-  EXPECT_LT (expected (), 10 * actual / 2.2) << "there is a bound";
-  lb_note_prefill_time (lb, 0, 1);
-}
-
 }
