--- a/bench/bench_fleet.c
+++ b/bench/bench_fleet.c
@@ -145,9 +145,10 @@
   set_load (fleet, gateway, keys[0], 1);
   fleetsum_query (gateway->sums, keys + SESSION_ENGINES, DECODE_ENGINES,
                   fleet->now);
-  change_later (fleet, gateway, keys[0], 0, PREFILL_MS * 1000);
+  change_later (fleet, gateway, keys[0], 0, INT64_C (1000) * PREFILL_MS);
   set_load (fleet, gateway, keys[SESSION_ENGINES], 1);
-  change_later (fleet, gateway, keys[SESSION_ENGINES], 0, DECODE_MS * 1000);
+  change_later (fleet, gateway, keys[SESSION_ENGINES], 0,
+                INT64_C (1000) * DECODE_MS);
 }
 
 static void
@@ -223,8 +224,11 @@
   for (ms = 0; ms < RUN_MS; ms++)
     {
       fleet.now += 1000;
-      for (; next_request <= ms; next_request += 1000 / (requests_per_s * n))
-        request (&fleet);
+      while (next_request <= ms)
+        {
+          request (&fleet);
+          next_request += 1000 / (requests_per_s * n);
+        }
       deliver_due (&fleet);
       for (i = 0; i < n; i++)
         fleetsum_advance (fleet.gateways[i].sums, fleet.now);
