Log what was in progress at a runner whose connection breaks

The new line "broken" has them, with the events that had arrived and the time since the send. Logic unchanged.

--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -395,6 +395,31 @@
   gw_call_end (call);
 }
 
+static const char *const phase_names[] = { [ADAPTER_WHOLE] = "whole",
+                                           [ADAPTER_PREFILL_ONLY] = "prompt",
+                                           [ADAPTER_RELAY] = "relay" };
+
+/* Logs which parts of a prompt were in progress at a runner that broke off.  */
+static void
+log_broken (const struct gw_call *call)
+{
+  const struct lb_prompt *prompt = &call->in.prompt;
+  GString *parts = g_string_new (NULL);
+  size_t i;
+
+  for (i = 0; i < prompt->n_blocks; i++)
+    g_string_append_printf (parts, "%s%" G_GINT64_MODIFIER "x", i ? "," : "",
+                            prompt->blocks[i].id);
+  event_log_write ("broken", call->in.id,
+                   "\"runner\":\"%s\",\"phase\":\"%s\",\"last_event\":"
+                   "%" G_GUINT64_FORMAT ",\"ms\":%" G_GINT64_FORMAT
+                   ",\"parts\":\"%s\"",
+                   call->runner->entry.id, phase_names[call->phase],
+                   call->last_event, (gw_now (call->gw) - call->sent) / 1000,
+                   parts->str);
+  g_string_free (parts, TRUE);
+}
+
 static void
 prompt_done (struct gw_call *call, enum http_client_result end)
 {
@@ -498,6 +523,8 @@
   int64_t now = gw_now (gw);
 
   note_send_end (call);
+  if (end == HTTP_CLIENT_BROKEN)
+    log_broken (call);
   if (call->phase == ADAPTER_PREFILL_ONLY)
     {
       prompt_done (call, end);
@@ -559,10 +586,6 @@
   answer_whole (call);
 }
 
-static const char *const phase_names[] = { [ADAPTER_WHOLE] = "whole",
-                                           [ADAPTER_PREFILL_ONLY] = "prompt",
-                                           [ADAPTER_RELAY] = "relay" };
-
 int
 gw_send (struct gw_call *call, const struct lb_choice *choice,
          enum adapter_phase phase)
