--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -1,14 +1,17 @@
 #!/bin/bash
-# Fault soak of the gateways: tests/soak.sh SEED [SECONDS] [GATEWAYS].
+# Fault soak of the gateways: tests/soak.sh SEED [SECONDS] [GATEWAYS] [MODE].
 #
 # Starts the gateways and the world around them (soak_world.c) as separate
 # processes on the loopback, and stops, pauses, kills and restarts the gateways
-# by signals drawn from SEED.  Prints "promises kept" or what was broken.
+# by signals drawn from SEED.  Prints "promises kept" or what was broken.  MODE
+# is that of the world; "crash-part" has fewer signals, so that most gateways
+# run long enough to learn of the part.
 set -u
 cd "$(dirname "$0")/.."
 SEED=${1:?SEED}
 SECONDS_RUN=${2:-40}
 COUNT=${3:-3}
+MODE=${4:-}
 NET=$((100 + SEED % 100))
 . tests/lib.sh
 
@@ -38,7 +41,7 @@
   kill -0 "${PIDS[gw$1]}" 2> /dev/null || start_gateway "$1"
 }
 
-start world soak-world "$NET" "$SEED" "$SECONDS_RUN" "$COUNT"
+start world soak-world "$NET" "$SEED" "$SECONDS_RUN" "$COUNT" ${MODE:+"$MODE"}
 for n in $(seq "$COUNT"); do
   settings "$n"
   start_gateway "$n"
@@ -46,6 +49,7 @@
 end=$((SECONDS + SECONDS_RUN - CALM))
 while [ $SECONDS -lt $end ]; do
   sleep "0.$((RANDOM % 9 + 1))"
+  [ -z "$MODE" ] || sleep 3
   n=$((RANDOM % COUNT + 1))
   case $((RANDOM % 5)) in
     0) kill -TERM "${PIDS[gw$n]}" 2> /dev/null ;;
@@ -73,5 +77,6 @@
 wait "${PIDS[world]}"
 status=$?
 grep -h "^broken\|^promises" "$WORK/world.log"
+grep -h "requests, of the last" "$WORK/world.log" >&2
 [ -z "${KEEP:-}" ] || cp -r "$WORK" "$KEEP"
 exit $status
--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -1,11 +1,13 @@
 /* The world around the gateways in a fault soak: the key-value service, the
    runners and the callers, in one process that sees both ends of each request.
 
-   usage: soak-world NET SEED SECONDS GATEWAYS
+   usage: soak-world NET SEED SECONDS GATEWAYS [MODE]
 
    Faults of the service and the runners are drawn from SEED and end some
-   seconds before the run does.  Prints each promise that was broken; exits 0
-   when there is none.  */
+   seconds before the run does.  With MODE "crash-part" the only fault is a
+   part of some prompts that crashes each engine that begins to answer it,
+   until the end.  Prints each promise that was broken; exits 0 when there is
+   none.  */
 #include <glib.h>
 #include <json-c/json.h>
 #include <signal.h>
@@ -21,13 +23,19 @@
 {
   RUNNERS = 7,
   ENGINES = 5,
-  CALL_MS = 6,      /* between two requests of the callers */
-  BUDGET_MS = 1500, /* that a caller waits */
-  CALM_MS = 9000,   /* at the end, without faults */
-  JUDGED_MS = 3000, /* at the end, in which most must be served */
-  FAULT_MS = 500,   /* between two faults */
-  EVENTS = 4,       /* of a stream */
-  SERVED_LEAST = 90 /* in 100, of the requests judged */
+  CALL_MS = 6,           /* between two requests of the callers */
+  BUDGET_MS = 1500,      /* that a caller waits */
+  CALM_MS = 9000,        /* at the end, without faults */
+  JUDGED_MS = 3000,      /* at the end, in which most must be served */
+  FAULT_MS = 500,        /* between two faults */
+  EVENTS = 4,            /* of a stream */
+  SERVED_LEAST = 90,     /* in 100, of the requests judged */
+  CRASH_PART_CALLS = 40, /* one request in so many has the part that crashes */
+  CRASH_REGISTERED_MS = 1000, /* until the entry of a crashed engine expires */
+  CRASH_RETURN_MS = 1500,
+  CRASHES_LEARNED = 5, /* after which the gateways must know the part */
+  LEARN_MS = 3000,     /* and this later it must not be sent any more */
+  CRASH_SENDS_MAX = 3
 };
 
 enum mode
@@ -51,7 +59,8 @@
   int draining;
   int orders;
   enum mode mode;
-  struct http_server *srv;
+  struct http_server *srv; /* null while it is down */
+  unsigned lifetime;
 };
 
 /* What became of one request of the callers.  */
@@ -66,6 +75,8 @@
   int expected_event;
   GString *body;
   int judged;
+  int crashes; /* has the part that crashes engines */
+  int late;    /* reached a runner though the part must be known */
   uint64_t timer;
   uint64_t call;
 };
@@ -90,6 +101,7 @@
 struct job
 {
   struct runner *runner;
+  unsigned lifetime;
   uint64_t conn;
   struct record *record;
   int event;
@@ -115,6 +127,10 @@
 static int broken;
 static int judged;
 static int judged_served;
+static int crash_part; /* the mode */
+static int crashes;
+static int64_t learned_us; /* when the part must be known, or 0 */
+static int late_sends;
 
 static void
 promise (int kept, const char *what, const char *id)
@@ -505,6 +521,48 @@
   runner_write (r);
 }
 
+static struct http_server *open_server (const char *address,
+                                        const struct http_server_ops *ops,
+                                        void *ctx);
+static const struct http_server_ops runner_ops;
+
+static void
+on_crash_expiry (void *ctx, int64_t now)
+{
+  struct runner *r = ctx;
+  char *key = g_strconcat ("servers/", r->id, NULL);
+
+  (void)now;
+  item_write (key, NULL, 0);
+  watch_all (0, 0);
+  g_free (key);
+}
+
+static void
+on_crash_return (void *ctx, int64_t now)
+{
+  struct runner *r = ctx;
+
+  (void)now;
+  r->lifetime++;
+  g_snprintf (r->id, sizeof r->id, "r%d-%u", r->index, r->lifetime);
+  r->orders = 0;
+  r->srv = open_server (r->address, &runner_ops, r);
+  runner_write (r);
+}
+
+/* Ends the process of a runner: all of its connections and its listener.  */
+static void
+crash (struct runner *r, int64_t now)
+{
+  http_server_free (r->srv);
+  r->srv = NULL;
+  if (++crashes == CRASHES_LEARNED)
+    learned_us = now + INT64_C (1000) * LEARN_MS;
+  tmr_add (tmr, INT64_C (1000) * CRASH_REGISTERED_MS, 0, on_crash_expiry, r);
+  tmr_add (tmr, INT64_C (1000) * CRASH_RETURN_MS, 0, on_crash_return, r);
+}
+
 static void
 job_step (void *ctx, int64_t now)
 {
@@ -516,7 +574,17 @@
   struct runner *r = job->runner;
   char *text;
 
-  (void)now;
+  if (r->srv == NULL || job->lifetime != r->lifetime)
+    {
+      g_free (job);
+      return;
+    }
+  if (job->record->crashes)
+    {
+      crash (r, now);
+      g_free (job);
+      return;
+    }
   if (!job->record->stream)
     {
       text = g_strdup_printf ("X-Goldcresthatch-Request-Id: %s\r\n"
@@ -571,6 +639,7 @@
   http_str_number (resume, &after);
   job = g_new0 (struct job, 1);
   job->runner = r;
+  job->lifetime = r->lifetime;
   job->conn = conn;
   job->record = record;
   job->event = (int)after;
@@ -638,6 +707,12 @@
   record = g_hash_table_lookup (records, name);
   promise (record != NULL, "a request that no caller sent", name);
   g_free (name);
+  if (record != NULL && record->crashes && !record->late && learned_us != 0
+      && tmr_now (tmr) > learned_us)
+    {
+      record->late = 1;
+      late_sends++;
+    }
   if (!http_str_equal (
           http_head_get (head, "x-goldcresthatch-expect-instance"), r->id))
     http_server_respond (r->srv, conn, 421, NULL, "", 0);
@@ -657,6 +732,8 @@
   (void)conn;
 }
 
+static const struct http_server_ops runner_ops = { on_runner, on_left, NULL };
+
 /* The callers.  */
 
 static enum http_client_verdict
@@ -740,13 +817,30 @@
   };
   static const struct http_client_ops ops
       = { on_head, on_body, on_done, 0, 0 };
+  enum
+  {
+    CHECK = 2, /* of KINDS */
+    SESSIONS = 30
+  };
   static unsigned number;
   struct record *record = g_new0 (struct record, 1);
   int kind = g_rand_int_range (rand_state, 0, G_N_ELEMENTS (kinds));
   char address[32];
+  char *fields;
   char *text;
 
   g_snprintf (record->id, sizeof record->id, "%08x", ++number);
+  if (crash_part && number % CRASH_PART_CALLS == 0)
+    {
+      kind = CHECK;
+      record->crashes = 1;
+      is_judged = 0;
+    }
+  fields = kind == CHECK && crash_part ? g_strdup_printf (
+               "X-Goldcresthatch-Token-Count: 2000,4\r\n"
+               "X-Goldcresthatch-Prompt-Prefix: a:900,%x:600,%x:500\r\n",
+               record->crashes ? 0xbad : 0x50 + number % SESSIONS, number)
+                                       : g_strdup (kinds[kind].fields);
   record->idempotent = kinds[kind].idempotent;
   record->stream = kinds[kind].stream;
   record->judged = is_judged;
@@ -758,13 +852,14 @@
   text = g_strdup_printf (
       "%s %s HTTP/1.1\r\nHost: h\r\nX-Goldcresthatch-Request-Id: %s\r\n"
       "X-Goldcresthatch-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
-      kinds[kind].method, kinds[kind].path, record->id, BUDGET_MS,
-      kinds[kind].fields, kind == 1 ? 0 : 4, kind == 1 ? "" : "body");
+      kinds[kind].method, kinds[kind].path, record->id, BUDGET_MS, fields,
+      kind == 1 ? 0 : 4, kind == 1 ? "" : "body");
   record->timer
       = tmr_add (tmr, INT64_C (1000) * BUDGET_MS, 0, on_caller_leaves, record);
   record->call = http_client_call (cli, address, address, text, strlen (text),
                                    300, BUDGET_MS, &ops, record);
   g_free (text);
+  g_free (fields);
 }
 
 /* Faults and the end.  */
@@ -829,8 +924,14 @@
                        && record->status != 408 && record->status != 421),
                "a refused request that ran", record->id);
     }
-  fprintf (stderr, "%u requests, of the last %d %d served\n",
-           g_hash_table_size (records), judged, judged_served);
+  fprintf (
+      stderr,
+      "%u requests, of the last %d %d served; %d crashes, %d late sends\n",
+      g_hash_table_size (records), judged, judged_served, crashes, late_sends);
+  promise (!crash_part || crashes > 0, "the part was tried", "all");
+  promise (late_sends <= CRASH_SENDS_MAX,
+           "requests with a part that crashes engines sent again and again",
+           "all");
   promise (judged_served * 100 >= judged * SERVED_LEAST,
            "most requests served after the faults", "all");
   puts (broken == 0 ? "promises kept" : "promises broken");
@@ -860,7 +961,7 @@
     }
   if (left_ms < CALM_MS)
     calm ();
-  else if (now >= next_fault)
+  else if (!crash_part && now >= next_fault)
     {
       next_fault
           = now
@@ -888,7 +989,6 @@
 static void
 runners_open (void)
 {
-  static const struct http_server_ops ops = { on_runner, on_left, NULL };
   int i;
 
   for (i = 0; i < RUNNERS; i++)
@@ -901,7 +1001,7 @@
       g_snprintf (r->id, sizeof r->id, "r%d", i);
       g_snprintf (r->address, sizeof r->address, "127.%d.3.%d:8000", net,
                   i + 10);
-      r->srv = open_server (r->address, &ops, r);
+      r->srv = open_server (r->address, &runner_ops, r);
       runner_write (r);
     }
 }
@@ -914,9 +1014,11 @@
   uv_timer_t timer;
   char address[32];
 
-  if (argc != 5)
+  crash_part = argc == 6 && strcmp (argv[5], "crash-part") == 0;
+  if (argc != 5 + crash_part)
     {
-      fputs ("usage: soak-world NET SEED SECONDS GATEWAYS\n", stderr);
+      fputs ("usage: soak-world NET SEED SECONDS GATEWAYS [crash-part]\n",
+             stderr);
       return 2;
     }
   net = atoi (argv[1]);
