--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -399,7 +399,7 @@
                                            [ADAPTER_PREFILL_ONLY] = "prompt",
                                            [ADAPTER_RELAY] = "relay" };
 
-/* Logs which parts of a prompt were in progress at a runner that broke off.  */
+/* Logs which parts of a prompt were in progress at a runner that broke off. */
 static void
 log_broken (const struct gw_call *call)
 {
@@ -410,13 +410,12 @@
   for (i = 0; i < prompt->n_blocks; i++)
     g_string_append_printf (parts, "%s%" G_GINT64_MODIFIER "x", i ? "," : "",
                             prompt->blocks[i].id);
-  event_log_write ("broken", call->in.id,
-                   "\"runner\":\"%s\",\"phase\":\"%s\",\"last_event\":"
-                   "%" G_GUINT64_FORMAT ",\"ms\":%" G_GINT64_FORMAT
-                   ",\"parts\":\"%s\"",
-                   call->runner->entry.id, phase_names[call->phase],
-                   call->last_event, (gw_now (call->gw) - call->sent) / 1000,
-                   parts->str);
+  event_log_write (
+      "broken", call->in.id,
+      "\"runner\":\"%s\",\"phase\":\"%s\",\"last_event\":"
+      "%" G_GUINT64_FORMAT ",\"ms\":%" G_GINT64_FORMAT ",\"parts\":\"%s\"",
+      call->runner->entry.id, phase_names[call->phase], call->last_event,
+      (gw_now (call->gw) - call->sent) / 1000, parts->str);
   g_string_free (parts, TRUE);
 }
 
--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -655,6 +655,17 @@
   tmr_add (tmr, WORK_US, 0, job_step, job);
 }
 
+static void
+prompt_read (struct runner *r, uint64_t conn, const struct record *record)
+{
+  static const char handle[] = "{\"handle\":\"h1\"}";
+  char *text
+      = g_strdup_printf ("X-Goldcresthatch-Request-Id: %s\r\n", record->id);
+
+  http_server_respond (r->srv, conn, 200, text, handle, strlen (handle));
+  g_free (text);
+}
+
 /* Answers the calls that aren't requests.  Returns 0 for a request.  */
 static int
 runner_page (struct runner *r, uint64_t conn, const struct http_head *head)
@@ -720,7 +731,7 @@
     http_server_respond (r->srv, conn, 503, refusal, "", 0);
   else if (http_str_equal (http_head_get (head, "x-goldcresthatch-stage"),
                            "prefill"))
-    http_server_respond (r->srv, conn, 200, NULL, "{\"handle\":\"h1\"}", 15);
+    prompt_read (r, conn, record);
   else
     run (r, conn, record, head);
 }
