Keep requests from runners whose prompts have a part that crashes them

Cause: the gateways kept no evidence of what was in progress at a runner that ended. Nothing that was kept (the excluded runners of a call, the back-off of a runner) carries over to the next request, which is new as a whole and has only a part of its prompt in common with the ones before.

Change: quarantine_ judges parts by the ends of runners and by answers, crashfeed_ exchanges the evidence between gateways, gw_quarantine holds the verdicts against requests where a runner is chosen, and keeps them in the store for gateways that start. A gateway takes requests once it has read them there.

--- a/src/adapter.h
+++ b/src/adapter.h
@@ -18,6 +18,11 @@
 #include "lb.h"
 #include "routing.h"
 
+enum
+{
+  ADAPTER_PARTS_MAX = 64 /* parts of a prompt that are told apart */
+};
+
 /* Decoded header of a client's request.  */
 struct adapter_request
 {
@@ -25,6 +30,10 @@
   int64_t budget_ms; /* time that the client waits; 0: not given */
   int has_prompt;
   struct lb_prompt prompt;
+  /* Parts of the prompt that other requests may have in common with it: all
+     but the last one.  */
+  uint64_t parts[ADAPTER_PARTS_MAX];
+  size_t n_parts;
   uint64_t last_event; /* the stream resumes after it; 0: from the start */
 };
 
--- a/src/gw.h
+++ b/src/gw.h
@@ -33,6 +33,8 @@
 struct gw_stage;
 struct gw_peers;
 struct gw_relay;
+struct gw_quarantine;
+struct quarantine;
 
 /* Demand for each stage, as the number of engines that it keeps busy.  */
 struct gw_demand
@@ -74,6 +76,7 @@
   uint64_t datagrams_sent;
   uint64_t datagrams_received;
   uint64_t datagrams_malformed;
+  uint64_t parts_quarantined;
 };
 
 enum
@@ -103,6 +106,7 @@
   struct gw_stage *stage;
   struct gw_peers *peers;
   struct gw_relay *relay;
+  struct gw_quarantine *quarantine;
   uint64_t seed; /* state of the random number generator */
   int stopping;
   int64_t stop_at;            /* when the process exits at the latest */
@@ -165,6 +169,8 @@
    first few gateways are ready to take over leadership; the others look for a
    vacancy less often.  */
 void gw_stage_set_rank (struct gw *gw, size_t place);
+/* Returns nonzero when this gateway is one of those ready to take over.  */
+int gw_stage_is_standby (const struct gw *gw);
 /* Adds a prompt with UNCACHED_TOKENS to the prefill demand, whether or
    not the request is admitted.  */
 void gw_stage_note_demand (struct gw *gw, double uncached_tokens);
@@ -206,6 +212,43 @@
 /* Returns the number of homes of sums that don't reply.  */
 size_t gw_peers_silent (const struct gw *gw);
 
+/* Returns another gateway chosen at random, or 0 when there is none.  */
+uint64_t gw_peers_any (struct gw *gw);
+/* Sends a datagram to the gateway TO, or to all others if it is 0.  */
+void gw_peers_send (struct gw *gw, uint64_t to, const char *data, size_t size);
+
+/* gw_quarantine.c: prompt parts that crash runners */
+struct gw_quarantine *gw_quarantine_new (struct gw *gw);
+/* Reads the verdicts in the store.  */
+void gw_quarantine_load (struct gw *gw);
+/* Returns nonzero once they have been read.  */
+int gw_quarantine_is_loaded (const struct gw *gw);
+/* Notes that the connection of REQUEST to RUNNER broke before its answer, or
+   early in it.  If the runner has ended, that is evidence against the parts of
+   the prompt.  */
+void gw_quarantine_note_broken (struct gw *gw, struct pool_runner *runner,
+                                const struct adapter_request *request);
+/* Notes whether a connection to RUNNER, opened at STARTED, was accepted.  */
+void gw_quarantine_note_probe (struct gw *gw, struct pool_runner *runner,
+                               int64_t started, int reached);
+/* Notes that a runner has answered REQUEST.  */
+void gw_quarantine_note_answer (struct gw *gw,
+                                const struct adapter_request *request);
+/* Returns the milliseconds for which a part of REQUEST remains in quarantine,
+   or 0.  */
+int64_t gw_quarantine_left_ms (const struct gw *gw,
+                               const struct adapter_request *request);
+/* Returns the evidence known here.  */
+const struct quarantine *gw_quarantine_table (const struct gw *gw);
+/* Handles a datagram of another gateway.  Returns 0, or -1 with ERR when it is
+   malformed.  */
+int gw_quarantine_receive (struct gw *gw, const char *data, size_t size,
+                           struct err *err);
+
+/* gw_probe.c */
+/* Opens a connection to RUNNER to see whether it is up.  */
+void gw_probe_runner (struct gw *gw, struct pool_runner *runner);
+
 /* gw_page.c: HTTP pages with readiness and metrics */
 int gw_pages_open (struct gw *gw, struct err *err);
 
--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -330,6 +330,21 @@
   return where->zone;
 }
 
+/* Ends a call that has a part in quarantine.  Returns 0 when it has none.  */
+static int
+reject_quarantined (struct gw_call *call)
+{
+  int64_t left_ms = gw_quarantine_left_ms (call->gw, &call->in);
+
+  if (left_ms == 0)
+    return 0;
+  if (reqstate_status (&call->reqstate, 0) == 503)
+    answer_failure (call, 503, left_ms, "part in quarantine");
+  else
+    gw_call_fail (call, 0, "part in quarantine");
+  return 1;
+}
+
 void
 gw_call_dispatch (struct gw_call *call)
 {
@@ -341,6 +356,8 @@
           .n_excluded = call->n_excluded };
   struct lb_choice choice = { NULL, 0, 0, 0 };
 
+  if (reject_quarantined (call))
+    return;
   /* A runner resets connections beyond its limit, which covers all callers:
      each gateway uses an equal part of it.  */
   if (call->service != NULL)
@@ -404,7 +421,7 @@
       answer_without_call (request_listener, conn, NULL, 400, "malformed");
       return;
     }
-  if (gw->table == NULL)
+  if (gw->table == NULL || !gw_quarantine_is_loaded (gw))
     {
       answer_without_call (request_listener, conn, in.id, 503,
                            "no configuration yet");
--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -53,6 +53,8 @@
   size_t discarded; /* bytes of its body that are not forwarded at all */
   int streaming;
   int64_t answer_began; /* time of the first byte, while STREAMING */
+  int64_t first_event;  /* time of the first event of this send, or 0 */
+  int answer_noted;     /* this send speaks for the parts of the prompt */
   /* KV handle that no decode engine has fetched yet.  */
   char kv_handle[128];        /* "IP:PORT/HANDLE" or empty */
   struct pool_runner *source; /* engine that ran the prefill */
--- a/src/gw_page.c
+++ b/src/gw_page.c
@@ -1,5 +1,6 @@
 /* HTTP pages with readiness and metrics.  */
 #include "gw.h"
+#include "quarantine.h"
 
 static void
 on_ready (void *ctx, uint64_t conn, const struct http_head *head,
@@ -40,6 +41,9 @@
     { "datagrams_sent_total", gw->counts.datagrams_sent },
     { "datagrams_received_total", gw->counts.datagrams_received },
     { "datagrams_malformed_total", gw->counts.datagrams_malformed },
+    { "parts_quarantined_total", gw->counts.parts_quarantined },
+    { "parts_in_quarantine",
+      quarantine_count (gw_quarantine_table (gw), tmr_now (gw->tmr)) },
     { "active_requests", gw->active },
     { "client_connections",
       http_server_connections (
--- a/src/gw_peers.c
+++ b/src/gw_peers.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "crashfeed.h"
 #include "fleetsum.h"
 #include "goldcresthatch/settings.h"
 #include "gw.h"
@@ -257,6 +258,38 @@
   g_array_free (all, TRUE);
 }
 
+uint64_t
+gw_peers_any (struct gw *gw)
+{
+  GHashTable *addresses = gw->peers->addresses;
+  guint n = g_hash_table_size (addresses);
+  guint skip = n > 0 ? (guint)(gw_random (gw) % n) : 0;
+  GHashTableIter iter;
+  gpointer id;
+
+  g_hash_table_iter_init (&iter, addresses);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    if (skip-- == 0)
+      return *(const uint64_t *)id;
+  return 0;
+}
+
+void
+gw_peers_send (struct gw *gw, uint64_t to, const char *data, size_t size)
+{
+  GHashTableIter iter;
+  gpointer id;
+
+  if (to != 0)
+    {
+      send_datagram (gw, to, data, size);
+      return;
+    }
+  g_hash_table_iter_init (&iter, gw->peers->addresses);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    send_datagram (gw, *(const uint64_t *)id, data, size);
+}
+
 /* Passes a datagram on to the gateways that follow this one.  */
 static void
 send_to_followers (void *ctx, const char *data, size_t size)
@@ -311,6 +344,8 @@
   if (fleetfeed_is_datagram (buf->base, (size_t)n))
     rc = fleetfeed_receive (gw->peers->feeds, buf->base, (size_t)n,
                             gw_now (gw), on_notice, gw, &err);
+  else if (crashfeed_is_datagram (buf->base, (size_t)n))
+    rc = gw_quarantine_receive (gw, buf->base, (size_t)n, &err);
   else
     rc = fleetsum_receive (gw->peers->sums, buf->base, (size_t)n, gw_now (gw),
                            &err);
--- a/src/gw_probe.c
+++ b/src/gw_probe.c
@@ -18,6 +18,7 @@
 {
   struct gw *gw;
   struct pool_runner *runner;
+  int64_t started;
   uv_tcp_t tcp;
   uv_connect_t connect;
   uint64_t timer;
@@ -34,6 +35,7 @@
 {
   struct gw *gw = probe->gw;
   struct pool_runner *runner = probe->runner;
+  int64_t started = probe->started;
   int64_t now = gw_now (gw);
 
   tmr_cancel (gw->tmr, probe->timer);
@@ -49,6 +51,7 @@
     }
   probe->runner = NULL;
   uv_close ((uv_handle_t *)&probe->tcp, on_closed);
+  gw_quarantine_note_probe (gw, runner, started, reached);
 }
 
 static void
@@ -67,8 +70,8 @@
   probe_end (ctx, 0);
 }
 
-static void
-probe_start (struct gw *gw, struct pool_runner *runner)
+void
+gw_probe_runner (struct gw *gw, struct pool_runner *runner)
 {
   struct sockaddr_in address;
   struct probe *probe;
@@ -79,6 +82,7 @@
   probe = g_new0 (struct probe, 1);
   probe->gw = gw;
   probe->runner = runner;
+  probe->started = gw_now (gw);
   runner->probing = 1;
   runner->references++;
   uv_tcp_init (&gw->loop, &probe->tcp);
@@ -104,7 +108,7 @@
       gw_send_break (call);
       return;
     }
-  probe_start (gw, call->runner);
+  gw_probe_runner (gw, call->runner);
   if (now < call->deadline)
     call->silence_timer = tmr_add (gw->tmr, gw_ms_to_us (CONNECT_MS) + 1000, 0,
                                    on_silence, call);
--- /dev/null
+++ b/src/gw_quarantine.c
@@ -0,0 +1,309 @@
+/* Prompt parts that crash runners: evidence from this gateway's own sends, and
+   verdicts kept in the store for gateways that start.  */
+#include <inttypes.h>
+#include <string.h>
+
+#include "crashfeed.h"
+#include "fleetsum.h"
+#include "gw.h"
+
+#define STORE_PREFIX "quarantine/"
+
+enum
+{
+  ANSWERED_MAX = 20000, /* answered parts that are remembered; about 3 MB */
+  LIST_RETRY_MS = 200,
+  PENDING_MAX = 4096
+};
+
+/* A request that was in progress at a runner that may have ended.  */
+struct pending
+{
+  struct pool_runner *runner;
+  uint64_t key;
+  int64_t at_us;
+};
+
+struct gw_quarantine
+{
+  struct crashfeed *feed;
+  GArray *pending; /* struct pending */
+  int loading;     /* the verdicts in the store aren't read yet */
+  char *after;     /* last key of the page before */
+};
+
+static void
+log_verdict (uint64_t key)
+{
+  event_log_write ("quarantined", NULL,
+                   "\"part\":\"%" PRIx64 "\",\"for_ms\":%" PRId64, key,
+                   QUARANTINE_HOLD_US / 1000);
+}
+
+void
+gw_quarantine_note_broken (struct gw *gw, struct pool_runner *runner,
+                           const struct adapter_request *request)
+{
+  struct gw_quarantine *quarantine = gw->quarantine;
+  size_t i;
+
+  for (i = 0; i < request->n_parts; i++)
+    {
+      struct pending pending = { runner, request->parts[i], gw_now (gw) };
+      if (quarantine->pending->len >= PENDING_MAX)
+        break;
+      runner->references++;
+      g_array_append_val (quarantine->pending, pending);
+    }
+  if (i > 0)
+    gw_probe_runner (gw, runner);
+}
+
+void
+gw_quarantine_note_probe (struct gw *gw, struct pool_runner *runner,
+                          int64_t started, int reached)
+{
+  GArray *pending = gw->quarantine->pending;
+  GArray *found
+      = g_array_new (FALSE, FALSE, sizeof (struct quarantine_evidence));
+  int probe_again = 0;
+  guint i = 0;
+
+  while (i < pending->len)
+    {
+      const struct pending *at = &g_array_index (pending, struct pending, i);
+      struct quarantine_evidence evidence
+          = { at->key, runner->hash, gw_now (gw) - at->at_us };
+      if (at->runner != runner)
+        {
+          i++;
+          continue;
+        }
+      /* A connection opened before the break says nothing.  */
+      if (reached && at->at_us > started)
+        {
+          probe_again = 1;
+          i++;
+          continue;
+        }
+      runner->references--;
+      g_array_remove_index_fast (pending, i);
+      if (!reached)
+        g_array_append_val (found, evidence);
+    }
+  crashfeed_add (gw->quarantine->feed,
+                 (const struct quarantine_evidence *)(void *)found->data,
+                 found->len, gw_now (gw));
+  g_array_free (found, TRUE);
+  if (probe_again)
+    gw_probe_runner (gw, runner);
+}
+
+void
+gw_quarantine_note_answer (struct gw *gw,
+                           const struct adapter_request *request)
+{
+  struct quarantine_evidence answers[ADAPTER_PARTS_MAX];
+  size_t i;
+
+  for (i = 0; i < request->n_parts; i++)
+    answers[i] = (struct quarantine_evidence){ request->parts[i], 0, 0 };
+  crashfeed_add (gw->quarantine->feed, answers, i, gw_now (gw));
+}
+
+int64_t
+gw_quarantine_left_ms (const struct gw *gw,
+                       const struct adapter_request *request)
+{
+  const struct quarantine *table = crashfeed_table (gw->quarantine->feed);
+  int64_t left = 0;
+  size_t i;
+
+  for (i = 0; i < request->n_parts; i++)
+    left = MAX (left, quarantine_left_us (table, request->parts[i],
+                                          tmr_now (gw->tmr)));
+  return (left + 999) / 1000;
+}
+
+const struct quarantine *
+gw_quarantine_table (const struct gw *gw)
+{
+  return crashfeed_table (gw->quarantine->feed);
+}
+
+int
+gw_quarantine_receive (struct gw *gw, const char *data, size_t size,
+                       struct err *err)
+{
+  return crashfeed_receive (gw->quarantine->feed, data, size, gw_now (gw),
+                            err);
+}
+
+/* A verdict that is being written to the store.  */
+struct verdict
+{
+  struct gw *gw;
+  uint64_t key;
+  uint64_t lease;
+};
+
+static void
+on_ended (void *ctx, const struct store_reply *reply)
+{
+  struct gw *gw = ctx;
+
+  (void)reply;
+  gw->counts.store_calls++;
+}
+
+static void
+on_stored (void *ctx, const struct store_reply *reply)
+{
+  struct verdict *verdict = ctx;
+  struct gw *gw = verdict->gw;
+
+  gw->counts.store_calls++;
+  /* Another gateway has written it.  */
+  if (reply->rc == STORE_CONFLICT)
+    gw->store_api->end (gw->store_ctx, verdict->lease, on_ended, gw);
+  g_free (verdict);
+}
+
+static void
+on_granted (void *ctx, const struct store_reply *reply)
+{
+  struct verdict *verdict = ctx;
+  struct gw *gw = verdict->gw;
+  char key[sizeof STORE_PREFIX + 16];
+
+  gw->counts.store_calls++;
+  if (reply->rc != STORE_OK)
+    {
+      g_free (verdict);
+      return;
+    }
+  verdict->lease = reply->lease;
+  g_snprintf (key, sizeof key, STORE_PREFIX "%016" PRIx64, verdict->key);
+  gw->store_api->put (gw->store_ctx, key, 0, "1", 1, verdict->lease, on_stored,
+                      verdict);
+}
+
+static void
+store_verdict (struct gw *gw, uint64_t key)
+{
+  struct verdict *verdict;
+
+  /* A few gateways are enough, and the store bears few writes.  */
+  if (gw->store_api == NULL || !gw_stage_is_standby (gw))
+    return;
+  verdict = g_new0 (struct verdict, 1);
+  verdict->gw = gw;
+  verdict->key = key;
+  gw->store_api->grant (gw->store_ctx, QUARANTINE_HOLD_US / 1000, on_granted,
+                        verdict);
+}
+
+static void
+on_convicted (void *ctx, uint64_t key)
+{
+  struct gw *gw = ctx;
+
+  gw->counts.parts_quarantined++;
+  log_verdict (key);
+  store_verdict (gw, key);
+}
+
+static void list (struct gw *gw);
+
+static void
+on_list_retry (void *ctx, int64_t now)
+{
+  (void)now;
+  list (ctx);
+}
+
+static void
+on_listed (void *ctx, const struct store_reply *reply)
+{
+  struct gw *gw = ctx;
+  struct gw_quarantine *quarantine = gw->quarantine;
+  size_t i;
+
+  gw->counts.store_calls++;
+  if (reply->rc != STORE_OK)
+    {
+      tmr_add (gw->tmr, gw_ms_to_us (LIST_RETRY_MS), 0, on_list_retry, gw);
+      return;
+    }
+  for (i = 0; i < reply->n_items; i++)
+    {
+      const char *name = reply->items[i].key + strlen (STORE_PREFIX);
+      uint64_t key = g_ascii_strtoull (name, NULL, 16);
+      crashfeed_hold (quarantine->feed, key, gw_now (gw));
+      log_verdict (key);
+    }
+  if (reply->more && reply->n_items > 0)
+    {
+      g_free (quarantine->after);
+      quarantine->after = g_strdup (reply->items[reply->n_items - 1].key);
+      list (gw);
+      return;
+    }
+  g_clear_pointer (&quarantine->after, g_free);
+  quarantine->loading = 0;
+}
+
+static void
+list (struct gw *gw)
+{
+  gw->store_api->list (gw->store_ctx, STORE_PREFIX, gw->quarantine->after, 0,
+                       on_listed, gw);
+}
+
+void
+gw_quarantine_load (struct gw *gw)
+{
+  gw->quarantine->loading = 1;
+  list (gw);
+}
+
+int
+gw_quarantine_is_loaded (const struct gw *gw)
+{
+  return !gw->quarantine->loading;
+}
+
+static void
+send_datagram (void *ctx, uint64_t to, const char *data, size_t size)
+{
+  gw_peers_send (ctx, to, data, size);
+}
+
+static uint64_t
+any_gateway (void *ctx)
+{
+  return gw_peers_any (ctx);
+}
+
+static void
+on_tick (void *ctx, int64_t now)
+{
+  struct gw *gw = ctx;
+
+  crashfeed_tick (gw->quarantine->feed, now);
+}
+
+struct gw_quarantine *
+gw_quarantine_new (struct gw *gw)
+{
+  static const struct crashfeed_ops ops
+      = { send_datagram, any_gateway, on_convicted };
+  struct gw_quarantine *quarantine = g_new0 (struct gw_quarantine, 1);
+
+  gw->quarantine = quarantine;
+  quarantine->feed
+      = crashfeed_new (fleetsum_id (gw->set.node), ANSWERED_MAX, &ops, gw);
+  quarantine->pending = g_array_new (FALSE, FALSE, sizeof (struct pending));
+  tmr_add (gw->tmr, CRASHFEED_TICK_US, CRASHFEED_TICK_US, on_tick, gw);
+  return quarantine;
+}
--- a/src/gw_run.c
+++ b/src/gw_run.c
@@ -350,6 +350,7 @@
   gw.lb = lb_new (&lb_speed_default, CACHE_ENTRIES_MAX);
   gw.budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   gw.processes = PROCESSES_DEFAULT;
+  gw_quarantine_new (&gw);
   start_loop (&gw, &driver, opts.settings);
   if (open_listeners (&gw, &err) != 0 || gw_pages_open (&gw, &err) != 0
       || gw_peers_open (&gw, &err) != 0)
@@ -364,6 +365,7 @@
   gw_relay_new (&gw);
   gw_stage_new (&gw);
   gw_sync_new (&gw);
+  gw_quarantine_load (&gw);
   uv_run (&gw.loop, UV_RUN_DEFAULT);
   return 0;
 }
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -15,7 +15,10 @@
   ANSWER_BUFFER_BYTES = 256 * 1024,
   PROMPT_ANSWER_MAX_BYTES = 64 * 1024, /* it holds a handle and two numbers */
   FREE_ANSWER_MAX_BYTES = 64 * 1024,   /* of a freed handle; it is ignored */
-  FREE_ANSWER_MS = 2000
+  FREE_ANSWER_MS = 2000,
+  /* A runner that crashes under a request may have begun to answer it this
+     long before.  */
+  CRASH_DELAY_MS = 200
 };
 
 /* Removes the prompt from the runner's queue: its prefill has ended.  */
@@ -283,13 +286,28 @@
                               call->answer.status, call->fields->str, -1);
 }
 
+/* Notes once for each send that the runner has survived its answer so far.  */
+static void
+note_survived (struct gw_call *call)
+{
+  if (call->answer_noted || call->phase != ADAPTER_WHOLE)
+    return;
+  call->answer_noted = 1;
+  gw_quarantine_note_answer (call->gw, &call->in);
+}
+
 static void
 pass_events (struct gw_call *call)
 {
   size_t n = whole_events (call->data->str, call->data->len);
+  int64_t now = gw_now (call->gw);
 
   if (n == 0)
     return;
+  if (call->first_event == 0)
+    call->first_event = now;
+  else if (now - call->first_event >= gw_ms_to_us (CRASH_DELAY_MS))
+    note_survived (call);
   if (!call->streaming)
     start_answer (call);
   note_events (call, call->data->str, n);
@@ -419,6 +437,14 @@
   g_string_free (parts, TRUE);
 }
 
+static void
+note_broken (struct gw_call *call)
+{
+  log_broken (call);
+  if (call->phase != ADAPTER_RELAY && !call->answer_noted)
+    gw_quarantine_note_broken (call->gw, call->runner, &call->in);
+}
+
 static void
 prompt_done (struct gw_call *call, enum http_client_result end)
 {
@@ -523,7 +549,7 @@
 
   note_send_end (call);
   if (end == HTTP_CLIENT_BROKEN)
-    log_broken (call);
+    note_broken (call);
   if (call->phase == ADAPTER_PREFILL_ONLY)
     {
       prompt_done (call, end);
@@ -576,6 +602,8 @@
     {
       pool_note_answer (runner, now - call->sent, now);
       note_kv_transfer (call, 1);
+      if (call->answer.stamped)
+        note_survived (call);
     }
   if (call->answer.status < 300 && !call->answer.stamped)
     {
@@ -620,6 +648,8 @@
     return -1;
   memset (&call->answer, 0, sizeof call->answer);
   call->discarded = 0;
+  call->first_event = 0;
+  call->answer_noted = 0;
   if (call->data != NULL)
     g_string_truncate (call->data, 0);
   if (!call->first_send_counted && phase != ADAPTER_RELAY)
--- a/src/gw_stage.c
+++ b/src/gw_stage.c
@@ -434,6 +434,12 @@
                       STANDBY_MAX);
 }
 
+int
+gw_stage_is_standby (const struct gw *gw)
+{
+  return gw->stage->standby;
+}
+
 void
 gw_stage_note_demand (struct gw *gw, double uncached_tokens)
 {
--- a/src/gw_sync.c
+++ b/src/gw_sync.c
@@ -554,5 +554,6 @@
 gw_is_ready (const struct gw *gw)
 {
   return !gw->stopping && gw->table != NULL && gw->sync != NULL
-         && gw->sync->feeds[FEED_RUNNERS].listed;
+         && gw->sync->feeds[FEED_RUNNERS].listed
+         && gw_quarantine_is_loaded (gw);
 }
--- a/tests/unit_gw_call.cc
+++ b/tests/unit_gw_call.cc
@@ -11,6 +11,7 @@
 {
 #include "gw.h"
 #include "pf.h"
+#include "quarantine.h"
 }
 
 using namespace raw_socket;
@@ -51,6 +52,7 @@
     gw_peers_open (&gw, nullptr);
     gw_relay_new (&gw);
     gw_stage_new (&gw);
+    gw_quarantine_new (&gw);
     struct gw_listener *request_listener
         = &gw.request_listeners[GW_LISTENER_CLIENTS];
     request_listener->gw = &gw;
@@ -762,4 +764,63 @@
     }
 }
 
+// Guards against a part that crashes runners being sent on by a gateway that
+// was only told of it, and against a refusal that isn't true.
+TEST_F (GatewayCall, PartInQuarantineIsRefused)
+{
+  // Three ends of runners under the part 0xbad, 2 s apart.
+  const std::string told ("\x94\x04\x01\x00\x93"
+                          "\x93\xcd\x0b\xad\x01\xcd\x0f\xa0"
+                          "\x93\xcd\x0b\xad\x02\xcd\x07\xd0"
+                          "\x93\xcd\x0b\xad\x03\x00",
+                          5 + 8 + 8 + 6);
+  const std::string prompt = "X-Goldcresthatch-Token-Count: 30,4\r\n"
+                             "X-Goldcresthatch-Prompt-Prefix: a:10,bad:10,";
+  int fd;
+  runner (0, "llm", POOL_STAGE_DECODE);
+  ASSERT_EQ (gw_quarantine_receive (&gw, told.data (), told.size (), nullptr),
+             0);
+  send_request ("/chat/1", prompt + "c:10\r\n");
+  EXPECT_TRUE (client_has ("HTTP/1.1 503"));
+  EXPECT_NE (got.find ("Retry-After: 300.000"), std::string::npos);
+  EXPECT_EQ (accept (listeners[0], nullptr, nullptr), -1);
+  close (client);
+  // The last part is the request's own and is not held against it.
+  got.clear ();
+  send_request ("/chat/1", "X-Goldcresthatch-Token-Count: 20,4\r\n"
+                           "X-Goldcresthatch-Prompt-Prefix: a:10,bad:10\r\n");
+  EXPECT_NE (receive_at_runner (0, &fd).find ("bad:10"), std::string::npos);
+  close (fd);
+}
+
+// Guards against evidence that counts a broken connection of a runner that is
+// up, and against none when it has ended.
+TEST_F (GatewayCall, OnlyTheEndOfARunnerIsEvidence)
+{
+  const std::string prompt = "X-Goldcresthatch-Token-Count: 20,4\r\n"
+                             "X-Goldcresthatch-Prompt-Prefix: a:10,b:10\r\n";
+  const struct quarantine *table = gw_quarantine_table (&gw);
+  int fd;
+  runner (0, "llm", POOL_STAGE_DECODE);
+  send_request ("/chat/1", prompt);
+  receive_at_runner (0, &fd);
+  close (fd);
+  EXPECT_TRUE (client_has ("HTTP/1.1 502"));
+  run_until (&gw.loop, [&] { return !pool_at (gw.runner_pool, 0)->probing; });
+  EXPECT_EQ (quarantine_crashes (table, 0xa), 0U);
+  close (client);
+  got.clear ();
+  send_request ("/chat/1", prompt);
+  while ((fd = accept (listeners[0], nullptr, nullptr)) >= 0)
+    close (fd);
+  receive_at_runner (0, &fd);
+  close (listeners[0]);
+  listeners[0] = -1;
+  close (fd);
+  EXPECT_TRUE (client_has ("HTTP/1.1 502"));
+  EXPECT_TRUE (run_until (
+      &gw.loop, [&] { return quarantine_crashes (table, 0xa) == 1; }));
+  EXPECT_EQ (quarantine_crashes (table, 0xb), 0U);
+}
+
 }
--- a/tests/unit_gw_sync.cc
+++ b/tests/unit_gw_sync.cc
@@ -71,6 +71,7 @@
     ASSERT_EQ (gw_peers_open (&gw, nullptr), 0);
     gw_relay_new (&gw);
     gw_stage_new (&gw);
+    gw_quarantine_new (&gw);
   }
 
   void
