Take a stream that ends inside an event for broken off

Callers got a stream as whole, with the first bytes of an event at its end, when a runner broke off an answer that has neither a length nor chunks: such an answer ends with its connection, and a crash ends that too. What a crash cut off was also no evidence against the part that had caused it.

Cause: only the framing of HTTP told whether an answer is whole. Change: a stream with bytes after its last whole event is broken off, and so is one without length and chunks before the first event; it is resumed, cut or answered 502 as if its connection had broken.

GatewayCall.StreamThatEndsInsideAnEvent* failed before: the end of the chunks came after "id: 2", status 200 before the first event, and no resumption.

--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -44,6 +44,7 @@
   enum adapter_phase phase;
   struct pool_runner *runner; /* or the gateway it is relayed to */
   int closing;                /* the answer has "Connection: close" */
+  int unframed;               /* it has neither a length nor chunks */
   double queued_tokens;       /* prompt tokens added to the runner's queue */
   int64_t sent;
   uint64_t silence_timer; /* until the answer begins, or 0 */
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -231,6 +231,8 @@
   note_prefill_end (call);
   call->closing
       = http_str_equal_nocase (http_head_get (head, "connection"), "close");
+  call->unframed = http_head_get (head, "content-length").p == NULL
+                   && http_head_get (head, "transfer-encoding").p == NULL;
   if (call->streaming)
     return HTTP_CLIENT_ACCEPT;
   if (call->fields == NULL)
@@ -337,13 +339,32 @@
   gw_send_break (call);
 }
 
+/* Returns nonzero when the answer in progress is a stream of events.  */
+static int
+is_event_stream (const struct gw_call *call)
+{
+  return call->phase != ADAPTER_PREFILL_ONLY
+         && call->route->kind == ROUTING_STREAM && call->answer.status == 200
+         && call->answer.stamped;
+}
+
+/* Returns nonzero when a stream has ended before its end: inside an event or,
+   if only the end of the connection ends it, before the first one.  */
+static int
+is_cut_off (const struct gw_call *call)
+{
+  if (!is_event_stream (call))
+    return 0;
+  return strspn (call->data->str, "\r\n") < call->data->len
+         || (call->unframed && call->first_event == 0
+             && call->last_event == call->in.last_event);
+}
+
 static void
 on_body (void *ctx, const char *data, size_t size)
 {
   struct gw_call *call = ctx;
-  int is_stream = call->phase != ADAPTER_PREFILL_ONLY
-                  && call->route->kind == ROUTING_STREAM
-                  && call->answer.status == 200 && call->answer.stamped;
+  int is_stream = is_event_stream (call);
 
   /* The body of a refusal to resume a stream isn't part of the stream.  */
   if (call->streaming && (!call->answer.stamped || call->answer.status != 200))
@@ -548,6 +569,8 @@
   int64_t now = gw_now (gw);
 
   note_send_end (call);
+  if (end == HTTP_CLIENT_COMPLETE && is_cut_off (call))
+    end = HTTP_CLIENT_BROKEN;
   if (end == HTTP_CLIENT_BROKEN)
     note_broken (call);
   if (call->phase == ADAPTER_PREFILL_ONLY)
--- a/tests/unit_gw_call.cc
+++ b/tests/unit_gw_call.cc
@@ -109,7 +109,8 @@
     return t;
   }
 
-  void
+  // Returns the runner I, which listens at a new address.
+  struct pool_runner *
   runner (int i, const char *service, enum pool_stage stage = POOL_STAGE_ANY)
   {
     struct pool_entry e = {};
@@ -122,6 +123,7 @@
     e.slots = 8;
     e.stage = stage;
     pool_put (gw.runner_pool, &e, 1);
+    return pool_at (gw.runner_pool, pool_count (gw.runner_pool) - 1);
   }
 
   void
@@ -764,6 +766,58 @@
     }
 }
 
+// Guards against a stream that a runner broke off and that looks complete: one
+// without a length or chunks ends with its connection.
+TEST_F (GatewayCall, StreamThatEndsInsideAnEventIsBrokenOff)
+{
+  const struct
+  {
+    std::string sent;
+    const char *received; // at the end
+  } rows[] = { { event1 + event2, "\r\n0\r\n\r\n" },
+               { event1 + "id: 2\nda", nullptr },
+               // Before the first event the status can still tell.
+               { "id: 1\nda", "HTTP/1.1 502" },
+               { "", "HTTP/1.1 502" } };
+  for (const auto &row : rows)
+    {
+      int fd;
+      SCOPED_TRACE (row.sent);
+      pool_note_answer (runner (0, "llm"), 1, gw_now (&gw));
+      send_request ("/chat/1");
+      receive_at_runner (0, &fd);
+      put (fd, head (200, stamp + std::string ("\r\n")) + row.sent);
+      close (fd);
+      EXPECT_TRUE (row.received != nullptr ? client_has (row.received)
+                                           : client_closed ());
+      EXPECT_EQ (got.find ("id: 2") != std::string::npos,
+                 row.sent == event1 + event2);
+      EXPECT_EQ (got.find ("\r\n0\r\n\r\n") != std::string::npos,
+                 row.sent == event1 + event2);
+      close (client);
+      got.clear ();
+      close (listeners[0]);
+    }
+}
+
+// Guards against the loss of the rest of a stream that may be resumed.
+TEST_F (GatewayCall, StreamThatEndsInsideAnEventIsResumed)
+{
+  int fd;
+  runner (0, "llm");
+  runner (1, "llm");
+  send_request ("/check/1");
+  receive_at_runner (0, &fd);
+  put (fd, head (200, stamp + std::string ("\r\n")) + event1 + "id: 2\nda");
+  close (fd);
+  EXPECT_NE (receive_at_runner (1, &fd).find ("Last-Event-Id: 1\r\n"),
+             std::string::npos);
+  put (fd, head (200, stamp + std::string ("\r\n")) + event2);
+  close (fd);
+  EXPECT_TRUE (client_has ("\r\n0\r\n\r\n"));
+  EXPECT_NE (got.find (chunk (event1) + chunk (event2)), std::string::npos);
+}
+
 // Guards against a part that crashes runners being sent on by a gateway that
 // was only told of it, and against a refusal that isn't true.
 TEST_F (GatewayCall, PartInQuarantineIsRefused)
