Quarantine single requests that crash runners when they are sent again

Change: a hash of method, path and body is judged like a part of a prompt, at all services. At plain services no connection is opened to see whether the runner has ended: the next request to it tells, or the registry.

GatewayCall.RequestThatCrashesRunnersIsRefused failed before: the fourth send reached a runner. The fixture's runners now have a start of their own each, as lifetimes have; no check is changed.

--- a/src/gw.h
+++ b/src/gw.h
@@ -76,7 +76,7 @@
   uint64_t datagrams_sent;
   uint64_t datagrams_received;
   uint64_t datagrams_malformed;
-  uint64_t parts_quarantined;
+  uint64_t quarantined;
 };
 
 enum
@@ -217,27 +217,18 @@
 /* Sends a datagram to the gateway TO, or to all others if it is 0.  */
 void gw_peers_send (struct gw *gw, uint64_t to, const char *data, size_t size);
 
-/* gw_quarantine.c: prompt parts that crash runners */
+/* gw_quarantine.c: requests and prompt parts that crash runners */
 struct gw_quarantine *gw_quarantine_new (struct gw *gw);
 /* Reads the verdicts in the store.  */
 void gw_quarantine_load (struct gw *gw);
 /* Returns nonzero once they have been read.  */
 int gw_quarantine_is_loaded (const struct gw *gw);
-/* Notes that the connection of REQUEST to RUNNER broke before its answer, or
-   early in it.  If the runner has ended, that is evidence against the parts of
-   the prompt.  */
-void gw_quarantine_note_broken (struct gw *gw, struct pool_runner *runner,
-                                const struct adapter_request *request);
 /* Notes whether a connection to RUNNER, opened at STARTED, was accepted.  */
 void gw_quarantine_note_probe (struct gw *gw, struct pool_runner *runner,
                                int64_t started, int reached);
-/* Notes that a runner has answered REQUEST.  */
-void gw_quarantine_note_answer (struct gw *gw,
-                                const struct adapter_request *request);
-/* Returns the milliseconds for which a part of REQUEST remains in quarantine,
-   or 0.  */
-int64_t gw_quarantine_left_ms (const struct gw *gw,
-                               const struct adapter_request *request);
+/* Notes whether a request to RUNNER, sent at STARTED, found it there.  */
+void gw_quarantine_note_reached (struct gw *gw, struct pool_runner *runner,
+                                 int64_t started, int reached);
 /* Returns the evidence known here.  */
 const struct quarantine *gw_quarantine_table (const struct gw *gw);
 /* Handles a datagram of another gateway.  Returns 0, or -1 with ERR when it is
--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -330,18 +330,18 @@
   return where->zone;
 }
 
-/* Ends a call that has a part in quarantine.  Returns 0 when it has none.  */
+/* Ends a call that has a in quarantine.  Returns 0 when it has none.  */
 static int
 reject_quarantined (struct gw_call *call)
 {
-  int64_t left_ms = gw_quarantine_left_ms (call->gw, &call->in);
+  int64_t left_ms = gw_quarantine_left_ms (call);
 
   if (left_ms == 0)
     return 0;
   if (reqstate_status (&call->reqstate, 0) == 503)
-    answer_failure (call, 503, left_ms, "part in quarantine");
+    answer_failure (call, 503, left_ms, "in quarantine");
   else
-    gw_call_fail (call, 0, "part in quarantine");
+    gw_call_fail (call, 0, "in quarantine");
   return 1;
 }
 
@@ -384,6 +384,19 @@
     gw_call_refuse (call, NO_RUNNER_RETRY_AFTER_MS, "no connection");
 }
 
+/* Returns a number that is the same when a client sends the request again,
+   under a new id.  */
+static uint64_t
+fingerprint (const struct http_head *head, const char *body, size_t size)
+{
+  /* The hash of each part seeds the next one, so that moving bytes from one
+     part to the next changes the result.  */
+  uint64_t hash = XXH64 (head->method.p, head->method.n, 0);
+
+  hash = XXH64 (head->target.p, head->target.n, hash);
+  return XXH64 (body, size, hash);
+}
+
 /* Answers a request for which no gw_call is created.  */
 static void
 answer_without_call (struct gw_listener *request_listener, uint64_t conn,
@@ -441,6 +454,7 @@
   call->body = body;
   call->size = size;
   call->in = in;
+  call->fingerprint = fingerprint (head, body, size);
   call->table = routing_ref (gw->table);
   call->route = route;
   call->service_name
--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -29,6 +29,7 @@
   const char *body;
   size_t size;
   struct adapter_request in;
+  uint64_t fingerprint; /* of method, path and body */
   struct routing_table *table;
   const struct routing_route *route;
   const struct routing_service *service;
@@ -103,6 +104,17 @@
 /* Frees a KV handle that will not be used.  */
 void gw_send_free_handle (struct gw_call *call);
 
+/* gw_quarantine.c */
+/* Notes that the connection to the call's runner broke before the answer, or
+   early in it.  If the runner has ended, that is evidence against the request
+   and the parts of its prompt.  */
+void gw_quarantine_note_broken (struct gw_call *call);
+/* Notes that the call's runner has answered.  */
+void gw_quarantine_note_answer (struct gw_call *call);
+/* Returns the milliseconds for which the request or a part of its prompt
+   remains in quarantine, or 0.  */
+int64_t gw_quarantine_left_ms (const struct gw_call *call);
+
 /* gw_probe.c */
 /* Watches for a runner that becomes unreachable before the answer begins,
    which is expected after FIRST_BYTE_US.  The send then breaks; it must be one
--- a/src/gw_quarantine.c
+++ b/src/gw_quarantine.c
@@ -1,11 +1,11 @@
-/* Prompt parts that crash runners: evidence from this gateway's own sends, and
-   verdicts kept in the store for gateways that start.  */
+/* Requests and prompt parts that crash runners: evidence from this gateway's
+   own sends, and verdicts kept in the store for gateways that start.  */
 #include <inttypes.h>
 #include <string.h>
 
 #include "crashfeed.h"
 #include "fleetsum.h"
-#include "gw.h"
+#include "gw_call.h"
 
 #define STORE_PREFIX "quarantine/"
 
@@ -13,7 +13,9 @@
 {
   ANSWERED_MAX = 20000, /* answered parts that are remembered; about 3 MB */
   LIST_RETRY_MS = 200,
-  PENDING_MAX = 4096
+  PENDING_MAX = 4096,
+  /* The registry tells within this time that a runner has ended.  */
+  PENDING_MS = 5000
 };
 
 /* A request that was in progress at a runner that may have ended.  */
@@ -36,92 +38,115 @@
 log_verdict (uint64_t key)
 {
   event_log_write ("quarantined", NULL,
-                   "\"part\":\"%" PRIx64 "\",\"for_ms\":%" PRId64, key,
+                   "\"key\":\"%" PRIx64 "\",\"for_ms\":%" PRId64, key,
                    QUARANTINE_HOLD_US / 1000);
 }
 
+static void
+add_pending (struct gw_call *call, uint64_t key)
+{
+  GArray *all = call->gw->quarantine->pending;
+  struct pending pending = { call->runner, key, gw_now (call->gw) };
+
+  if (all->len >= PENDING_MAX)
+    return;
+  call->runner->references++;
+  g_array_append_val (all, pending);
+}
+
 void
-gw_quarantine_note_broken (struct gw *gw, struct pool_runner *runner,
-                           const struct adapter_request *request)
+gw_quarantine_note_broken (struct gw_call *call)
 {
-  struct gw_quarantine *quarantine = gw->quarantine;
   size_t i;
 
-  for (i = 0; i < request->n_parts; i++)
-    {
-      struct pending pending = { runner, request->parts[i], gw_now (gw) };
-      if (quarantine->pending->len >= PENDING_MAX)
-        break;
-      runner->references++;
-      g_array_append_val (quarantine->pending, pending);
-    }
-  if (i > 0)
-    gw_probe_runner (gw, runner);
+  add_pending (call, call->fingerprint);
+  for (i = 0; i < call->in.n_parts; i++)
+    add_pending (call, call->in.parts[i]);
+  /* An engine takes many requests along.  At other runners the next request
+     tells, without a connection of its own.  */
+  if (call->service != NULL && call->service->is_engine)
+    gw_probe_runner (call->gw, call->runner);
 }
 
-void
-gw_quarantine_note_probe (struct gw *gw, struct pool_runner *runner,
-                          int64_t started, int reached)
+/* Decides on what is pending for RUNNER, or for all runners if it is null.  A
+   request that was broken off later than SINCE stays pending, unless the
+   runner has ended.  Returns nonzero when one of them stays.  */
+static int
+settle (struct gw *gw, struct pool_runner *runner, int64_t since, int ended)
 {
   GArray *pending = gw->quarantine->pending;
   GArray *found
       = g_array_new (FALSE, FALSE, sizeof (struct quarantine_evidence));
-  int probe_again = 0;
+  int stays = 0;
   guint i = 0;
 
   while (i < pending->len)
     {
       const struct pending *at = &g_array_index (pending, struct pending, i);
       struct quarantine_evidence evidence
-          = { at->key, runner->hash, gw_now (gw) - at->at_us };
-      if (at->runner != runner)
+          = { at->key, at->runner->hash, gw_now (gw) - at->at_us };
+      int has_ended = ended || !at->runner->present;
+      if ((runner != NULL && at->runner != runner)
+          || (!has_ended && at->at_us > since))
         {
+          stays |= at->runner == runner;
           i++;
           continue;
         }
-      /* A connection opened before the break says nothing.  */
-      if (reached && at->at_us > started)
-        {
-          probe_again = 1;
-          i++;
-          continue;
-        }
-      runner->references--;
+      at->runner->references--;
       g_array_remove_index_fast (pending, i);
-      if (!reached)
+      if (has_ended)
         g_array_append_val (found, evidence);
     }
   crashfeed_add (gw->quarantine->feed,
                  (const struct quarantine_evidence *)(void *)found->data,
                  found->len, gw_now (gw));
   g_array_free (found, TRUE);
-  if (probe_again)
+  return stays;
+}
+
+void
+gw_quarantine_note_probe (struct gw *gw, struct pool_runner *runner,
+                          int64_t started, int reached)
+{
+  if (settle (gw, runner, started, !reached))
     gw_probe_runner (gw, runner);
 }
 
 void
-gw_quarantine_note_answer (struct gw *gw,
-                           const struct adapter_request *request)
+gw_quarantine_note_reached (struct gw *gw, struct pool_runner *runner,
+                            int64_t started, int reached)
+{
+  if (gw->quarantine->pending->len > 0)
+    settle (gw, runner, started, !reached);
+}
+
+void
+gw_quarantine_note_answer (struct gw_call *call)
 {
-  struct quarantine_evidence answers[ADAPTER_PARTS_MAX];
+  struct gw *gw = call->gw;
+  struct quarantine_evidence answers[ADAPTER_PARTS_MAX + 1];
+  size_t n = 0;
   size_t i;
 
-  for (i = 0; i < request->n_parts; i++)
-    answers[i] = (struct quarantine_evidence){ request->parts[i], 0, 0 };
-  crashfeed_add (gw->quarantine->feed, answers, i, gw_now (gw));
+  /* Most requests come once and need not be remembered.  */
+  if (quarantine_crashes (gw_quarantine_table (gw), call->fingerprint) > 0)
+    answers[n++] = (struct quarantine_evidence){ call->fingerprint, 0, 0 };
+  for (i = 0; i < call->in.n_parts; i++)
+    answers[n++] = (struct quarantine_evidence){ call->in.parts[i], 0, 0 };
+  crashfeed_add (gw->quarantine->feed, answers, n, gw_now (gw));
 }
 
 int64_t
-gw_quarantine_left_ms (const struct gw *gw,
-                       const struct adapter_request *request)
+gw_quarantine_left_ms (const struct gw_call *call)
 {
-  const struct quarantine *table = crashfeed_table (gw->quarantine->feed);
-  int64_t left = 0;
+  const struct quarantine *table = gw_quarantine_table (call->gw);
+  int64_t now = gw_now (call->gw);
+  int64_t left = quarantine_left_us (table, call->fingerprint, now);
   size_t i;
 
-  for (i = 0; i < request->n_parts; i++)
-    left = MAX (left, quarantine_left_us (table, request->parts[i],
-                                          tmr_now (gw->tmr)));
+  for (i = 0; i < call->in.n_parts; i++)
+    left = MAX (left, quarantine_left_us (table, call->in.parts[i], now));
   return (left + 999) / 1000;
 }
 
@@ -208,7 +233,7 @@
 {
   struct gw *gw = ctx;
 
-  gw->counts.parts_quarantined++;
+  gw->counts.quarantined++;
   log_verdict (key);
   store_verdict (gw, key);
 }
@@ -290,6 +315,7 @@
 {
   struct gw *gw = ctx;
 
+  settle (gw, NULL, now - gw_ms_to_us (PENDING_MS), 0);
   crashfeed_tick (gw->quarantine->feed, now);
 }
 
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -295,7 +295,7 @@
   if (call->answer_noted || call->phase != ADAPTER_WHOLE)
     return;
   call->answer_noted = 1;
-  gw_quarantine_note_answer (call->gw, &call->in);
+  gw_quarantine_note_answer (call);
 }
 
 static void
@@ -463,7 +463,7 @@
 {
   log_broken (call);
   if (call->phase != ADAPTER_RELAY && !call->answer_noted)
-    gw_quarantine_note_broken (call->gw, call->runner, &call->in);
+    gw_quarantine_note_broken (call);
 }
 
 static void
@@ -587,6 +587,7 @@
     {
       reqstate_apply (&call->reqstate, REQSTATE_EV_UNREACHED);
       pool_note_failure (runner, POOL_UNREACHABLE, now);
+      gw_quarantine_note_reached (gw, runner, call->sent, 0);
       retry_or_fail (call, "unreached");
       return;
     }
@@ -624,6 +625,7 @@
   else
     {
       pool_note_answer (runner, now - call->sent, now);
+      gw_quarantine_note_reached (gw, runner, call->sent, 1);
       note_kv_transfer (call, 1);
       if (call->answer.stamped)
         note_survived (call);
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -2,14 +2,16 @@
 #define QUARANTINE_H
 /*
  * NAME
- *   quarantine - prompt parts that crash runners, found by their evidence
+ *   quarantine - requests that crash runners, found by what they have in
+ * common
  *
  * DESCRIPTION
- *   A key stands for something that many requests have in common: one part of
- *   their prompts.  Evidence against a key is the end of a runner that had a
- *   request with the key and had not answered it; evidence for it is an answer
- *   to such a request.  An answer outweighs all ends before it, as a key that
- *   crashes runners is never answered.
+ *   A key stands for something that requests have in common: one part of their
+ *   prompts, or all of it when a request is sent again.  Evidence against a
+ * key is the end of a runner that had a request with the key and had not
+ * answered it; evidence for it is an answer to such a request.  An answer
+ * outweighs all ends before it, as a key that crashes runners is never
+ * answered.
  *
  *   A key is quarantined for QUARANTINE_HOLD_US after the last of
  *   QUARANTINE_CRASHES ends without an answer between them.  They must not all
--- a/tests/unit_gw_call.cc
+++ b/tests/unit_gw_call.cc
@@ -27,6 +27,7 @@
   std::string addresses[3];
   int listeners[3] = { -1, -1, -1 };
   int client = -1;
+  int64_t started = 0; // of the last runner
   std::string got;
 
   void
@@ -122,6 +123,7 @@
     g_strlcpy (e.zone, i == 0 ? "z" : "y", sizeof e.zone);
     e.slots = 8;
     e.stage = stage;
+    e.started_ms = ++started;
     pool_put (gw.runner_pool, &e, 1);
     return pool_at (gw.runner_pool, pool_count (gw.runner_pool) - 1);
   }
@@ -847,6 +849,39 @@
   close (fd);
 }
 
+// Guards against a request that crashes one runner after the other, as its
+// caller sends it again and again.
+TEST_F (GatewayCall, RequestThatCrashesRunnersIsRefused)
+{
+  int fd;
+  for (int i = 0; i < 3; i++)
+    {
+      runner (0, "app");
+      tmr_advance (gw.tmr, gw_now (&gw) + 1000000);
+      send_request ("/order/1");
+      receive_at_runner (0, &fd);
+      close (listeners[0]);
+      close (fd);
+      EXPECT_TRUE (client_has ("HTTP/1.1 502"));
+      close (client);
+      got.clear ();
+      // The next request to the runner finds that it has ended.
+      send_request ("/order/2");
+      EXPECT_TRUE (client_has ("HTTP/1.1 503"));
+      close (client);
+      got.clear ();
+    }
+  runner (0, "app");
+  send_request ("/order/1");
+  EXPECT_TRUE (client_has ("HTTP/1.1 503"));
+  close (client);
+  got.clear ();
+  // Another one to the same service.
+  send_request ("/order/2");
+  EXPECT_NE (receive_at_runner (0, &fd).find ("/order/2"), std::string::npos);
+  close (fd);
+}
+
 // Guards against evidence that counts a broken connection of a runner that is
 // up, and against none when it has ended.
 TEST_F (GatewayCall, OnlyTheEndOfARunnerIsEvidence)
