--- a/src/adapter.h
+++ b/src/adapter.h
@@ -67,6 +67,8 @@
   unsigned running;
   unsigned waiting;
   unsigned slots;
+  int has_limit;
+  double limit_per_s; /* requests a second that the runner takes from all */
 };
 
 /* Order to a runner to change its stage.  */
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -205,6 +205,30 @@
                                                  : HTTP_CLIENT_ACCEPT;
 }
 
+static const char *const phase_names[] = { [ADAPTER_WHOLE] = "whole",
+                                           [ADAPTER_PREFILL_ONLY] = "prompt",
+                                           [ADAPTER_RELAY] = "relay" };
+
+/* Logs a limit that differs from the one that the runner named last.  */
+static void
+note_limit (struct gw_call *call)
+{
+  const struct adapter_answer *answer = &call->answer;
+  struct pool_runner *runner = call->runner;
+
+  if (call->phase == ADAPTER_RELAY
+      || (runner->has_limit == answer->has_limit
+          && runner->limit_per_s == answer->limit_per_s))
+    return;
+  event_log_write ("limit", call->in.id,
+                   "\"runner\":\"%s\",\"phase\":\"%s\",\"status\":%d,"
+                   "\"named\":%d,\"per_s\":%g",
+                   runner->entry.id, phase_names[call->phase], answer->status,
+                   answer->has_limit, answer->limit_per_s);
+  runner->has_limit = answer->has_limit;
+  runner->limit_per_s = answer->limit_per_s;
+}
+
 static enum http_client_verdict
 on_head (void *ctx, const struct http_head *head)
 {
@@ -228,6 +252,7 @@
   if (answer->has_load && call->phase != ADAPTER_RELAY)
     pool_note_load (call->runner, answer->running, answer->waiting,
                     gw_now (gw));
+  note_limit (call);
   note_prefill_end (call);
   call->closing
       = http_str_equal_nocase (http_head_get (head, "connection"), "close");
@@ -434,10 +459,6 @@
   gw_call_end (call);
 }
 
-static const char *const phase_names[] = { [ADAPTER_WHOLE] = "whole",
-                                           [ADAPTER_PREFILL_ONLY] = "prompt",
-                                           [ADAPTER_RELAY] = "relay" };
-
 /* Logs which parts of a prompt were in progress at a runner that broke off. */
 static void
 log_broken (const struct gw_call *call)
--- a/src/pool.h
+++ b/src/pool.h
@@ -57,6 +57,9 @@
   unsigned load_reported;
   unsigned load_reported_own;
   int64_t load_reported_us;
+  /* Limit that the runner named in its last answer.  */
+  int has_limit;
+  double limit_per_s;
   double tokens; /* prompt tokens sent whose prefill has not ended */
   uint64_t hash; /* of PEER */
   /* Requests of the peer gateways, as of the last query.  */
--- a/tests/unit_platform.cc
+++ b/tests/unit_platform.cc
@@ -121,6 +121,46 @@
   EXPECT_EQ (answer.waiting, 1U);
 }
 
+// Guards against a malformed limit that stops a runner, or one that is taken
+// for another number.
+TEST (Platform, ReadsTheLimitOfARunner)
+{
+  const struct
+  {
+    const char *fields;
+    double per_s; // -1: none
+  } rows[] = {
+    { "Server-Limit: 20.2\r\n", 20.2 },
+    { "x-goldcresthatch-server-limit: 7\r\n", 7 },
+    { "Server-Limit: 0\r\n", 0 },
+    { "Server-Limit: .5\r\n", 0.5 },
+    { "Server-Limit: 99999999999999999999999\r\n", 1e23 },
+    { "Server-Limit: 9\r\nServer-Limit: 3\r\nServer-Limit: 5\r\n", 3 },
+    { "Server-Limit: x\r\nServer-Limit: 5\r\n", 5 },
+    { "Server-Limit: -3\r\n", -1 },
+    { "Server-Limit: \r\n", -1 },
+    { "Server-Limit: .\r\n", -1 },
+    { "Server-Limit: 1.2.3\r\n", -1 },
+    { "Server-Limit: inf\r\n", -1 },
+    { "Server-Limit: nan\r\n", -1 },
+    { "Server-Limit: 1e9\r\n", -1 },
+    { "Server-Limit: 0x10\r\n", -1 },
+    { "Server-Limit: 5 5\r\n", -1 },
+    { "", -1 },
+  };
+  for (const auto &row : rows)
+    {
+      std::string text = std::string ("HTTP/1.1 200 Yes\r\n") + row.fields
+                         + "Content-Length: 0\r\n\r\n";
+      struct http_head head = parse (&text, HTTP_RESPONSE);
+      struct adapter_answer answer;
+      pf_adapter.answer_read (&head, &answer);
+      EXPECT_EQ (answer.has_limit, row.per_s >= 0) << row.fields;
+      EXPECT_DOUBLE_EQ (answer.limit_per_s, row.per_s >= 0 ? row.per_s : 0)
+          << row.fields;
+    }
+}
+
 int
 runner (const std::string &value, struct pool_entry *entry)
 {
