Test: runners that name a limit on their requests

The world counts the requests of all gateways, also of those that have not been told, and a runner with a limit must still get requests.

--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -4,8 +4,8 @@
 # Starts the gateways and the world around them (soak_world.c) as separate
 # processes on the loopback, and stops, pauses, kills and restarts the gateways
 # by signals drawn from SEED.  Prints "promises kept" or what was broken.  MODE
-# is that of the world; "crash-part" has fewer signals, so that most gateways
-# run long enough to learn of the part.
+# is that of the world; with one there are fewer signals, so that most gateways
+# run long enough to learn what the world does.
 set -u
 cd "$(dirname "$0")/.."
 SEED=${1:?SEED}
--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -6,7 +6,8 @@
    Faults of the service and the runners are drawn from SEED and end some
    seconds before the run does.  With MODE "crash-part" the only fault is a
    part of some prompts that crashes each engine that begins to answer it,
-   until the end.  Prints each promise that was broken; exits 0 when there is
+   until the end.  With MODE "limit" two engines name a limit on the requests
+   that they take.  Prints each promise that was broken; exits 0 when there is
    none.  */
 #include <glib.h>
 #include <json-c/json.h>
@@ -35,7 +36,12 @@
   CRASH_RETURN_MS = 1500,
   CRASHES_LEARNED = 5, /* after which the gateways must know the part */
   LEARN_MS = 3000,     /* and this later it must not be sent any more */
-  CRASH_SENDS_MAX = 3
+  CRASH_SENDS_MAX = 3,
+  LIMITED = 2, /* the first engines, in both stages */
+  LIMIT_PER_S = 8,
+  LIMIT_FROM_MS = 3000,   /* after the start */
+  LIMIT_WINDOW_MS = 4000, /* over which arrivals are judged */
+  LIMIT_MAX = LIMIT_WINDOW_MS / 1000 * LIMIT_PER_S * 3 / 2 + 5
 };
 
 enum mode
@@ -61,6 +67,8 @@
   enum mode mode;
   struct http_server *srv; /* null while it is down */
   unsigned lifetime;
+  GQueue arrivals; /* times of the requests since it must keep to its limit */
+  unsigned most;   /* of them within LIMIT_WINDOW_MS */
 };
 
 /* What became of one request of the callers.  */
@@ -127,7 +135,9 @@
 static int broken;
 static int judged;
 static int judged_served;
-static int crash_part; /* the mode */
+static int crash_part;   /* the mode */
+static int limit;        /* the mode */
+static int64_t limit_us; /* when the limit is first named */
 static int crashes;
 static int64_t learned_us; /* when the part must be known, or 0 */
 static int late_sends;
@@ -617,6 +627,18 @@
     g_free (job);
 }
 
+/* Returns the field that names the runner's limit, or an empty string.  */
+static const char *
+limit_field (const struct runner *r)
+{
+  static char field[40];
+
+  field[0] = '\0';
+  if (limit && r->index < LIMITED && tmr_now (tmr) >= limit_us)
+    g_snprintf (field, sizeof field, "Server-Limit: %d.0\r\n", LIMIT_PER_S);
+  return field;
+}
+
 static void
 run (struct runner *r, uint64_t conn, struct record *record,
      const struct http_head *head)
@@ -647,20 +669,38 @@
     {
       text = g_strdup_printf ("Content-Type: text/event-stream\r\n"
                               "X-Goldcresthatch-Request-Id: %s\r\n"
-                              "X-Goldcresthatch-Server-Stamp: s\r\n",
-                              record->id);
+                              "X-Goldcresthatch-Server-Stamp: s\r\n%s",
+                              record->id, limit_field (r));
       http_server_start_response (r->srv, conn, 200, text, -1);
       g_free (text);
     }
   tmr_add (tmr, WORK_US, 0, job_step, job);
 }
 
+/* Counts the requests that reach a runner after the gateways know its limit.
+ */
+static void
+count_arrival (struct runner *r)
+{
+  int64_t now = tmr_now (tmr);
+  int64_t *at;
+
+  if (!limit || r->index >= LIMITED
+      || now < limit_us + INT64_C (1000) * LEARN_MS)
+    return;
+  g_queue_push_tail (&r->arrivals, g_memdup2 (&now, sizeof now));
+  while ((at = g_queue_peek_head (&r->arrivals)) != NULL
+         && now - *at > INT64_C (1000) * LIMIT_WINDOW_MS)
+    g_free (g_queue_pop_head (&r->arrivals));
+  r->most = MAX (r->most, r->arrivals.length);
+}
+
 static void
 prompt_read (struct runner *r, uint64_t conn, const struct record *record)
 {
   static const char handle[] = "{\"handle\":\"h1\"}";
-  char *text
-      = g_strdup_printf ("X-Goldcresthatch-Request-Id: %s\r\n", record->id);
+  char *text = g_strdup_printf ("X-Goldcresthatch-Request-Id: %s\r\n%s",
+                                record->id, limit_field (r));
 
   http_server_respond (r->srv, conn, 200, text, handle, strlen (handle));
   g_free (text);
@@ -724,6 +764,7 @@
       record->late = 1;
       late_sends++;
     }
+  count_arrival (r);
   if (!http_str_equal (
           http_head_get (head, "x-goldcresthatch-expect-instance"), r->id))
     http_server_respond (r->srv, conn, 421, NULL, "", 0);
@@ -923,6 +964,7 @@
 {
   GHashTableIter iter;
   gpointer value;
+  int i;
 
   g_hash_table_iter_init (&iter, records);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -939,6 +981,16 @@
       stderr,
       "%u requests, of the last %d %d served; %d crashes, %d late sends\n",
       g_hash_table_size (records), judged, judged_served, crashes, late_sends);
+  for (i = 0; limit && i < LIMITED; i++)
+    {
+      fprintf (stderr, "%s: at most %u requests in %d ms of %d\n",
+               runners[i].id, runners[i].most, LIMIT_WINDOW_MS, LIMIT_MAX);
+      promise (runners[i].most <= LIMIT_MAX,
+               "more requests than the limit that a runner names",
+               runners[i].id);
+      promise (runners[i].most >= LIMIT_PER_S,
+               "a runner with a limit gets requests", runners[i].id);
+    }
   promise (!crash_part || crashes > 0, "the part was tried", "all");
   promise (late_sends <= CRASH_SENDS_MAX,
            "requests with a part that crashes engines sent again and again",
@@ -961,7 +1013,10 @@
   (void)timer;
   tmr_advance (tmr, now);
   if (start == 0)
-    start = next_call = next_fault = now + 2000000;
+    {
+      start = next_call = next_fault = now + 2000000;
+      limit_us = start + INT64_C (1000) * LIMIT_FROM_MS;
+    }
   left_ms = ((int64_t)seconds * 1000000 - (now - start)) / 1000;
   if (left_ms < 0)
     exit (finish ());
@@ -972,7 +1027,7 @@
     }
   if (left_ms < CALM_MS)
     calm ();
-  else if (!crash_part && now >= next_fault)
+  else if (!crash_part && !limit && now >= next_fault)
     {
       next_fault
           = now
@@ -1026,10 +1081,12 @@
   char address[32];
 
   crash_part = argc == 6 && strcmp (argv[5], "crash-part") == 0;
-  if (argc != 5 + crash_part)
+  limit = argc == 6 && strcmp (argv[5], "limit") == 0;
+  if (argc != 5 + crash_part + limit)
     {
-      fputs ("usage: soak-world NET SEED SECONDS GATEWAYS [crash-part]\n",
-             stderr);
+      fputs (
+          "usage: soak-world NET SEED SECONDS GATEWAYS [crash-part|limit]\n",
+          stderr);
       return 2;
     }
   net = atoi (argv[1]);
