Keep the limits that runners name, over all gateways together

Cause: the gateways didn't read the field; nothing they share tells how often all of them send to a runner.

Change: limit_ counts a gateway's sends to each runner; once an answer names a limit, the counts are summed over the gateways by fleetsum_ and a runner whose limit is reached is not eligible. The sums are asked for with the load before each choice of an engine, and every 200 ms. Without them each gateway keeps to an equal part.

Ruled out: that each gateway kept the limit by itself (the rate didn't change when it was named); prompts read apart that aren't counted (all sends are).

--- a/src/gw.h
+++ b/src/gw.h
@@ -189,6 +189,8 @@
 void gw_peers_set (struct gw *gw, const struct gw_peer *peers, size_t n);
 /* Contributes this gateway's current load at RUNNER.  */
 void gw_peers_note_load (struct gw *gw, const struct pool_runner *runner);
+/* Contributes this gateway's current sends to RUNNER, if it has a limit.  */
+void gw_peers_note_limit (struct gw *gw, const struct pool_runner *runner);
 /* Asks for the load of the other gateways at N runners, which the caller keeps
    referenced.  It is up to date when FN is called with CTX, or as far as the
    homes have replied within FLEETSUM_QUERY_US.  Returns the number of the
--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -353,7 +353,8 @@
       = { .service = call->service_name,
           .zone = gw->set.zone,
           .excluded = (const struct pool_runner *const *)call->excluded,
-          .n_excluded = call->n_excluded };
+          .n_excluded = call->n_excluded,
+          .gateways = gw->processes };
   struct lb_choice choice = { NULL, 0, 0, 0 };
 
   if (reject_quarantined (call))
--- a/src/gw_page.c
+++ b/src/gw_page.c
@@ -16,6 +16,18 @@
   http_server_respond (gw->ready, conn, status, NULL, "", 0);
 }
 
+static uint64_t
+limited_runners (const struct gw *gw)
+{
+  uint64_t n = 0;
+  size_t i;
+
+  for (i = 0; i < pool_count (gw->runner_pool); i++)
+    n += (uint64_t)limit_in_force (&pool_at (gw->runner_pool, i)->limit,
+                                   tmr_now (gw->tmr));
+  return n;
+}
+
 static void
 metrics_text (const struct gw *gw, GString *out)
 {
@@ -49,6 +61,7 @@
       http_server_connections (
           gw->request_listeners[GW_LISTENER_CLIENTS].srv) },
     { "runners", pool_count (gw->runner_pool) },
+    { "runners_limited", limited_runners (gw) },
     { "gateways", gw->processes },
     { "config_version", gw->table != NULL ? gw->table->version : 0 },
   };
--- a/src/gw_peers.c
+++ b/src/gw_peers.c
@@ -16,11 +16,15 @@
                        so that no home receives those of all */
   DEMAND_QUERY_MS = 1000,
   DEMAND_SCALE = 1000, /* the demand is sent as an integer */
+  LIMITS_MS = 200,     /* between two queries for runners with a limit */
   /* A gateway whose link is narrower than the widest by more than this is no
      home: its processor is as small.  */
   HOME_LINK_RATIO_MAX = 4
 };
 
+/* The key of a runner's limit is that of its load with these bits changed.  */
+#define LIMIT_KEY_BITS UINT64_C (0x6c696d6974000000)
+
 /* A query whose end is awaited.  */
 struct waiting
 {
@@ -74,6 +78,57 @@
     contribute (gw, runner->hash, &value);
 }
 
+void
+gw_peers_note_limit (struct gw *gw, const struct pool_runner *runner)
+{
+  int64_t now = gw_now (gw);
+  struct fleetsum_value value = { 0, 0, 0 };
+
+  if (runner->limit.named_us == 0)
+    return;
+  if (limit_in_force (&runner->limit, now))
+    value.count = limit_sends (&runner->limit, now);
+  contribute (gw, runner->hash ^ LIMIT_KEY_BITS, &value);
+}
+
+static void
+log_limit (const struct pool_runner *runner)
+{
+  event_log_write ("limit", NULL,
+                   "\"runner\":\"%s\",\"in_force\":%d,\"per_s\":%g",
+                   runner->entry.id, runner->limit.told, runner->limit.per_s);
+}
+
+/* Updates the sends to runners with a limit, which age, and asks for those of
+   the other gateways.  */
+static void
+on_limits (void *ctx, int64_t now)
+{
+  struct gw *gw = ctx;
+  uint64_t keys[FLEETSUM_KEYS_MAX];
+  size_t n = 0;
+  size_t i;
+
+  for (i = 0; i < pool_count (gw->runner_pool); i++)
+    {
+      struct pool_runner *runner = pool_at (gw->runner_pool, i);
+      if (runner->limit.named_us == 0)
+        continue;
+      if (limit_changed (&runner->limit, now))
+        log_limit (runner);
+      gw_peers_note_limit (gw, runner);
+      if (!runner->present || !limit_in_force (&runner->limit, now))
+        continue;
+      keys[n++] = runner->hash ^ LIMIT_KEY_BITS;
+      if (n < FLEETSUM_KEYS_MAX)
+        continue;
+      fleetsum_query (gw->peers->sums, keys, n, now);
+      n = 0;
+    }
+  if (n > 0)
+    fleetsum_query (gw->peers->sums, keys, n, now);
+}
+
 void
 gw_peers_set_demand (struct gw *gw, const struct gw_demand *demand)
 {
@@ -140,6 +195,12 @@
                                  : POOL_STAGE_ANY;
       return;
     }
+  runner = pool_find_hash (gw->runner_pool, key ^ LIMIT_KEY_BITS);
+  if (runner != NULL)
+    {
+      limit_note_others (&runner->limit, sum->count, now);
+      return;
+    }
   for (i = 0; i < DEMAND_KEYS; i++)
     if (peers->demand_keys[i] == key)
       {
@@ -183,15 +244,20 @@
   uint64_t keys[FLEETSUM_KEYS_MAX];
   int64_t now = gw_now (gw);
   struct waiting *waiting;
+  size_t n_keys = 0;
   size_t i;
 
-  n = MIN (n, (size_t)FLEETSUM_KEYS_MAX);
+  n = MIN (n, (size_t)FLEETSUM_KEYS_MAX / 2);
   for (i = 0; i < n; i++)
-    keys[i] = runners[i]->hash;
+    {
+      keys[n_keys++] = runners[i]->hash;
+      if (limit_in_force (&runners[i]->limit, now))
+        keys[n_keys++] = runners[i]->hash ^ LIMIT_KEY_BITS;
+    }
   waiting = g_new0 (struct waiting, 1);
   waiting->fn = fn;
   waiting->ctx = ctx;
-  waiting->query = fleetsum_query (peers->sums, keys, n, now);
+  waiting->query = fleetsum_query (peers->sums, keys, n_keys, now);
   if (waiting->query == 0)
     {
       g_free (waiting);
@@ -387,6 +453,8 @@
   peers->waiting
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   peers->timer_at = -1;
+  tmr_add (gw->tmr, gw_ms_to_us (LIMITS_MS), gw_ms_to_us (LIMITS_MS),
+           on_limits, gw);
   for (i = 0; i < DEMAND_KEYS; i++)
     peers->demand_keys[i] = XXH64 (&i, sizeof i, 0);
   if (gw->set.listen_load[0] == '\0')
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -209,24 +209,14 @@
                                            [ADAPTER_PREFILL_ONLY] = "prompt",
                                            [ADAPTER_RELAY] = "relay" };
 
-/* Logs a limit that differs from the one that the runner named last.  */
 static void
 note_limit (struct gw_call *call)
 {
   const struct adapter_answer *answer = &call->answer;
-  struct pool_runner *runner = call->runner;
 
-  if (call->phase == ADAPTER_RELAY
-      || (runner->has_limit == answer->has_limit
-          && runner->limit_per_s == answer->limit_per_s))
-    return;
-  event_log_write ("limit", call->in.id,
-                   "\"runner\":\"%s\",\"phase\":\"%s\",\"status\":%d,"
-                   "\"named\":%d,\"per_s\":%g",
-                   runner->entry.id, phase_names[call->phase], answer->status,
-                   answer->has_limit, answer->limit_per_s);
-  runner->has_limit = answer->has_limit;
-  runner->limit_per_s = answer->limit_per_s;
+  if (call->phase != ADAPTER_RELAY)
+    limit_note_answer (&call->runner->limit, answer->has_limit,
+                       answer->limit_per_s, gw_now (call->gw));
 }
 
 static enum http_client_verdict
@@ -707,6 +697,8 @@
   call->queued_tokens = choice->uncached_tokens;
   runner->calls++;
   runner->tokens += choice->uncached_tokens;
+  limit_note_send (&runner->limit, now);
+  gw_peers_note_limit (gw, runner);
   gw_peers_note_load (gw, runner);
   if (phase == ADAPTER_PREFILL_ONLY
       || (phase == ADAPTER_WHOLE && gw_call_idempotent (call)))
--- a/src/lb.h
+++ b/src/lb.h
@@ -97,6 +97,7 @@
   const struct pool_runner *const *excluded;
   size_t n_excluded;
   unsigned calls_max; /* of this process at one runner; 0: no limit */
+  unsigned gateways;  /* among which the limits of runners are shared */
   const struct pool_runner *const *sample; /* the only ones for a decode */
   size_t n_sample;                         /* 0: no such limit */
 };
--- a/src/pool.h
+++ b/src/pool.h
@@ -19,6 +19,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "limit.h"
+
 /* Runners re-register in about 2 s.  */
 #define POOL_REREGISTER_US INT64_C (1900000)
 
@@ -57,9 +59,7 @@
   unsigned load_reported;
   unsigned load_reported_own;
   int64_t load_reported_us;
-  /* Limit that the runner named in its last answer.  */
-  int has_limit;
-  double limit_per_s;
+  struct limit limit;
   double tokens; /* prompt tokens sent whose prefill has not ended */
   uint64_t hash; /* of PEER */
   /* Requests of the peer gateways, as of the last query.  */
