Count only refused connections as the end of a runner

Cause: silence counted as the end of a runner. Change: only a refused connection does, which shows that the machine and the way to it are sound. The registry's removal of an entry no longer counts either, since a gateway that was paused learns of planned ones late.

GatewayCall.SilenceIsNoEvidence failed before (one end counted).

--- a/src/gw.h
+++ b/src/gw.h
@@ -225,9 +225,16 @@
 void gw_quarantine_load (struct gw *gw);
 /* Returns nonzero once they have been read.  */
 int gw_quarantine_is_loaded (const struct gw *gw);
-/* Notes whether a connection to RUNNER, opened at STARTED, was accepted.  */
+enum gw_probe_result
+{
+  GW_PROBE_ACCEPTED,
+  GW_PROBE_REFUSED, /* the machine is up, but nothing listens there */
+  GW_PROBE_SILENT
+};
+
+/* Notes what became of a connection to RUNNER, opened at STARTED.  */
 void gw_quarantine_note_probe (struct gw *gw, struct pool_runner *runner,
-                               int64_t started, int reached);
+                               int64_t started, enum gw_probe_result result);
 /* Notes whether a request to RUNNER, sent at STARTED, found it there.  */
 void gw_quarantine_note_reached (struct gw *gw, struct pool_runner *runner,
                                  int64_t started, int reached);
--- a/src/gw_probe.c
+++ b/src/gw_probe.c
@@ -31,7 +31,7 @@
 }
 
 static void
-probe_end (struct probe *probe, int reached)
+probe_end (struct probe *probe, enum gw_probe_result result)
 {
   struct gw *gw = probe->gw;
   struct pool_runner *runner = probe->runner;
@@ -41,7 +41,7 @@
   tmr_cancel (gw->tmr, probe->timer);
   runner->references--;
   runner->probing = 0;
-  if (!reached)
+  if (result != GW_PROBE_ACCEPTED)
     {
       event_log_write ("unreachable", NULL, "\"runner\":\"%s\"",
                        runner->entry.id);
@@ -51,7 +51,7 @@
     }
   probe->runner = NULL;
   uv_close ((uv_handle_t *)&probe->tcp, on_closed);
-  gw_quarantine_note_probe (gw, runner, started, reached);
+  gw_quarantine_note_probe (gw, runner, started, result);
 }
 
 static void
@@ -59,15 +59,20 @@
 {
   struct probe *probe = connect->data;
 
-  if (probe->runner != NULL)
-    probe_end (probe, status == 0);
+  if (probe->runner == NULL)
+    return;
+  if (status == 0)
+    probe_end (probe, GW_PROBE_ACCEPTED);
+  else
+    probe_end (probe,
+               status == UV_ECONNREFUSED ? GW_PROBE_REFUSED : GW_PROBE_SILENT);
 }
 
 static void
 on_probe_time (void *ctx, int64_t now)
 {
   (void)now;
-  probe_end (ctx, 0);
+  probe_end (ctx, GW_PROBE_SILENT);
 }
 
 void
@@ -93,7 +98,7 @@
   if (uv_tcp_connect (&probe->connect, &probe->tcp,
                       (struct sockaddr *)&address, on_connect)
       != 0)
-    probe_end (probe, 0);
+    probe_end (probe, GW_PROBE_SILENT);
 }
 
 static void
--- a/src/gw_quarantine.c
+++ b/src/gw_quarantine.c
@@ -14,8 +14,8 @@
   ANSWERED_MAX = 20000, /* answered parts that are remembered; about 3 MB */
   LIST_RETRY_MS = 200,
   PENDING_MAX = 4096,
-  /* The registry tells within this time that a runner has ended.  */
-  PENDING_MS = 5000
+  /* A runner that has ended may be back after this time.  */
+  PENDING_MS = 1000
 };
 
 /* A request that was in progress at a runner that may have ended.  */
@@ -62,15 +62,15 @@
   add_pending (call, call->fingerprint);
   for (i = 0; i < call->in.n_parts; i++)
     add_pending (call, call->in.parts[i]);
-  /* An engine takes many requests along.  At other runners the next request
-     tells, without a connection of its own.  */
+  /* An engine takes many requests along.  At other runners a connection is
+     opened only when the next request doesn't get one, either.  */
   if (call->service != NULL && call->service->is_engine)
     gw_probe_runner (call->gw, call->runner);
 }
 
 /* Decides on what is pending for RUNNER, or for all runners if it is null.  A
    request that was broken off later than SINCE stays pending, unless the
-   runner has ended.  Returns nonzero when one of them stays.  */
+   runner has ENDED.  Returns nonzero when one stays.  */
 static int
 settle (struct gw *gw, struct pool_runner *runner, int64_t since, int ended)
 {
@@ -85,9 +85,8 @@
       const struct pending *at = &g_array_index (pending, struct pending, i);
       struct quarantine_evidence evidence
           = { at->key, at->runner->hash, gw_now (gw) - at->at_us };
-      int has_ended = ended || !at->runner->present;
       if ((runner != NULL && at->runner != runner)
-          || (!has_ended && at->at_us > since))
+          || (!ended && at->at_us > since))
         {
           stays |= at->runner == runner;
           i++;
@@ -95,7 +94,7 @@
         }
       at->runner->references--;
       g_array_remove_index_fast (pending, i);
-      if (has_ended)
+      if (ended)
         g_array_append_val (found, evidence);
     }
   crashfeed_add (gw->quarantine->feed,
@@ -107,9 +106,12 @@
 
 void
 gw_quarantine_note_probe (struct gw *gw, struct pool_runner *runner,
-                          int64_t started, int reached)
+                          int64_t started, enum gw_probe_result result)
 {
-  if (settle (gw, runner, started, !reached))
+  /* Silence may be a fault of this gateway's own link, which would accuse all
+     that it has sent.  */
+  if (settle (gw, runner, result == GW_PROBE_SILENT ? INT64_MAX : started,
+              result == GW_PROBE_REFUSED))
     gw_probe_runner (gw, runner);
 }
 
@@ -117,8 +119,18 @@
 gw_quarantine_note_reached (struct gw *gw, struct pool_runner *runner,
                             int64_t started, int reached)
 {
-  if (gw->quarantine->pending->len > 0)
-    settle (gw, runner, started, !reached);
+  GArray *pending = gw->quarantine->pending;
+  guint i;
+
+  for (i = 0; i < pending->len; i++)
+    if (g_array_index (pending, struct pending, i).runner == runner)
+      break;
+  if (i == pending->len)
+    return;
+  if (reached)
+    settle (gw, runner, started, 0);
+  else
+    gw_probe_runner (gw, runner);
 }
 
 void
--- a/tests/unit_gw_call.cc
+++ b/tests/unit_gw_call.cc
@@ -4,11 +4,13 @@
 #include <gtest/gtest.h>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "raw_socket.hh"
 
 extern "C"
 {
+#include "goldcresthatch/settings.h"
 #include "gw.h"
 #include "pf.h"
 #include "quarantine.h"
@@ -849,6 +851,36 @@
   close (fd);
 }
 
+// Guards against the refusal of sound parts by a gateway that is cut off from
+// its runners: silence is no evidence that they have ended.
+TEST_F (GatewayCall, SilenceIsNoEvidence)
+{
+  const std::string prompt = "X-Goldcresthatch-Token-Count: 20,4\r\n"
+                             "X-Goldcresthatch-Prompt-Prefix: a:10,b:10\r\n";
+  std::vector<int> waiting;
+  struct sockaddr_in address;
+  int fd;
+  struct pool_runner *r = runner (0, "llm", POOL_STAGE_DECODE);
+  send_request ("/chat/1", prompt);
+  receive_at_runner (0, &fd);
+  // A full queue of connections leaves the next one without an answer.
+  listen (listeners[0], 0);
+  settings_parse_address (addresses[0].c_str (), &address);
+  for (int i = 0; i < 4; i++)
+    {
+      waiting.push_back (socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+      connect (waiting.back (), (struct sockaddr *)&address, sizeof address);
+    }
+  close (fd);
+  EXPECT_TRUE (client_has ("HTTP/1.1 502"));
+  EXPECT_TRUE (r->probing);
+  tmr_advance (gw.tmr, gw_now (&gw) + 1000000);
+  EXPECT_FALSE (r->probing);
+  EXPECT_EQ (quarantine_crashes (gw_quarantine_table (&gw), 0xa), 0U);
+  for (int socket : waiting)
+    close (socket);
+}
+
 // Guards against a request that crashes one runner after the other, as its
 // caller sends it again and again.
 TEST_F (GatewayCall, RequestThatCrashesRunnersIsRefused)
@@ -868,6 +900,9 @@
       // The next request to the runner finds that it has ended.
       send_request ("/order/2");
       EXPECT_TRUE (client_has ("HTTP/1.1 503"));
+      EXPECT_TRUE (run_until (&gw.loop, [&] {
+        return pool_at (gw.runner_pool, i)->probing == 0;
+      }));
       close (client);
       got.clear ();
     }
