--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -888,11 +888,12 @@
       record->crashes = 1;
       is_judged = 0;
     }
-  fields = kind == CHECK && crash_part ? g_strdup_printf (
-               "X-Goldcresthatch-Token-Count: 2000,4\r\n"
-               "X-Goldcresthatch-Prompt-Prefix: a:900,%x:600,%x:500\r\n",
-               record->crashes ? 0xbad : 0x50 + number % SESSIONS, number)
-                                       : g_strdup (kinds[kind].fields);
+  fields = kind == CHECK && (crash_part || limit)
+               ? g_strdup_printf (
+                   "X-Goldcresthatch-Token-Count: 2000,4\r\n"
+                   "X-Goldcresthatch-Prompt-Prefix: a:900,%x:600,%x:500\r\n",
+                   record->crashes ? 0xbad : 0x50 + number % SESSIONS, number)
+               : g_strdup (kinds[kind].fields);
   record->idempotent = kinds[kind].idempotent;
   record->stream = kinds[kind].stream;
   record->judged = is_judged;
