--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -330,7 +330,7 @@
   return where->zone;
 }
 
-/* Ends a call that has a in quarantine.  Returns 0 when it has none.  */
+/* Ends a call that is in quarantine.  Returns 0 when it isn't.  */
 static int
 reject_quarantined (struct gw_call *call)
 {
--- a/src/limit.h
+++ b/src/limit.h
@@ -37,7 +37,8 @@
   int64_t slot;                /* number of the latest counter in use */
   unsigned others;             /* sends of the other gateways */
   int64_t others_us;           /* when they were told; 0: never */
-  int told;                    /* last result of limit_changed */
+  /* What limit_changed has reported last.  */
+  int told;
   double told_per_s;
 };
 
