--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -50,8 +50,9 @@
   int64_t sent;
   uint64_t silence_timer; /* until the answer begins, or 0 */
   struct adapter_answer answer;
-  GString *fields;  /* header of the runner's answer */
-  GString *data;    /* part of its body that is not forwarded yet */
+  enum http_framing framing; /* of the answer */
+  GString *fields;           /* header of the runner's answer */
+  GString *data;             /* part of its body that is not forwarded yet */
   size_t discarded; /* bytes of its body that are not forwarded at all */
   int streaming;
   int64_t answer_began; /* time of the first byte, while STREAMING */
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -246,6 +246,7 @@
   note_prefill_end (call);
   call->closing
       = http_str_equal_nocase (http_head_get (head, "connection"), "close");
+  call->framing = head->framing;
   call->unframed = http_head_get (head, "content-length").p == NULL
                    && http_head_get (head, "transfer-encoding").p == NULL;
   if (call->streaming)
@@ -429,10 +430,10 @@
   event_log_write (
       "answered", call->in.id,
       "\"status\":%d,\"runner\":\"%s\",\"version\":%" G_GUINT64_FORMAT
-      ",\"sends\":%u,\"first_ms\":%" G_GINT64_FORMAT
+      ",\"sends\":%u,\"framing\":\"%s\",\"first_ms\":%" G_GINT64_FORMAT
       ",\"ms\":%" G_GINT64_FORMAT,
       call->answer.status, call->runner->entry.id, call->table->version,
-      call->reqstate.sends,
+      call->reqstate.sends, http_framing_name (call->framing),
       ((call->streaming ? call->answer_began : gw_now (gw)) - call->arrived)
           / 1000,
       (gw_now (gw) - call->arrived) / 1000);
@@ -460,12 +461,15 @@
   for (i = 0; i < prompt->n_blocks; i++)
     g_string_append_printf (parts, "%s%" G_GINT64_MODIFIER "x", i ? "," : "",
                             prompt->blocks[i].id);
-  event_log_write (
-      "broken", call->in.id,
-      "\"runner\":\"%s\",\"phase\":\"%s\",\"last_event\":"
-      "%" G_GUINT64_FORMAT ",\"ms\":%" G_GINT64_FORMAT ",\"parts\":\"%s\"",
-      call->runner->entry.id, phase_names[call->phase], call->last_event,
-      (gw_now (call->gw) - call->sent) / 1000, parts->str);
+  event_log_write ("broken", call->in.id,
+                   "\"runner\":\"%s\",\"phase\":\"%s\",\"framing\":\"%s\","
+                   "\"last_event\":%" G_GUINT64_FORMAT ",\"left_over\":%zu,"
+                   "\"ms\":%" G_GINT64_FORMAT ",\"parts\":\"%s\"",
+                   call->runner->entry.id, phase_names[call->phase],
+                   call->answer.status != 0 ? http_framing_name (call->framing)
+                                            : "",
+                   call->last_event, call->data != NULL ? call->data->len : 0,
+                   (gw_now (call->gw) - call->sent) / 1000, parts->str);
   g_string_free (parts, TRUE);
 }
 
--- a/src/http_head.c
+++ b/src/http_head.c
@@ -1,5 +1,6 @@
 #include "http_head.h"
 
+#include <limits.h>
 #include <string.h>
 #include <strings.h>
 
@@ -150,9 +151,24 @@
     }
   else
     head->status = parser->status_code;
+  if (parser->flags & F_CHUNKED)
+    head->framing = HTTP_FRAMING_CHUNKS;
+  else if (!head->complete && parser->content_length == ULLONG_MAX)
+    head->framing = HTTP_FRAMING_CONNECTION;
   return 0;
 }
 
+const char *
+http_framing_name (enum http_framing framing)
+{
+  static const char *const names[]
+      = { [HTTP_FRAMING_LENGTH] = "length",
+          [HTTP_FRAMING_CHUNKS] = "chunks",
+          [HTTP_FRAMING_CONNECTION] = "connection" };
+
+  return names[framing];
+}
+
 int
 http_str_equal_nocase (struct http_str span, const char *text)
 {
--- a/src/http_head.h
+++ b/src/http_head.h
@@ -31,12 +31,21 @@
   HTTP_HEAD_FIELDS_MAX = 96 /* fields of one head; a few dozen are usual */
 };
 
+/* What tells the end of a body.  */
+enum http_framing
+{
+  HTTP_FRAMING_LENGTH, /* its length, or the message has none */
+  HTTP_FRAMING_CHUNKS,
+  HTTP_FRAMING_CONNECTION /* only the end of the connection */
+};
+
 struct http_head
 {
   struct http_str method; /* of a request */
   struct http_str target; /* of a request: path and query as received */
   int status;             /* of an answer */
   int complete;           /* the message has no body */
+  enum http_framing framing;
   size_t n_fields;
   struct http_field fields[HTTP_HEAD_FIELDS_MAX];
 };
@@ -70,6 +79,9 @@
                            const char *text); /* without case */
 int http_str_equal (struct http_str span, const char *text);
 
+/* Returns a name for logs.  */
+const char *http_framing_name (enum http_framing framing);
+
 /* Parses a decimal number of at most 15 digits.  Returns 0 or -1.  */
 int http_str_number (struct http_str span, long long *value);
 
--- a/tests/unit_http_head.cc
+++ b/tests/unit_http_head.cc
@@ -74,4 +74,35 @@
   EXPECT_FALSE (http_head_is_hop_by_hop (gw_test::span ("Content-Type")));
 }
 
+// Guards against an answer whose end isn't known and that is taken for one
+// that tells it.
+TEST (HttpHead, AnswersTellWhatEndsThem)
+{
+  const struct
+  {
+    const char *head;
+    enum http_framing framing;
+  } rows[] = {
+    { "200 OK\r\nContent-Length: 3\r\n\r\n", HTTP_FRAMING_LENGTH },
+    { "204 No Content\r\n\r\n", HTTP_FRAMING_LENGTH },
+    { "200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", HTTP_FRAMING_CHUNKS },
+    { "200 OK\r\nTransfer-Encoding: identity\r\n\r\n",
+      HTTP_FRAMING_CONNECTION },
+    { "200 OK\r\nConnection: keep-alive\r\n\r\n", HTTP_FRAMING_CONNECTION },
+    { "200 OK\r\n\r\n", HTTP_FRAMING_CONNECTION }
+  };
+  for (const char *version : { "HTTP/1.1 ", "HTTP/1.0 " })
+    for (const auto &row : rows)
+      {
+        std::string text = version + std::string (row.head);
+        http_parser parser;
+        struct http_head head;
+        http_parser_init (&parser, HTTP_RESPONSE);
+        ASSERT_EQ (
+            http_head_parse (&parser, text.data (), text.size (), &head), 0)
+            << text;
+        EXPECT_EQ (head.framing, row.framing) << text;
+      }
+}
+
 }
