Test: answers that end with their connection

| answer | ends | client must see | | --- | --- | --- | | stream behind an event, and any other body | end of the connection | the same: neither length nor chunks | | stream inside an event, or before the first one | end of the connection | reset; 502 before the first event | | any | reset | reset, or 502 or a retry if none has begun | | any, with length or chunks | too soon, to a client of HTTP/1.0 | reset | | any | deadline, or output that the client doesn't read | reset | | rest of a stream in chunks, at a second runner | end of the connection | no last chunk | | relayed | each of these | as from the runner | | of the store | end of the connection | unknown, unless it is a whole object |

--- a/tests/unit_gw_call.cc
+++ b/tests/unit_gw_call.cc
@@ -130,15 +130,35 @@
     return pool_at (gw.runner_pool, pool_count (gw.runner_pool) - 1);
   }
 
+  // Returns the listener of the only other gateway, to which requests with a
+  // large body are relayed.
+  int
+  relay_at (const char *name)
+  {
+    std::string address;
+    int relay = listen_raw (&address);
+    fcntl (relay, F_SETFL, O_NONBLOCK);
+    gw.set.link_mbit = 10;
+    GHashTable *present = g_hash_table_new (g_str_hash, g_str_equal);
+    std::string presence = "- " + address + " 200 z";
+    g_hash_table_insert (present, g_strdup (name),
+                         g_strdup (presence.c_str ()));
+    gw_relay_update (&gw, present);
+    g_hash_table_unref (present);
+    return relay;
+  }
+
   void
-  send_request (const std::string &path, const std::string &fields = "")
+  send_request (const std::string &path, const std::string &fields = "",
+                const std::string &version = "1.1",
+                const std::string &body = "body")
   {
     client = connect_raw (front);
     fcntl (client, F_SETFL, O_NONBLOCK);
-    put (client, "POST " + path
-                     + " HTTP/1.1\r\nHost: h\r\n"
-                       "X-Goldcresthatch-Request-Id: me\r\n"
-                     + fields + "Content-Length: 4\r\n\r\nbody");
+    put (client, "POST " + path + " HTTP/" + version
+                     + "\r\nHost: h\r\nX-Goldcresthatch-Request-Id: me\r\n"
+                     + fields + "Content-Length: "
+                     + std::to_string (body.size ()) + "\r\n\r\n" + body);
   }
   // Waits for a request at the runner I.  Returns it, with its connection in
   // FD.
@@ -196,6 +216,41 @@
       return n == 0 || (n < 0 && errno == ECONNRESET);
     });
   }
+  // Reads what the client receives until its connection ends.  Returns how.
+  std::string
+  client_end ()
+  {
+    const char *end = "open";
+    run_until (
+        &gw.loop,
+        [&] {
+          char buffer[4000];
+          ssize_t n = read (client, buffer, sizeof buffer);
+          if (n > 0)
+            got.append (buffer, static_cast<size_t> (n));
+          if (n == 0)
+            end = "closed";
+          else if (n < 0 && errno == ECONNRESET)
+            end = "reset";
+          return *end != 'o';
+        },
+        3000);
+    return end;
+  }
+  std::string
+  client_body () const
+  {
+    size_t at = got.find ("\r\n\r\n");
+    return at == std::string::npos ? "" : got.substr (at + 4);
+  }
+  // Returns whether the answer says where it ends.
+  bool
+  is_delimited () const
+  {
+    std::string fields = got.substr (0, got.find ("\r\n\r\n") + 2);
+    return fields.find ("\r\nContent-Length:") != std::string::npos
+           || fields.find ("\r\nTransfer-Encoding:") != std::string::npos;
+  }
   static std::string
   head (int status, const std::string &more)
   {
@@ -822,6 +877,186 @@
   EXPECT_NE (got.find (chunk (event1) + chunk (event2)), std::string::npos);
 }
 
+// Guards against an answer that ends with its runner's connection, so that
+// nobody knows whether it is whole, and that the gateway presents as whole.
+TEST_F (GatewayCall, EndOfTheConnectionIsNotPassedOnAsACompleteAnswer)
+{
+  const struct
+  {
+    const char *path;
+    const char *status;
+    const char *fields;
+    std::string body;
+  } rows[] = { { "/chat/1", "HTTP/1.1 200", "", event1 + event2 },
+               { "/chat/1", "HTTP/1.0 200", "", event1 },
+               { "/chat/1", "HTTP/1.1 200", "Transfer-Encoding: identity\r\n",
+                 event1 },
+               { "/check/1", "HTTP/1.1 200", "", event1 },
+               { "/order/1", "HTTP/1.1 200", "", "{\"seat\":" },
+               { "/order/1", "HTTP/1.1 500", "", "{\"err" },
+               { "/read/1", "HTTP/1.1 200", "", "" },
+               // More than what is held of one answer.
+               { "/read/1", "HTTP/1.1 200", "", std::string (300000, 'x') } };
+  for (const auto &row : rows)
+    for (const char *version : { "1.1", "1.0" })
+      {
+        std::string rest = std::string (" X\r\n") + row.fields
+                           + "X-Goldcresthatch-Request-Id: me\r\n" + stamp
+                           + "\r\n" + row.body;
+        int fd;
+        SCOPED_TRACE (std::string (row.path) + " " + row.status + " "
+                      + row.fields + " to HTTP/" + version);
+        runner (0, row.path[1] == 'c' ? "llm" : "app");
+        send_request (row.path, "", version);
+        receive_at_runner (0, &fd);
+        fcntl (fd, F_SETFL, 0);
+        put (fd, row.status + rest);
+        close (fd);
+        EXPECT_EQ (client_end (), "closed");
+        EXPECT_EQ (got.substr (9, 3), std::string (row.status).substr (9));
+        EXPECT_FALSE (is_delimited ()) << got.substr (0, 300);
+        EXPECT_NE (got.find ("Connection: close\r\n"), std::string::npos);
+        EXPECT_EQ (client_body (), row.body);
+        close (client);
+        got.clear ();
+        close (listeners[0]);
+      }
+}
+
+// Guards against an answer that is known to be broken off and that ends for
+// the client as it would if it were whole.
+TEST_F (GatewayCall, BrokenAnswerWithoutLengthIsReset)
+{
+  const struct
+  {
+    const char *fields;
+    std::string body;
+    bool resets;
+    const char *version; // of the client
+  } rows[]
+      = { { "", event1 + "id: 2\nda", false, "1.1" },
+          { "", event1 + event2, true, "1.1" },
+          { "", event1 + event2, true, "1.0" },
+          { "Transfer-Encoding: chunked\r\n", chunk (event1), false, "1.0" },
+          { "Content-Length: 500\r\n", event1, false, "1.0" } };
+  for (const auto &row : rows)
+    {
+      int fd;
+      SCOPED_TRACE (std::string (row.fields) + row.body + row.version);
+      runner (0, "llm");
+      send_request ("/chat/1", "", row.version);
+      receive_at_runner (0, &fd);
+      put (fd,
+           head (200, stamp + std::string (row.fields) + "\r\n") + row.body);
+      ASSERT_TRUE (client_has (event1));
+      if (row.resets)
+        reset (fd);
+      else
+        close (fd);
+      EXPECT_EQ (client_end (), "reset");
+      close (client);
+      got.clear ();
+      close (listeners[0]);
+    }
+}
+
+// Guards against an answer that the gateway breaks off itself, at the deadline
+// or when it is full of output that the client doesn't read, and that ends for
+// the client as it would if it were whole.
+TEST_F (GatewayCall, AnswerWithoutLengthThatTheGatewayEndsIsReset)
+{
+  int fd;
+  runner (0, "llm");
+  send_request ("/chat/1", "X-Goldcresthatch-Deadline-Ms: 300\r\n");
+  receive_at_runner (0, &fd);
+  put (fd, head (200, stamp + std::string ("\r\n")) + event1);
+  ASSERT_TRUE (client_has (event1));
+  tmr_advance (gw.tmr, gw_now (&gw) + 400000);
+  EXPECT_EQ (client_end (), "reset");
+  close (fd);
+  close (client);
+  got.clear ();
+
+  runner (1, "llm");
+  send_request ("/chat/1");
+  receive_at_runner (1, &fd);
+  put (fd, head (200, stamp + std::string ("\r\n")));
+  std::string event = "id: 1\ndata: " + std::string (30000, 'x') + "\n\n";
+  bool ended = false;
+  for (int i = 0; i < 2000 && !ended; i++)
+    {
+      ended = send (fd, event.data (), event.size (), MSG_NOSIGNAL) < 0
+              && errno != EAGAIN;
+      for (int j = 0; j < 5; j++)
+        uv_run (&gw.loop, UV_RUN_NOWAIT);
+    }
+  EXPECT_TRUE (ended);
+  EXPECT_EQ (client_end (), "reset");
+  close (fd);
+}
+
+// Guards against a stream in chunks that is continued by a runner whose answer
+// ends with its connection, and that the gateway then ends as whole.
+TEST_F (GatewayCall, ResumptionThatEndsWithItsConnectionIsNotAnEnd)
+{
+  int fd;
+  runner (0, "llm");
+  runner (1, "llm");
+  send_request ("/check/1");
+  receive_at_runner (0, &fd);
+  put (fd, head (200, stamp + std::string (chunked)) + chunk (event1));
+  ASSERT_TRUE (client_has (event1));
+  close (fd);
+  EXPECT_NE (receive_at_runner (1, &fd).find ("Last-Event-Id: 1\r\n"),
+             std::string::npos);
+  put (fd, head (200, stamp + std::string ("\r\n")) + event2);
+  close (fd);
+  EXPECT_NE (client_end (), "open");
+  EXPECT_NE (got.find (chunk (event2)), std::string::npos);
+  EXPECT_EQ (got.find ("\r\n0\r\n\r\n"), std::string::npos);
+}
+
+// Guards against an answer without length that loses its end on the way
+// through a second gateway.
+TEST_F (GatewayCall, RelayedAnswerKeepsItsFraming)
+{
+  const struct
+  {
+    std::string body;
+    bool resets;
+    const char *end;
+  } rows[] = { { event1 + event2, false, "closed" },
+               { event1 + event2, true, "reset" },
+               { event1 + "id: 2", false, "reset" } };
+  for (const auto &row : rows)
+    {
+      int fd = -1;
+      int relay = relay_at ("wide");
+      SCOPED_TRACE (row.body + row.end);
+      send_request ("/chat/1", "X-Pad: " + std::string (3000, 'x') + "\r\n",
+                    "1.1", std::string (3000, 'x'));
+      ASSERT_TRUE (run_until (&gw.loop, [&] {
+        fd = accept (relay, nullptr, nullptr);
+        return fd >= 0;
+      }));
+      put (fd, head (200, stamp + std::string ("\r\n")) + row.body);
+      ASSERT_TRUE (client_has (event1));
+      for (int i = 0; i < 20; i++)
+        uv_run (&gw.loop, UV_RUN_NOWAIT);
+      char request[16000];
+      EXPECT_GT (read (fd, request, sizeof request), 0);
+      if (row.resets)
+        reset (fd);
+      else
+        close (fd);
+      EXPECT_EQ (client_end (), row.end);
+      EXPECT_FALSE (is_delimited ());
+      close (client);
+      got.clear ();
+      close (relay);
+    }
+}
+
 // Guards against a part that crashes runners being sent on by a gateway that
 // was only told of it, and against a refusal that isn't true.
 TEST_F (GatewayCall, PartInQuarantineIsRefused)
--- a/tests/unit_pf_store.cc
+++ b/tests/unit_pf_store.cc
@@ -119,6 +119,35 @@
   close (fresh);
 }
 
+// Guards against an answer that is cut off, before its body too, and that is
+// taken for an empty listing, for no change or for a key that was written.
+TEST_F (Store, AnswerThatIsCutOffIsUnknown)
+{
+  const std::string bodies[]
+      = { "", "{", "{\"items\":[", "{\"items\":[],\"store_revision\":7",
+          "{\"items\":[],\"store_revision\":7}" };
+  for (const std::string &body : bodies)
+    for (int call = 0; call < 3; call++)
+      {
+        bool whole = !body.empty () && body.back () == '}';
+        size_t before = replies.size ();
+        SCOPED_TRACE (body + " call " + std::to_string (call));
+        if (call == 0)
+          pf_store_ops.list (store, "p/", nullptr, 0, on_reply, this);
+        else if (call == 1)
+          pf_store_ops.watch (store, "p/", 3, 1000, on_reply, this);
+        else
+          pf_store_ops.put (store, "k", 0, "v", 1, 0, on_reply, this);
+        int fd = accept_new ();
+        request (fd);
+        put (fd, "HTTP/1.1 200 X\r\n\r\n" + body);
+        close (fd);
+        ASSERT_TRUE (
+            run_until (&loop, [&] { return replies.size () > before; }));
+        EXPECT_EQ (replies.back (), whole ? STORE_OK : STORE_UNKNOWN);
+      }
+}
+
 // Guards against mapping a status to the wrong result.
 TEST_F (Store, StatusMapsToResult)
 {
