Keep the framing of answers that end with their connection

Cause: handle_eof took the end of the connection for the end of a body without length and chunks, is_cut_off saw only ends inside an event, and the gateway then wrote the last chunk or a length: it asserted an end that it didn't know. Class: an unknown result that is passed on as a known one. A client without chunks (HTTP/1.0) got an orderly end also of an answer that was known to be broken off.

Change: the client reports HTTP_CLIENT_CLOSED for such an end. The gateway passes the answer on with neither length nor chunks, also when relayed, and closes in order only after the runner did; a connection that ends an answer is reset in any other case (SO_LINGER), also when the process is killed. A stream in chunks that is continued by such an answer isn't ended with a last chunk.

--- a/src/gw.h
+++ b/src/gw.h
@@ -61,7 +61,8 @@
 struct gw_counts
 {
   uint64_t requests;
-  uint64_t answered;     /* a runner's complete answer was forwarded */
+  uint64_t answered;     /* a runner's answer was forwarded to its end */
+  uint64_t until_close;  /* answers that ended with their connection */
   uint64_t refused;      /* answered without being run */
   uint64_t failed;       /* answered 502 or 504, or aborted in the answer */
   uint64_t disconnected; /* the client disconnected first */
--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -45,7 +45,6 @@
   enum adapter_phase phase;
   struct pool_runner *runner; /* or the gateway it is relayed to */
   int closing;                /* the answer has "Connection: close" */
-  int unframed;               /* it has neither a length nor chunks */
   double queued_tokens;       /* prompt tokens added to the runner's queue */
   int64_t sent;
   uint64_t silence_timer; /* until the answer begins, or 0 */
@@ -55,6 +54,7 @@
   GString *data;             /* part of its body that is not forwarded yet */
   size_t discarded; /* bytes of its body that are not forwarded at all */
   int streaming;
+  int until_close;      /* the client's answer ends with its connection */
   int64_t answer_began; /* time of the first byte, while STREAMING */
   int64_t first_event;  /* time of the first event of this send, or 0 */
   int answer_noted;     /* this send speaks for the parts of the prompt */
--- a/src/gw_page.c
+++ b/src/gw_page.c
@@ -38,6 +38,7 @@
   } rows[] = {
     { "requests_total", gw->counts.requests },
     { "answered_total", gw->counts.answered },
+    { "answers_until_close_total", gw->counts.until_close },
     { "refused_total", gw->counts.refused },
     { "failed_total", gw->counts.failed },
     { "left_total", gw->counts.disconnected },
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -147,6 +147,40 @@
   runner->references++;
 }
 
+/* Sends the header of the answer.  From here on the status can't change.  */
+static void
+start_answer (struct gw_call *call)
+{
+  call->streaming = 1;
+  call->until_close = call->framing == HTTP_FRAMING_CONNECTION;
+  call->answer_began = gw_now (call->gw);
+  reqstate_apply (&call->reqstate, REQSTATE_EV_START);
+  http_server_start_response (call->request_listener->srv, call->conn,
+                              call->answer.status, call->fields->str,
+                              call->until_close ? HTTP_SERVER_UNTIL_CLOSE
+                                                : HTTP_SERVER_CHUNKED);
+}
+
+/* Sends what is left of the runner's answer, and its end as far as it is
+   known.  */
+static void
+finish_answer (struct gw_call *call)
+{
+  struct http_server *srv = call->request_listener->srv;
+
+  if (!call->streaming && call->framing == HTTP_FRAMING_CONNECTION)
+    start_answer (call);
+  if (!call->streaming)
+    {
+      http_server_respond (srv, call->conn, call->answer.status,
+                           call->fields->str, call->data->str,
+                           call->data->len);
+      return;
+    }
+  http_server_send_body (srv, call->conn, call->data->str, call->data->len);
+  http_server_finish_response (srv, call->conn);
+}
+
 /* Retries the request if that is safe and the budget allows it.  Otherwise
    forwards the runner's answer or, without one, fails the call.  */
 static void
@@ -168,9 +202,7 @@
           event_log_write ("passed", call->in.id,
                            "\"status\":%d,\"runner\":\"%s\"",
                            call->answer.status, runner->entry.id);
-          http_server_respond (call->request_listener->srv, call->conn,
-                               call->answer.status, call->fields->str,
-                               call->data->str, call->data->len);
+          finish_answer (call);
           gw_call_end (call);
           return;
         }
@@ -247,8 +279,6 @@
   call->closing
       = http_str_equal_nocase (http_head_get (head, "connection"), "close");
   call->framing = head->framing;
-  call->unframed = http_head_get (head, "content-length").p == NULL
-                   && http_head_get (head, "transfer-encoding").p == NULL;
   if (call->streaming)
     return HTTP_CLIENT_ACCEPT;
   if (call->fields == NULL)
@@ -293,17 +323,6 @@
   return 0;
 }
 
-/* Sends the header of the answer.  From here on the status can't change.  */
-static void
-start_answer (struct gw_call *call)
-{
-  call->streaming = 1;
-  call->answer_began = gw_now (call->gw);
-  reqstate_apply (&call->reqstate, REQSTATE_EV_START);
-  http_server_start_response (call->request_listener->srv, call->conn,
-                              call->answer.status, call->fields->str, -1);
-}
-
 /* Notes once for each send that the runner has survived its answer so far.  */
 static void
 note_survived (struct gw_call *call)
@@ -372,10 +391,25 @@
   if (!is_event_stream (call))
     return 0;
   return strspn (call->data->str, "\r\n") < call->data->len
-         || (call->unframed && call->first_event == 0
+         || (call->framing == HTTP_FRAMING_CONNECTION && call->first_event == 0
              && call->last_event == call->in.last_event);
 }
 
+/* Returns the result of a send whose answer ended as END says, by the content
+   of the answer.  */
+static enum http_client_result
+judge_end (const struct gw_call *call, enum http_client_result end)
+{
+  if (end != HTTP_CLIENT_COMPLETE && end != HTTP_CLIENT_CLOSED)
+    return end;
+  if (is_cut_off (call))
+    return HTTP_CLIENT_BROKEN;
+  /* The last chunk would tell the client that the answer is whole.  */
+  if (end == HTTP_CLIENT_CLOSED && call->streaming && !call->until_close)
+    return HTTP_CLIENT_BROKEN;
+  return HTTP_CLIENT_COMPLETE;
+}
+
 static void
 on_body (void *ctx, const char *data, size_t size)
 {
@@ -437,16 +471,7 @@
       ((call->streaming ? call->answer_began : gw_now (gw)) - call->arrived)
           / 1000,
       (gw_now (gw) - call->arrived) / 1000);
-  if (call->streaming)
-    {
-      http_server_send_body (call->request_listener->srv, call->conn,
-                             call->data->str, call->data->len);
-      http_server_finish_response (call->request_listener->srv, call->conn);
-    }
-  else
-    http_server_respond (call->request_listener->srv, call->conn,
-                         call->answer.status, call->fields->str,
-                         call->data->str, call->data->len);
+  finish_answer (call);
   gw_call_end (call);
 }
 
@@ -584,8 +609,8 @@
   int64_t now = gw_now (gw);
 
   note_send_end (call);
-  if (end == HTTP_CLIENT_COMPLETE && is_cut_off (call))
-    end = HTTP_CLIENT_BROKEN;
+  gw->counts.until_close += end == HTTP_CLIENT_CLOSED;
+  end = judge_end (call, end);
   if (end == HTTP_CLIENT_BROKEN)
     note_broken (call);
   if (call->phase == ADAPTER_PREFILL_ONLY)
--- a/src/gw_stage.c
+++ b/src/gw_stage.c
@@ -221,6 +221,9 @@
   int64_t now = gw_now (gw);
 
   stage->call = 0;
+  /* The content of a report and the status of an order tell enough.  */
+  if (end == HTTP_CLIENT_CLOSED)
+    end = HTTP_CLIENT_COMPLETE;
   if (stage->ordering || end != HTTP_CLIENT_COMPLETE || stage->status != 200
       || gw->adapter->report_read (stage->body->str, stage->body->len, &report)
              != 0
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -1,6 +1,5 @@
 #include "http_client.h"
 
-#include <limits.h>
 #include <string.h>
 
 #include "event_log.h"
@@ -129,9 +128,9 @@
 }
 
 /* Puts the connection back into the idle queue, or closes it, and then reports
-   the complete answer.  */
+   END.  */
 static void
-conn_complete (struct conn *c)
+conn_complete (struct conn *c, enum http_client_result end)
 {
   struct http_client_ops ops = c->ops;
   void *ctx = c->ctx;
@@ -149,7 +148,7 @@
       c->in = NULL;
       g_queue_push_head (&c->peer->idle, c);
     }
-  ops.done (ctx, HTTP_CLIENT_COMPLETE);
+  ops.done (ctx, end);
 }
 
 /* Logs that the peer sends more than LIMIT of WHAT.  Returns -1.  */
@@ -309,18 +308,10 @@
     }
   if (c->in->len > 0)
     c->keep_ms = 0;
-  conn_complete (c);
+  conn_complete (c, HTTP_CLIENT_COMPLETE);
 }
 
-/* Returns nonzero when only the end of the connection ends the body.  */
-static int
-ends_with_connection (const http_parser *parser)
-{
-  return !(parser->flags & F_CHUNKED) && parser->content_length == ULLONG_MAX;
-}
-
-/* Handles the end of the connection.  An answer without a length is complete
-   if the peer closed the connection without a reset.  */
+/* Handles the end of the connection, which a reset breaks.  */
 static void
 handle_eof (struct conn *c)
 {
@@ -337,11 +328,11 @@
     }
   c->keep_ms = 0;
   if (n == 0 && c->in_body && !c->skip_answer
-      && ends_with_connection (&c->parser)
+      && c->head.framing == HTTP_FRAMING_CONNECTION
       && http_head_parse_body (&c->parser, NULL, 0, on_body, &c->body_complete)
              == 0
       && c->body_complete)
-    conn_complete (c);
+    conn_complete (c, HTTP_CLIENT_CLOSED);
   else
     conn_fail (c);
 }
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -24,6 +24,9 @@
 enum http_client_result
 {
   HTTP_CLIENT_COMPLETE, /* the answer is complete */
+  /* An answer without length and chunks has ended with its connection: it is
+     complete or has been broken off, which only its content can tell.  */
+  HTTP_CLIENT_CLOSED,
   HTTP_CLIENT_NOT_SENT, /* no byte of the request was written */
   HTTP_CLIENT_BROKEN    /* it was sent, but no complete answer was received */
 };
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -39,6 +39,7 @@
   int body_complete; /* the request's body has been received */
   int keep_alive;    /* the connection stays open after the answer */
   int chunked;       /* the answer is sent in chunks */
+  int until_close;   /* the answer ends with the connection */
   int no_body;       /* the answer has no body: the request is a HEAD */
   int paused;        /* reading is stopped */
   int closing;       /* uv_close was called */
@@ -102,7 +103,7 @@
       && uv_stream_get_write_queue_size (stream) <= UNSENT_MAX_BYTES)
     return;
   c->write_failed = 1;
-  tcp_shutdown (stream);
+  tcp_shutdown (stream, c->until_close ? SHUT_RD : SHUT_RDWR);
   if (c->paused)
     uv_read_start (stream, tcp_alloc_buffer, on_read);
   c->paused = 0;
@@ -363,9 +364,13 @@
     return;
   out = g_string_sized_new (512);
   c->keep_alive = c->keep_alive && !srv->draining;
-  c->chunked = length < 0 && c->parser.http_minor > 0;
-  if (length < 0 && !c->chunked)
-    c->keep_alive = 0;
+  c->chunked = length == HTTP_SERVER_CHUNKED && c->parser.http_minor > 0;
+  c->until_close = length < 0 && !c->chunked;
+  if (c->until_close)
+    {
+      c->keep_alive = 0;
+      tcp_set_reset_on_close (&c->tcp, 1);
+    }
   g_string_append_printf (out, "HTTP/1.1 %d %s\r\n%s", status,
                           http_status_str ((enum http_status)status),
                           fields ? fields : "");
@@ -405,9 +410,12 @@
 static void
 on_shutdown (uv_shutdown_t *req, int status)
 {
-  /* The client's close ends the connection; http_server_check_timeouts bounds
-   * the wait.  */
-  (void)status;
+  struct conn *c = req->data;
+
+  /* The whole answer is in the socket.  The client's close ends the
+     connection; http_server_check_timeouts bounds the wait.  */
+  if (status == 0 && c->until_close && !c->closing)
+    tcp_set_reset_on_close (&c->tcp, 0);
   g_free (req);
 }
 
@@ -470,7 +478,10 @@
     return;
   if (c->chunked && !c->no_body)
     conn_write (c, "0\r\n\r\n", 5);
-  if (!c->closing)
+  /* Output is missing, so an end in order would be false.  */
+  if (c->write_failed && c->until_close)
+    http_server_abort_response (srv, conn);
+  else if (!c->closing)
     next_request (c);
 }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -54,9 +54,22 @@
 void http_server_respond (struct http_server *srv, uint64_t conn, int status,
                           const char *fields, const char *body, size_t size);
 
+/* Lengths that aren't known.  */
+enum
+{
+  /* Chunks tell the end.  A client of HTTP/1.0 doesn't understand them; its
+     answer ends with the connection.  */
+  HTTP_SERVER_CHUNKED = -1,
+  /* The answer ends with the connection, and nothing tells whether it is
+     whole.  */
+  HTTP_SERVER_UNTIL_CLOSE = -2
+};
+
 /* Starts an answer.  The server adds Connection and either Content-Length or
    Transfer-Encoding to FIELDS, which must not contain them.  LENGTH is that of
-   the body, or -1 when it isn't known.  */
+   the body, or one of the above.  A connection that ends the answer is closed
+   in order only by http_server_finish_response; in any other case, and when
+   the process ends, it is reset.  */
 void http_server_start_response (struct http_server *srv, uint64_t conn,
                                  int status, const char *fields,
                                  int64_t length);
--- a/src/tcp.c
+++ b/src/tcp.c
@@ -70,12 +70,22 @@
 }
 
 void
-tcp_shutdown (uv_stream_t *stream)
+tcp_shutdown (uv_stream_t *stream, int how)
 {
   uv_os_fd_t fd;
 
   if (uv_fileno ((const uv_handle_t *)stream, &fd) == 0)
-    shutdown (fd, SHUT_RDWR);
+    shutdown (fd, how);
+}
+
+void
+tcp_set_reset_on_close (uv_tcp_t *tcp, int on)
+{
+  struct linger linger = { .l_onoff = on, .l_linger = 0 };
+  uv_os_fd_t fd;
+
+  if (uv_fileno ((const uv_handle_t *)tcp, &fd) == 0)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
 }
 
 void
--- a/src/tcp.h
+++ b/src/tcp.h
@@ -26,8 +26,13 @@
    the loop reports an end for both when the last bytes arrive with it.  */
 ssize_t tcp_read_rest (uv_stream_t *stream, char *data, size_t size);
 
-/* Shuts down both directions, so that the loop reports the end of STREAM.  */
-void tcp_shutdown (uv_stream_t *stream);
+/* Shuts down STREAM as shutdown(2) does with HOW.  The loop then reports its
+   end, unless HOW is SHUT_WR.  */
+void tcp_shutdown (uv_stream_t *stream, int how);
+
+/* With ON, the connection is reset when it is closed, also by the end of the
+   process.  */
+void tcp_set_reset_on_close (uv_tcp_t *tcp, int on);
 
 /* Sets TCP_USER_TIMEOUT to TCP_USER_TIMEOUT_MS.  */
 void tcp_set_user_timeout (uv_tcp_t *tcp);
