Soak: answers that end with their connection

One request in five is answered without length and chunks; a runner that cuts such a stream ends it in order behind an event, so that its bytes are those of a whole answer. Callers count such an answer as whole only by its content, and none may lose what tells its end.

--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -31,6 +31,7 @@
   FAULT_MS = 500,        /* between two faults */
   EVENTS = 4,            /* of a stream */
   SERVED_LEAST = 90,     /* in 100, of the requests judged */
+  UNDELIMITED_CALLS = 5, /* one request in so many has such answers */
   CRASH_PART_CALLS = 40, /* one request in so many has the part that crashes */
   CRASH_REGISTERED_MS = 1000, /* until the entry of a crashed engine expires */
   CRASH_RETURN_MS = 1500,
@@ -83,8 +84,9 @@
   int expected_event;
   GString *body;
   int judged;
-  int crashes; /* has the part that crashes engines */
-  int late;    /* reached a runner though the part must be known */
+  int undelimited; /* answers to it have neither a length nor chunks */
+  int crashes;     /* has the part that crashes engines */
+  int late;        /* reached a runner though the part must be known */
   uint64_t timer;
   uint64_t call;
 };
@@ -600,15 +602,27 @@
       text = g_strdup_printf ("X-Goldcresthatch-Request-Id: %s\r\n"
                               "X-Goldcresthatch-Server-Stamp: s\r\n",
                               job->record->id);
-      http_server_respond (r->srv, job->conn, 200, text, job->record->id,
-                           strlen (job->record->id));
+      http_server_start_response (r->srv, job->conn, 200, text,
+                                  job->record->undelimited
+                                      ? HTTP_SERVER_UNTIL_CLOSE
+                                      : (int64_t)strlen (job->record->id));
+      http_server_send_body (r->srv, job->conn, job->record->id,
+                             strlen (job->record->id));
+      http_server_finish_response (r->srv, job->conn);
       g_free (text);
       g_free (job);
       return;
     }
   job->event++;
   text = g_strdup_printf ("id: %d\ndata: %s\n\n", job->event, job->record->id);
-  if (r->mode == MODE_CUTS && job->event == 3)
+  if (r->mode == MODE_CUTS && job->event == 3 && job->record->undelimited)
+    {
+      /* Its bytes are those of a whole answer.  */
+      http_server_send_body (r->srv, job->conn, text, strlen (text));
+      http_server_finish_response (r->srv, job->conn);
+      job->event = EVENTS;
+    }
+  else if (r->mode == MODE_CUTS && job->event == 3)
     {
       http_server_send_body (r->srv, job->conn, text, strlen (text) / 2);
       http_server_abort_response (r->srv, job->conn);
@@ -671,7 +685,9 @@
                               "X-Goldcresthatch-Request-Id: %s\r\n"
                               "X-Goldcresthatch-Server-Stamp: s\r\n%s",
                               record->id, limit_field (r));
-      http_server_start_response (r->srv, conn, 200, text, -1);
+      http_server_start_response (r->srv, conn, 200, text,
+                                  record->undelimited ? HTTP_SERVER_UNTIL_CLOSE
+                                                      : HTTP_SERVER_CHUNKED);
       g_free (text);
     }
   tmr_add (tmr, WORK_US, 0, job_step, job);
@@ -805,20 +821,21 @@
   g_string_append_len (record->body, data, (gssize)size);
 }
 
-static void
-judge_body (struct record *record)
+static int
+is_body_whole (const struct record *record)
 {
   GString *expected = g_string_new (NULL);
   int i;
+  int whole;
 
   if (!record->stream)
     g_string_append (expected, record->id);
   else
     for (i = 1; i <= EVENTS; i++)
       g_string_append_printf (expected, "id: %d\ndata: %s\n\n", i, record->id);
-  promise (strcmp (expected->str, record->body->str) == 0,
-           "an answer that isn't its request's whole one", record->id);
+  whole = strcmp (expected->str, record->body->str) == 0;
   g_string_free (expected, TRUE);
+  return whole;
 }
 
 static void
@@ -828,10 +845,15 @@
 
   tmr_cancel (tmr, record->timer);
   record->call = 0;
-  record->whole = end == HTTP_CLIENT_COMPLETE;
+  promise (end != HTTP_CLIENT_CLOSED || record->undelimited,
+           "an answer that lost what tells its end", record->id);
+  record->whole = end == HTTP_CLIENT_COMPLETE
+                  || (end == HTTP_CLIENT_CLOSED && record->status == 200
+                      && is_body_whole (record));
   if (record->whole && record->status == 200)
     {
-      judge_body (record);
+      promise (is_body_whole (record),
+               "an answer that isn't its request's whole one", record->id);
       judged_served += record->judged;
     }
   if (!record->whole)
@@ -896,6 +918,7 @@
                : g_strdup (kinds[kind].fields);
   record->idempotent = kinds[kind].idempotent;
   record->stream = kinds[kind].stream;
+  record->undelimited = number % UNDELIMITED_CALLS == 0;
   record->judged = is_judged;
   judged += is_judged;
   record->body = g_string_new (NULL);
