Log the era of the store

Nothing in the logs said that the store had been put back, so the hypotheses on a restored store (CONFIG) couldn't be told apart. store_reply carries the era of an answer (Store-Era); store_era tells a change, config_older a configuration in the store that is older than the one held. No change of logic.

--- a/src/gw_page.c
+++ b/src/gw_page.c
@@ -46,6 +46,7 @@
     { "prompts_read_apart_total", gw->counts.prefills },
     { "relayed_total", gw->counts.relayed },
     { "store_calls_total", gw->counts.store_calls },
+    { "store_era", gw->store_era },
     { "store_notices_total", gw->counts.store_notices },
     { "store_source", (uint64_t)gw_peers_is_source (gw) },
     { "load_queries_total", gw->counts.load_queries },
--- a/src/gw_sync.c
+++ b/src/gw_sync.c
@@ -91,6 +91,12 @@
                        item->revision, err.text);
       return;
     }
+  if (gw->table != NULL && table->version < gw->table->version)
+    event_log_write ("config_older", NULL,
+                     "\"version\":%" G_GUINT64_FORMAT
+                     ",\"revision\":%" G_GUINT64_FORMAT
+                     ",\"held\":%" G_GUINT64_FORMAT,
+                     table->version, item->revision, gw->table->version);
   if (!routing_adopt (&gw->table, table))
     return;
   limits.header_bytes = gw->table->header_bytes;
@@ -233,6 +239,19 @@
     }
 }
 
+/* Notes the era of which an answer of the store speaks.  */
+static void
+note_era (struct gw *gw, uint64_t era)
+{
+  if (era == 0 || era == gw->store_era)
+    return;
+  event_log_write ("store_era", NULL,
+                   "\"era\":%" G_GUINT64_FORMAT
+                   ",\"before\":%" G_GUINT64_FORMAT,
+                   era, gw->store_era);
+  gw->store_era = era;
+}
+
 static void
 feed_state (struct feed *feed, int ok)
 {
@@ -287,6 +306,7 @@
   size_t i;
 
   feed->gw->counts.store_calls++;
+  note_era (feed->gw, reply->era);
   feed_state (feed, reply->rc == STORE_OK);
   if (reply->rc != STORE_OK)
     {
@@ -343,6 +363,7 @@
   uint64_t since = feed->change_revision;
 
   feed->gw->counts.store_calls++;
+  note_era (feed->gw, reply->era);
   feed_state (feed, reply->rc == STORE_OK || reply->rc == STORE_COMPACTED);
   if (reply->rc == STORE_COMPACTED)
     {
--- a/src/store.h
+++ b/src/store.h
@@ -7,6 +7,10 @@
  * DESCRIPTION
  *   Each operation ends with exactly one call of DONE, also when it times out.
  *   The adapter of a platform fills in the table of operations.
+ *
+ *   A store that has been restored from an older copy is in a later era.
+ *   Revisions and leases are those of an era: they are given out again in the
+ *   next one.
  */
 #include <stddef.h>
 #include <stdint.h>
@@ -37,6 +41,7 @@
   const struct store_item *items;
   size_t n_items;
   int more;          /* there are more keys after the last one */
+  uint64_t era;      /* 0: unknown */
   uint64_t revision; /* of the whole store, or of a write */
   uint64_t lease;
 };
