--- a/tests/unit_gw_sync.cc
+++ b/tests/unit_gw_sync.cc
@@ -38,6 +38,9 @@
   std::vector<item> log; // all changes, oldest first
   uint64_t revision = 100;
   uint64_t compacted = 0;
+  uint64_t era = 1;
+  std::vector<std::string> calls; // other calls of the store, with the lease
+  uint64_t next_lease = 9;
   enum store_rc fails = STORE_OK; // of every call
   unsigned watches = 0;           // calls of the store
   struct watch
@@ -145,9 +148,17 @@
     });
     return true;
   }
-  static void
-  reply_items (const std::vector<item> &items, uint64_t revision,
-               store_done *done, void *ctx)
+  // Puts the store back to its state at BACK.
+  void
+  restore (uint64_t back)
+  {
+    while (!log.empty () && log.back ().revision > back)
+      log.pop_back ();
+    revision = back;
+    era++;
+  }
+  void
+  reply_items (const std::vector<item> &items, store_done *done, void *ctx)
   {
     std::vector<struct store_item> out;
     for (const item &i : items)
@@ -157,6 +168,7 @@
     reply.items = out.data ();
     reply.n_items = out.size ();
     reply.revision = revision;
+    reply.era = era;
     done (ctx, &reply);
   }
 
@@ -179,7 +191,7 @@
             if (!i.deleted)
               now.push_back (i);
           }
-      reply_items (now, self->revision, done, ctx);
+      self->reply_items (now, done, ctx);
     });
   }
   // Checks for changes every few milliseconds, like a blocking watch.
@@ -193,9 +205,10 @@
         self->failing (w.done, w.ctx);
         return;
       }
-    if (w.after < self->compacted)
+    if (w.after < self->compacted || w.after > self->revision)
       {
         struct store_reply reply = {};
+        reply.era = self->era;
         reply.rc = STORE_COMPACTED;
         w.done (w.ctx, &reply);
         return;
@@ -205,7 +218,7 @@
           && i.key.compare (0, w.prefix.size (), w.prefix) == 0)
         events.push_back (i);
     if (!events.empty () || tmr_now (self->gw.tmr) >= until)
-      reply_items (events, self->revision, w.done, w.ctx);
+      self->reply_items (events, w.done, w.ctx);
     else
       self->call_after (4 * ms, [=] { check_changes (w, until); });
   }
@@ -242,16 +255,21 @@
   static void
   grant (void *store_api, int64_t, store_done *done, void *ctx)
   {
+    static_cast<Sync *> (store_api)->calls.push_back ("grant");
     granted (store_api, done, ctx);
   }
   static void
-  renew (void *store_api, uint64_t, store_done *done, void *ctx)
+  renew (void *store_api, uint64_t lease, store_done *done, void *ctx)
   {
+    static_cast<Sync *> (store_api)->calls.push_back (
+        "renew " + std::to_string (lease));
     granted (store_api, done, ctx);
   }
   static void
-  end (void *store_api, uint64_t, store_done *done, void *ctx)
+  end (void *store_api, uint64_t lease, store_done *done, void *ctx)
   {
+    static_cast<Sync *> (store_api)->calls.push_back (
+        "end " + std::to_string (lease));
     granted (store_api, done, ctx);
   }
   static void
@@ -262,6 +280,7 @@
       self->call_after (4 * ms, [=] {
         struct store_reply reply = {};
         reply.rc = STORE_ABSENT;
+        reply.era = self->era;
         done (ctx, &reply);
       });
   }
@@ -272,7 +291,8 @@
     if (!self->failing (done, ctx))
       self->call_after (4 * ms, [=] {
         struct store_reply reply = {};
-        reply.lease = 9;
+        reply.lease = self->next_lease;
+        reply.era = self->era;
         done (ctx, &reply);
       });
   }
@@ -397,6 +417,136 @@
   EXPECT_EQ (gw.table->version, 4U);
 }
 
+// Guards against a route that is added to a restored store and never read:
+// other writes have passed the revision that the gateway had before.
+TEST_F (Sync, ChangesOfARestoredStoreComeInTime)
+{
+  for (bool passed : { false, true })
+    for (bool noticed : { false, true })
+      {
+        SCOPED_TRACE (std::to_string (passed) + std::to_string (noticed));
+        uint64_t held = gw.table != nullptr ? gw.table->version : 3;
+        config (static_cast<int> (held));
+        runner ("a", "ready");
+        uint64_t copy = revision;
+        if (gw.sync == nullptr)
+          start ();
+        advance (2000);
+        for (int i = 0; i < 20; i++)
+          change ("other", "x");
+        config (static_cast<int> (held) + 1);
+        advance (2000);
+        EXPECT_EQ (gw.table->version, held + 1);
+        if (noticed)
+          {
+            fails = STORE_UNKNOWN;
+            advance (2000);
+          }
+        restore (copy);
+        config (static_cast<int> (held) + 5);
+        if (passed)
+          for (int i = 0; i < 60; i++)
+            change ("other", "x");
+        fails = STORE_OK;
+        advance (gw.set.settled_ms);
+        EXPECT_EQ (gw.table->version, held + 5);
+        EXPECT_EQ (gw.store_era, era);
+      }
+}
+
+// Guards against a configuration of the older copy that replaces a later one.
+TEST_F (Sync, OlderConfigurationOfARestoredStoreIsNotTaken)
+{
+  config (3);
+  uint64_t copy = revision;
+  config (8);
+  start ();
+  restore (copy);
+  advance (4000);
+  EXPECT_EQ (gw.table->version, 8U);
+  config (11);
+  advance (4000);
+  EXPECT_EQ (gw.table->version, 11U);
+}
+
+// Guards against a runner that is written again in a restored store, with a
+// lower revision than before, and whose state is ignored.
+TEST_F (Sync, RunnersOfARestoredStoreAreWrittenAgain)
+{
+  config (3);
+  runner ("gone", "ready");
+  runner ("kept", "ready");
+  uint64_t copy = revision;
+  for (int i = 0; i < 20; i++)
+    change ("other", "x");
+  runner ("leaves", "ready");
+  runner ("late", "ready");
+  runner ("lost", "ready");
+  runner ("was-leaving", "draining");
+  start ();
+  ASSERT_TRUE (usable ("leaves"));
+  restore (copy);
+  runner ("leaves", "draining");
+  runner ("was-leaving", "draining");
+  change ("servers/gone", "", true);
+  advance (gw.set.settled_ms);
+  EXPECT_FALSE (usable ("leaves"));
+  EXPECT_FALSE (usable ("was-leaving"));
+  EXPECT_FALSE (usable ("gone"));
+  EXPECT_TRUE (usable ("kept"));
+  // It is written again a while after the others.
+  EXPECT_TRUE (usable ("late"));
+  runner ("late", "ready");
+  advance (3000);
+  EXPECT_TRUE (usable ("late"));
+  EXPECT_FALSE (usable ("lost"));
+  change ("servers/late", "", true);
+  advance (3000);
+  EXPECT_FALSE (usable ("late"));
+}
+
+// Guards against a draining runner that is ready again because the older copy
+// says so.
+TEST_F (Sync, OlderCopyDoesNotBringALeavingRunnerBack)
+{
+  config (3);
+  runner ("a", "ready");
+  uint64_t copy = revision;
+  runner ("a", "draining");
+  start ();
+  ASSERT_FALSE (usable ("a"));
+  restore (copy);
+  for (int i = 0; i < 60; i++)
+    {
+      advance (100);
+      EXPECT_FALSE (usable ("a")) << i;
+    }
+}
+
+// Guards against a lease of the old store that is renewed or ended in the
+// restored one, where it has been granted to somebody else.
+TEST_F (Sync, LeasesOfTheOldStoreAreNotUsed)
+{
+  config (3);
+  start ();
+  uint64_t copy = 100;
+  advance (4000);
+  next_lease = 20;
+  restore (copy);
+  config (3);
+  advance (2500); // the feeds have noticed
+  calls.clear ();
+  gw_sync_withdraw (&gw);
+  EXPECT_EQ (std::count (calls.begin (), calls.end (), "end 9"), 0);
+  advance (8000);
+  EXPECT_EQ (std::count (calls.begin (), calls.end (), "renew 9"), 0);
+  EXPECT_GE (std::count (calls.begin (), calls.end (), "renew 20"), 1);
+  bool present = false;
+  for (const item &i : log)
+    present = present || i.key == "gateways/gw";
+  EXPECT_TRUE (present);
+}
+
 // The gateway in a fleet of which it follows two others.
 class FollowerSync : public Sync
 {
--- a/tests/unit_pf_store.cc
+++ b/tests/unit_pf_store.cc
@@ -148,6 +148,34 @@
       }
 }
 
+// Guards against a late answer of the store as it was before it was restored,
+// that is taken for its present state or for the confirmation of a write.
+TEST_F (Store, LateAnswerOfAnEarlierEraIsUnknown)
+{
+  int fds[3];
+  for (int &fd : fds)
+    {
+      pf_store_ops.list (store, "p/", nullptr, 0, on_reply, this);
+      fd = accept_new ();
+      request (fd);
+    }
+  const std::string body
+      = R"({"items":[{"key":"p/1","revision":7,"value":""}],"store_revision":7})";
+  const uint64_t eras[] = { 2, 1, 3 };
+  for (int i = 0; i < 3; i++)
+    {
+      put (fds[i], "HTTP/1.1 200 X\r\nStore-Era: " + std::to_string (eras[i])
+                       + "\r\nContent-Length: " + std::to_string (body.size ())
+                       + "\r\n\r\n" + body);
+      ASSERT_TRUE (run_until (&loop, [&] {
+        return replies.size () == static_cast<size_t> (i) + 1;
+      }));
+      EXPECT_EQ (replies.back (), eras[i] == 1 ? STORE_UNKNOWN : STORE_OK);
+      EXPECT_EQ (revision, eras[i] == 1 ? 0U : 7U);
+    }
+  EXPECT_EQ (keys.size (), 2U);
+}
+
 // Guards against mapping a status to the wrong result.
 TEST_F (Store, StatusMapsToResult)
 {
