Keep fencing tokens rising when the store is restored

The token was the revision at which the leader's record was created.

The token now leads with the era, in bits above those of a revision; it is the same as before in the first era. The read before each order compares both. The leader's lease is ended only in its era.

Sync.FencingTokensRiseWhenTheStoreIsRestored failed before and passes. Its store keeps and shows the leader's record, which the test's store did not.

--- a/src/gw.h
+++ b/src/gw.h
@@ -175,6 +175,9 @@
 void gw_stage_set_rank (struct gw *gw, size_t place);
 /* Returns nonzero when this gateway is one of those ready to take over.  */
 int gw_stage_is_standby (const struct gw *gw);
+/* Returns the fencing token of this gateway's orders, or 0 when it may not
+   give any.  Tokens rise, also over the eras of the store.  */
+uint64_t gw_stage_token (const struct gw *gw);
 /* Adds a prompt with UNCACHED_TOKENS to the prefill demand, whether or
    not the request is admitted.  */
 void gw_stage_note_demand (struct gw *gw, double uncached_tokens);
--- a/src/gw_stage.c
+++ b/src/gw_stage.c
@@ -25,9 +25,10 @@
 struct gw_stage
 {
   struct authority authority;
-  int rank_known;    /* the rank among the registered gateways is known */
-  uint64_t token;    /* fencing token of this leader, or 0 */
-  int64_t confirmed; /* start of the last read that returned TOKEN */
+  uint64_t lease_era; /* of the lease of AUTHORITY */
+  int rank_known;     /* the rank among the registered gateways is known */
+  uint64_t token;     /* fencing token of this leader, or 0 */
+  int64_t confirmed;  /* start of the last read that returned TOKEN */
   int confirming;
   double requested_us;     /* engine time requested since the last step */
   struct gw_demand demand; /* of this gateway's requests; prefill is a moving
@@ -82,6 +83,19 @@
     }
 }
 
+/* Returns the fencing token of a record that was created at REVISION of ERA.
+   Eras count from 1.  */
+static uint64_t
+fencing_token (uint64_t era, uint64_t revision)
+{
+  enum
+  {
+    REVISION_BITS = 40 /* leaves the token exact in a JSON number */
+  };
+
+  return ((era > 0 ? era - 1 : 0) << REVISION_BITS) + revision;
+}
+
 static void
 on_auth_done (void *ctx, const struct store_reply *reply)
 {
@@ -92,18 +106,22 @@
       = { .kind = op->kind, .now_us = gw_now (gw), .op = op->op };
 
   gw->counts.store_calls++;
+  gw_sync_note_era (gw, reply->era);
   event.rc = result_of (reply->rc);
   event.draw = random_id (gw);
   event.lease = reply->lease;
-  event.revision = reply->revision;
+  event.revision = fencing_token (reply->era, reply->revision);
   if (op->kind == AUTHORITY_EV_GRANTED)
-    event.rc = reply->rc == STORE_OK ? 0 : -1;
+    {
+      event.rc = reply->rc == STORE_OK ? 0 : -1;
+      gw->stage->lease_era = reply->era;
+    }
   else if (reply->rc == STORE_REFUSED)
     event.rc = -1;
   if (op->kind == AUTHORITY_EV_READ && reply->rc == STORE_OK
       && reply->n_items > 0)
     {
-      event.revision = reply->items[0].created;
+      event.revision = fencing_token (reply->era, reply->items[0].created);
       if (authority_record_decode (reply->items[0].value, reply->items[0].size,
                                    &record, NULL)
           == 0)
@@ -294,8 +312,9 @@
 
   gw->counts.store_calls++;
   stage->confirming = 0;
+  gw_sync_note_era (gw, reply->era);
   if (reply->rc != STORE_OK || reply->n_items == 0
-      || reply->items[0].created != stage->token)
+      || fencing_token (reply->era, reply->items[0].created) != stage->token)
     return;
   stage->confirmed = MAX (
       requested_at, gw_now (gw) - gw_ms_to_us (CONFIRMATION_MAX_AGE_MS) / 2);
@@ -443,6 +462,12 @@
   return gw->stage->standby;
 }
 
+uint64_t
+gw_stage_token (const struct gw *gw)
+{
+  return gw->stage->token;
+}
+
 void
 gw_stage_note_demand (struct gw *gw, double uncached_tokens)
 {
@@ -465,7 +490,8 @@
 {
   uint64_t lease = gw->stage->authority.lease;
 
-  if (lease != 0)
+  /* In a later era the lease may be somebody else's.  */
+  if (lease != 0 && gw->stage->lease_era == gw->store_era)
     gw->store_api->end (gw->store_ctx, lease, on_resigned, gw);
 }
 
--- a/tests/unit_gw_sync.cc
+++ b/tests/unit_gw_sync.cc
@@ -148,6 +148,14 @@
     });
     return true;
   }
+  const item *
+  find (const std::string &key) const
+  {
+    for (size_t i = log.size (); i > 0; i--)
+      if (log[i - 1].key == key)
+        return log[i - 1].deleted ? nullptr : &log[i - 1];
+    return nullptr;
+  }
   // Puts the store back to its state at BACK.
   void
   restore (uint64_t back)
@@ -235,15 +243,39 @@
     self->call_after (4 * ms, [=] { check_changes (w, until); });
   }
   static void
-  get (void *store_api, const char *, store_done *done, void *ctx)
+  get (void *store_api, const char *key, store_done *done, void *ctx)
   {
-    absent (store_api, done, ctx);
+    auto *self = static_cast<Sync *> (store_api);
+    std::string k = key;
+    if (self->failing (done, ctx))
+      return;
+    self->call_after (4 * ms, [=] {
+      struct store_reply reply = {};
+      const item *found = self->find (k);
+      reply.era = self->era;
+      reply.rc = found != nullptr ? STORE_OK : STORE_ABSENT;
+      if (found != nullptr)
+        self->reply_items ({ *found }, done, ctx);
+      else
+        done (ctx, &reply);
+    });
   }
   static void
-  put (void *store_api, const char *, uint64_t, const char *, size_t, uint64_t,
-       store_done *done, void *ctx)
+  put (void *store_api, const char *key, uint64_t, const char *value,
+       size_t size, uint64_t, store_done *done, void *ctx)
   {
-    absent (store_api, done, ctx);
+    auto *self = static_cast<Sync *> (store_api);
+    struct store_reply reply = {};
+    reply.rc = self->find (key) != nullptr ? STORE_CONFLICT : STORE_OK;
+    if (reply.rc == STORE_OK)
+      {
+        self->calls.push_back (std::string ("put ") + key);
+        self->change (key, std::string (value, size));
+      }
+    reply.revision = self->revision;
+    reply.era = self->era;
+    if (!self->failing (done, ctx))
+      self->call_after (4 * ms, [=] { done (ctx, &reply); });
   }
   static void
   set (void *store_api, const char *key, const char *value, size_t size,
@@ -550,6 +582,35 @@
   EXPECT_TRUE (present);
 }
 
+// Guards against a fencing token that is given out again by a restored store,
+// so that two leaders have the same one or the later leader a lower one.
+TEST_F (Sync, FencingTokensRiseWhenTheStoreIsRestored)
+{
+  config (3);
+  uint64_t copy = revision;
+  for (int i = 0; i < 20; i++)
+    change ("other", "x");
+  start ();
+  advance (20000);
+  uint64_t first = gw_stage_token (&gw);
+  ASSERT_GT (first, 120U);
+  for (bool with_record : { false, true })
+    {
+      restore (with_record ? revision : copy);
+      if (!with_record)
+        // Another gateway's record at the same revision.
+        while (revision < first)
+          change (revision + 1 == first ? "authority/engines" : "other", "x");
+      uint64_t before = gw_stage_token (&gw);
+      advance (5000);
+      EXPECT_EQ (gw_stage_token (&gw), 0U) << with_record;
+      change ("authority/engines", "", true);
+      advance (20000);
+      EXPECT_GT (gw_stage_token (&gw), before);
+      EXPECT_GT (gw_stage_token (&gw), first);
+    }
+}
+
 // The gateway in a fleet of which it follows two others.
 class FollowerSync : public Sync
 {
