Write verdicts of the quarantine to a restored store again

The store keeps the verdicts for gateways that start; those written after the copy were lost, and a gateway that started then sent on what crashes engines. The few gateways that write verdicts now write those in force again, under what is left of their hold, when they learn of a new era. A lease is ended only in the era in which it was granted.

Sync.VerdictsAreWrittenToARestoredStore failed before and passes.

--- a/src/gw_quarantine.c
+++ b/src/gw_quarantine.c
@@ -14,6 +14,7 @@
   ANSWERED_MAX = 20000, /* answered parts that are remembered; about 3 MB */
   LIST_RETRY_MS = 200,
   PENDING_MAX = 4096,
+  STORE_AGAIN_MAX = 64, /* verdicts; the store bears few writes */
   /* A runner that has ended may be back after this time.  */
   PENDING_MS = 1000
 };
@@ -32,6 +33,7 @@
   GArray *pending; /* struct pending */
   int loading;     /* the verdicts in the store aren't read yet */
   char *after;     /* last key of the page before */
+  uint64_t era;    /* of the store that has the verdicts, or 0 */
 };
 
 static void
@@ -182,6 +184,7 @@
   struct gw *gw;
   uint64_t key;
   uint64_t lease;
+  uint64_t era; /* of the lease */
 };
 
 static void
@@ -200,8 +203,8 @@
   struct gw *gw = verdict->gw;
 
   gw->counts.store_calls++;
-  /* Another gateway has written it.  */
-  if (reply->rc == STORE_CONFLICT)
+  /* It is there already.  */
+  if (reply->rc == STORE_CONFLICT && reply->era == verdict->era)
     gw->store_api->end (gw->store_ctx, verdict->lease, on_ended, gw);
   g_free (verdict);
 }
@@ -220,6 +223,7 @@
       return;
     }
   verdict->lease = reply->lease;
+  verdict->era = reply->era;
   g_snprintf (key, sizeof key, STORE_PREFIX "%016" PRIx64, verdict->key);
   gw->store_api->put (gw->store_ctx, key, 0, "1", 1, verdict->lease, on_stored,
                       verdict);
@@ -236,8 +240,23 @@
   verdict = g_new0 (struct verdict, 1);
   verdict->gw = gw;
   verdict->key = key;
-  gw->store_api->grant (gw->store_ctx, QUARANTINE_HOLD_US / 1000, on_granted,
-                        verdict);
+  gw->store_api->grant (
+      gw->store_ctx,
+      quarantine_left_us (gw_quarantine_table (gw), key, gw_now (gw)) / 1000,
+      on_granted, verdict);
+}
+
+/* Writes the verdicts in force to a store that was restored from a copy, which
+   may not have them.  */
+static void
+store_again (struct gw *gw)
+{
+  uint64_t keys[STORE_AGAIN_MAX];
+  size_t n = quarantine_keys (gw_quarantine_table (gw), keys, STORE_AGAIN_MAX,
+                              gw_now (gw));
+
+  while (n > 0)
+    store_verdict (gw, keys[--n]);
 }
 
 static void
@@ -329,6 +348,11 @@
 
   settle (gw, NULL, now - gw_ms_to_us (PENDING_MS), 0);
   crashfeed_tick (gw->quarantine->feed, now);
+  if (gw->store_era == gw->quarantine->era)
+    return;
+  if (gw->quarantine->era != 0)
+    store_again (gw);
+  gw->quarantine->era = gw->store_era;
 }
 
 struct gw_quarantine *
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -301,6 +301,24 @@
   return n;
 }
 
+size_t
+quarantine_keys (const struct quarantine *q, uint64_t *keys, size_t max,
+                 int64_t now)
+{
+  GHashTableIter iter;
+  gpointer value;
+  size_t n = 0;
+
+  g_hash_table_iter_init (&iter, q->accused);
+  while (n < max && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct accused *accused = value;
+      if (accused->until_us > now)
+        keys[n++] = accused->key;
+    }
+  return n;
+}
+
 size_t
 quarantine_count (const struct quarantine *q, int64_t now)
 {
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -83,6 +83,10 @@
 size_t quarantine_list (const struct quarantine *q,
                         struct quarantine_evidence *evidence, size_t max,
                         int64_t now);
+/* Copies the keys in quarantine to KEYS.  Returns their number, at most MAX.
+ */
+size_t quarantine_keys (const struct quarantine *q, uint64_t *keys, size_t max,
+                        int64_t now);
 /* Returns the number of keys in quarantine.  */
 size_t quarantine_count (const struct quarantine *q, int64_t now);
 #endif
--- a/tests/unit_gw_sync.cc
+++ b/tests/unit_gw_sync.cc
@@ -611,6 +611,31 @@
     }
 }
 
+// Guards against a verdict that a restored store has lost, so that a gateway
+// that starts sends on what crashes engines.
+TEST_F (Sync, VerdictsAreWrittenToARestoredStore)
+{
+  const std::string key = "quarantine/00000000000000ab";
+  auto written = [&] {
+    return std::count (calls.begin (), calls.end (), "put " + key);
+  };
+  config (3);
+  uint64_t copy = revision;
+  change (key, "1");
+  gw_quarantine_load (&gw);
+  start ();
+  advance (2000);
+  EXPECT_EQ (written (), 0);
+  restore (copy);
+  config (4);
+  advance (5000);
+  EXPECT_EQ (written (), 1);
+  EXPECT_NE (find (key), nullptr);
+  restore (revision);
+  advance (5000);
+  EXPECT_EQ (written (), 1) << "the copy has it";
+}
+
 // The gateway in a fleet of which it follows two others.
 class FollowerSync : public Sync
 {
