Soak: a store that is put back to an older copy

In the mode "restored" the store goes back by up to 40 revisions now and then, leases too, rises by an era and cuts the watches; what is missing is written again a while later, or at once and passed by other writes. The last time is at the beginning of the calm, and judged readers use a route that only the newest configuration has.

--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -7,8 +7,10 @@
    seconds before the run does.  With MODE "crash-part" the only fault is a
    part of some prompts that crashes each engine that begins to answer it,
    until the end.  With MODE "limit" two engines name a limit on the requests
-   that they take.  Prints each promise that was broken; exits 0 when there is
-   none.  */
+   that they take.  With MODE "restored" the service is put back to an older
+   copy now and then, and what the runners and the operator wrote since is
+   written again a while later.  Prints each promise that was broken; exits 0
+   when there is none.  */
 #include <glib.h>
 #include <json-c/json.h>
 #include <signal.h>
@@ -30,6 +32,7 @@
   JUDGED_MS = 3000,      /* at the end, in which most must be served */
   FAULT_MS = 500,        /* between two faults */
   EVENTS = 4,            /* of a stream */
+  BACK_MAX = 40,         /* revisions by which the store is put back */
   SERVED_LEAST = 90,     /* in 100, of the requests judged */
   UNDELIMITED_CALLS = 5, /* one request in so many has such answers */
   CRASH_PART_CALLS = 40, /* one request in so many has the part that crashes */
@@ -139,6 +142,8 @@
 static int judged_served;
 static int crash_part;   /* the mode */
 static int limit;        /* the mode */
+static int restored;     /* the mode */
+static uint64_t era = 1; /* of the store */
 static int64_t limit_us; /* when the limit is first named */
 static int crashes;
 static int64_t learned_us; /* when the part must be known, or 0 */
@@ -194,12 +199,15 @@
 static void
 store_answer (uint64_t conn, int status, struct json_object *body)
 {
+  char fields[40];
   const char *text
       = body != NULL
             ? json_object_to_json_string_ext (body, JSON_C_TO_STRING_PLAIN)
             : "";
 
-  http_server_respond (store, conn, status, NULL, text, strlen (text));
+  g_snprintf (fields, sizeof fields, "Store-Era: %" G_GUINT64_FORMAT "\r\n",
+              era);
+  http_server_respond (store, conn, status, fields, text, strlen (text));
   json_object_put (body);
 }
 
@@ -412,12 +420,21 @@
 static void
 store_watch (uint64_t conn, GHashTable *query)
 {
-  struct watcher *w = g_new0 (struct watcher, 1);
-  struct watch_end *end = g_new0 (struct watch_end, 1);
+  uint64_t after
+      = g_ascii_strtoull (g_hash_table_lookup (query, "after"), NULL, 10);
+  struct watcher *w;
+  struct watch_end *end;
 
+  if (after > revision)
+    {
+      store_answer (conn, 410, NULL);
+      return;
+    }
+  w = g_new0 (struct watcher, 1);
+  end = g_new0 (struct watch_end, 1);
   w->conn = conn;
   w->prefix = g_strdup (g_hash_table_lookup (query, "prefix"));
-  w->after = g_ascii_strtoull (g_hash_table_lookup (query, "after"), NULL, 10);
+  w->after = after;
   g_ptr_array_add (watchers, w);
   end->conn = conn;
   tmr_add (tmr,
@@ -497,10 +514,13 @@
       "\"attempts\":2,\"resumable\":true},"
       "{\"name\":\"chat\",\"host\":\"h\",\"prefix\":\"/chat/\",\"kind\":"
       "\"streaming\",\"timeout_ms\":1500,\"slo_ms\":1000,\"service\":\"llm\","
-      "\"attempts\":1}],"
+      "\"attempts\":1},"
+      "{\"name\":\"new\",\"host\":\"h\",\"prefix\":\"/new-%d/\",\"kind\":"
+      "\"idempotent\",\"timeout_ms\":1200,\"service\":\"app\",\"attempts\":2}]"
+      ","
       "\"services\":[{\"name\":\"app\",\"max_conns\":50},"
       "{\"name\":\"llm\",\"max_conns\":50,\"engine\":{\"switch_s\":0.5}}]}",
-      config_version);
+      config_version, config_version);
   item_write_text ("op/config", text);
   g_free (text);
 }
@@ -893,13 +913,15 @@
       = { on_head, on_body, on_done, 0, 0 };
   enum
   {
-    CHECK = 2, /* of KINDS */
+    READ = 1, /* of KINDS */
+    CHECK = 2,
     SESSIONS = 30
   };
   static unsigned number;
   struct record *record = g_new0 (struct record, 1);
   int kind = g_rand_int_range (rand_state, 0, G_N_ELEMENTS (kinds));
   char address[32];
+  char newest[32];
   char *fields;
   char *text;
 
@@ -925,11 +947,15 @@
   g_hash_table_insert (records, record->id, record);
   g_snprintf (address, sizeof address, "127.%d.4.%d:8000", net,
               g_rand_int_range (rand_state, 1, gateways + 1));
+  /* Only the newest configuration has this route.  */
+  g_snprintf (newest, sizeof newest, "/new-%d/1", config_version);
   text = g_strdup_printf (
       "%s %s HTTP/1.1\r\nHost: h\r\nX-Goldcresthatch-Request-Id: %s\r\n"
       "X-Goldcresthatch-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
-      kinds[kind].method, kinds[kind].path, record->id, BUDGET_MS, fields,
-      kind == 1 ? 0 : 4, kind == 1 ? "" : "body");
+      kinds[kind].method,
+      restored && is_judged && kind == READ ? newest : kinds[kind].path,
+      record->id, BUDGET_MS, fields, kind == 1 ? 0 : 4,
+      kind == 1 ? "" : "body");
   record->timer
       = tmr_add (tmr, INT64_C (1000) * BUDGET_MS, 0, on_caller_leaves, record);
   record->call = http_client_call (cli, address, address, text, strlen (text),
@@ -940,6 +966,78 @@
 
 /* Faults and the end.  */
 
+/* Writes what is missing in the copy again.  With OTHERS, other writes then
+   pass the revision from before.  */
+static void
+write_again (int others)
+{
+  GHashTable *ids = g_hash_table_new (g_str_hash, g_str_equal);
+  guint n = items->len;
+  guint i;
+
+  for (i = 0; i < RUNNERS; i++)
+    {
+      g_hash_table_add (ids, runners[i].id);
+      runner_write (&runners[i]);
+    }
+  for (i = 0; i < n; i++)
+    {
+      const struct item *item = g_ptr_array_index (items, i);
+      if (g_str_has_prefix (item->key, "servers/")
+          && item_find (item->key) == item
+          && !g_hash_table_contains (ids, item->key + strlen ("servers/")))
+        item_write (item->key, NULL, 0);
+    }
+  g_hash_table_destroy (ids);
+  config_write ();
+  for (i = 0; others && i < BACK_MAX; i++)
+    item_write ("other", "eA==", 0);
+}
+
+static void
+on_write_again (void *ctx, int64_t now)
+{
+  (void)ctx;
+  (void)now;
+  write_again (g_rand_int_range (rand_state, 0, 2));
+}
+
+/* Puts the store back to an older copy.  Watches that wait are cut.  With
+   AT_ONCE, what was written since is written again before they return.  */
+static void
+store_restore (int at_once)
+{
+  enum
+  {
+    LEASES_BACK_MAX = 4,
+    WRITTEN_AGAIN_MS = 1500
+  };
+  int i;
+
+  revision
+      = MAX (revision - (uint64_t)g_rand_int_range (rand_state, 1, BACK_MAX),
+             UINT64_C (12));
+  while (
+      items->len > 0
+      && ((struct item *)g_ptr_array_index (items, items->len - 1))->revision
+             > revision)
+    g_ptr_array_remove_index (items, items->len - 1);
+  for (i = g_rand_int_range (rand_state, 0, LEASES_BACK_MAX); i > 0; i--)
+    g_hash_table_remove (leases, GSIZE_TO_POINTER (next_lease--));
+  era++;
+  while (watchers->len > 0)
+    http_server_abort_response (
+        store,
+        ((struct watcher *)g_ptr_array_remove_index (watchers, 0))->conn);
+  if (at_once)
+    write_again (1);
+  else
+    tmr_add (tmr,
+             INT64_C (1000)
+                 * g_rand_int_range (rand_state, 0, WRITTEN_AGAIN_MS),
+             0, on_write_again, NULL);
+}
+
 static void
 fault (void)
 {
@@ -994,6 +1092,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct record *record = value;
+      promise (record->status != 404, "a route that isn't known", record->id);
       promise (record->idempotent || record->runs <= 1,
                "a request that ran twice", record->id);
       promise (record->idempotent || record->runs == 0
@@ -1031,6 +1130,7 @@
   static int64_t start;
   static int64_t next_call;
   static int64_t next_fault;
+  static int put_back_last;
   int64_t now = (int64_t)(uv_hrtime () / 1000);
   int64_t left_ms;
 
@@ -1050,9 +1150,16 @@
       call (left_ms < JUDGED_MS && left_ms > BUDGET_MS);
     }
   if (left_ms < CALM_MS)
-    calm ();
+    {
+      calm ();
+      if (restored && !put_back_last)
+        store_restore (1);
+      put_back_last = 1;
+    }
   else if (!crash_part && !limit && now >= next_fault)
     {
+      if (restored && g_rand_int_range (rand_state, 0, 3) == 0)
+        store_restore (g_rand_int_range (rand_state, 0, 2));
       next_fault
           = now
             + INT64_C (1000) * g_rand_int_range (rand_state, 0, 2 * FAULT_MS);
@@ -1106,11 +1213,12 @@
 
   crash_part = argc == 6 && strcmp (argv[5], "crash-part") == 0;
   limit = argc == 6 && strcmp (argv[5], "limit") == 0;
-  if (argc != 5 + crash_part + limit)
+  restored = argc == 6 && strcmp (argv[5], "restored") == 0;
+  if (argc != 5 + crash_part + limit + restored)
     {
-      fputs (
-          "usage: soak-world NET SEED SECONDS GATEWAYS [crash-part|limit]\n",
-          stderr);
+      fputs ("usage: soak-world NET SEED SECONDS GATEWAYS "
+             "[crash-part|limit|restored]\n",
+             stderr);
       return 2;
     }
   net = atoi (argv[1]);
