Don't take an answer that may be cut off for evidence

What callers see: requests that crash runners go on reaching them when each runner begins an answer without length and chunks before it ends.

An answer that ended with its connection counted as an answer to the request and to the parts of its prompt; an answer outweighs all ends of runners before it, so the quarantine never came about. The end of the runner, which closed the connection in order, was no evidence either.

Change: such an answer is pending, like a connection that broke. When the runner is seen again it counts as an answer, when the runner has ended as evidence against the request. No connection is opened for it: sound answers end so too.

Ruled out: leaving these answers out altogether; where all answers end so, nothing would speak for parts that are in use, and sound ones would be refused.

--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -110,6 +110,10 @@
    early in it.  If the runner has ended, that is evidence against the request
    and the parts of its prompt.  */
 void gw_quarantine_note_broken (struct gw_call *call);
+/* Notes that the runner's answer ended early with its connection, whole or cut
+   off.  It is evidence for the request if the runner is still there, and
+   against it if the runner has ended.  */
+void gw_quarantine_note_closed (struct gw_call *call);
 /* Notes that the call's runner has answered.  */
 void gw_quarantine_note_answer (struct gw_call *call);
 /* Returns the milliseconds for which the request or a part of its prompt
--- a/src/gw_quarantine.c
+++ b/src/gw_quarantine.c
@@ -25,6 +25,15 @@
   struct pool_runner *runner;
   uint64_t key;
   int64_t at_us;
+  int answered; /* KEY was answered if the runner is still there */
+};
+
+/* What became of a runner.  */
+enum fate
+{
+  FATE_UNKNOWN,
+  FATE_ENDED,
+  FATE_REACHED
 };
 
 struct gw_quarantine
@@ -45,10 +54,10 @@
 }
 
 static void
-add_pending (struct gw_call *call, uint64_t key)
+add_pending (struct gw_call *call, uint64_t key, int answered)
 {
   GArray *all = call->gw->quarantine->pending;
-  struct pending pending = { call->runner, key, gw_now (call->gw) };
+  struct pending pending = { call->runner, key, gw_now (call->gw), answered };
 
   if (all->len >= PENDING_MAX)
     return;
@@ -61,20 +70,44 @@
 {
   size_t i;
 
-  add_pending (call, call->fingerprint);
+  add_pending (call, call->fingerprint, 0);
   for (i = 0; i < call->in.n_parts; i++)
-    add_pending (call, call->in.parts[i]);
+    add_pending (call, call->in.parts[i], 0);
   /* An engine takes many requests along.  At other runners a connection is
      opened only when the next request doesn't get one, either.  */
   if (call->service != NULL && call->service->is_engine)
     gw_probe_runner (call->gw, call->runner);
 }
 
-/* Decides on what is pending for RUNNER, or for all runners if it is null.  A
-   request that was broken off later than SINCE stays pending, unless the
-   runner has ENDED.  Returns nonzero when one stays.  */
+/* Returns nonzero when an answer to KEY is worth remembering.  Most requests
+   come once.  */
 static int
-settle (struct gw *gw, struct pool_runner *runner, int64_t since, int ended)
+is_answer_of_use (const struct gw_call *call, uint64_t key)
+{
+  return key != call->fingerprint
+         || quarantine_crashes (gw_quarantine_table (call->gw), key) > 0;
+}
+
+void
+gw_quarantine_note_closed (struct gw_call *call)
+{
+  const struct adapter_answer *answer = &call->answer;
+  int answered = call->phase == ADAPTER_WHOLE && answer->stamped
+                 && !answer->not_run && answer->status < 500;
+  size_t i;
+
+  add_pending (call, call->fingerprint,
+               answered && is_answer_of_use (call, call->fingerprint));
+  for (i = 0; i < call->in.n_parts; i++)
+    add_pending (call, call->in.parts[i], answered);
+}
+
+/* Decides on what is pending for RUNNER, or for all runners if it is null, of
+   which FATE was seen at SINCE.  A request whose connection ended later stays
+   pending, unless the runner has ended.  Returns nonzero when one stays.  */
+static int
+settle (struct gw *gw, struct pool_runner *runner, int64_t since,
+        enum fate fate)
 {
   GArray *pending = gw->quarantine->pending;
   GArray *found
@@ -86,9 +119,12 @@
     {
       const struct pending *at = &g_array_index (pending, struct pending, i);
       struct quarantine_evidence evidence
-          = { at->key, at->runner->hash, gw_now (gw) - at->at_us };
+          = { at->key, fate == FATE_ENDED ? at->runner->hash : 0,
+              gw_now (gw) - at->at_us };
+      int is_evidence
+          = fate == FATE_ENDED || (fate == FATE_REACHED && at->answered);
       if ((runner != NULL && at->runner != runner)
-          || (!ended && at->at_us > since))
+          || (fate != FATE_ENDED && at->at_us > since))
         {
           stays |= at->runner == runner;
           i++;
@@ -96,7 +132,7 @@
         }
       at->runner->references--;
       g_array_remove_index_fast (pending, i);
-      if (ended)
+      if (is_evidence)
         g_array_append_val (found, evidence);
     }
   crashfeed_add (gw->quarantine->feed,
@@ -112,8 +148,12 @@
 {
   /* Silence may be a fault of this gateway's own link, which would accuse all
      that it has sent.  */
+  static const enum fate fates[] = { [GW_PROBE_ACCEPTED] = FATE_REACHED,
+                                     [GW_PROBE_REFUSED] = FATE_ENDED,
+                                     [GW_PROBE_SILENT] = FATE_UNKNOWN };
+
   if (settle (gw, runner, result == GW_PROBE_SILENT ? INT64_MAX : started,
-              result == GW_PROBE_REFUSED))
+              fates[result]))
     gw_probe_runner (gw, runner);
 }
 
@@ -130,7 +170,7 @@
   if (i == pending->len)
     return;
   if (reached)
-    settle (gw, runner, started, 0);
+    settle (gw, runner, started, FATE_REACHED);
   else
     gw_probe_runner (gw, runner);
 }
@@ -143,8 +183,7 @@
   size_t n = 0;
   size_t i;
 
-  /* Most requests come once and need not be remembered.  */
-  if (quarantine_crashes (gw_quarantine_table (gw), call->fingerprint) > 0)
+  if (is_answer_of_use (call, call->fingerprint))
     answers[n++] = (struct quarantine_evidence){ call->fingerprint, 0, 0 };
   for (i = 0; i < call->in.n_parts; i++)
     answers[n++] = (struct quarantine_evidence){ call->in.parts[i], 0, 0 };
@@ -346,7 +385,7 @@
 {
   struct gw *gw = ctx;
 
-  settle (gw, NULL, now - gw_ms_to_us (PENDING_MS), 0);
+  settle (gw, NULL, now - gw_ms_to_us (PENDING_MS), FATE_UNKNOWN);
   crashfeed_tick (gw->quarantine->feed, now);
   if (gw->store_era == gw->quarantine->era)
     return;
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -607,12 +607,15 @@
   struct gw *gw = call->gw;
   struct pool_runner *runner = call->runner;
   int64_t now = gw_now (gw);
+  int closed = end == HTTP_CLIENT_CLOSED;
 
   note_send_end (call);
-  gw->counts.until_close += end == HTTP_CLIENT_CLOSED;
+  gw->counts.until_close += closed;
   end = judge_end (call, end);
   if (end == HTTP_CLIENT_BROKEN)
     note_broken (call);
+  else if (closed && call->phase != ADAPTER_RELAY && !call->answer_noted)
+    gw_quarantine_note_closed (call);
   if (call->phase == ADAPTER_PREFILL_ONLY)
     {
       prompt_done (call, end);
@@ -665,9 +668,10 @@
   else
     {
       pool_note_answer (runner, now - call->sent, now);
-      gw_quarantine_note_reached (gw, runner, call->sent, 1);
+      if (!closed)
+        gw_quarantine_note_reached (gw, runner, call->sent, 1);
       note_kv_transfer (call, 1);
-      if (call->answer.stamped)
+      if (call->answer.stamped && !closed)
         note_survived (call);
     }
   if (call->answer.status < 300 && !call->answer.stamped)
--- a/tests/unit_gw_call.cc
+++ b/tests/unit_gw_call.cc
@@ -1191,4 +1191,52 @@
   EXPECT_EQ (quarantine_crashes (table, 0xb), 0U);
 }
 
+// Guards against a runner that ends behind the first events of an answer
+// without length: the answer is no evidence for its request, and the end of
+// the runner is evidence against it.
+TEST_F (GatewayCall, AnswerThatMayBeCutOffIsNoEvidence)
+{
+  const std::string prompt = "X-Goldcresthatch-Token-Count: 20,4\r\n"
+                             "X-Goldcresthatch-Prompt-Prefix: a:10,b:10\r\n";
+  const struct quarantine *table = gw_quarantine_table (&gw);
+  for (bool ended : { false, true })
+    {
+      int fd;
+      SCOPED_TRACE (ended);
+      tmr_advance (gw.tmr, gw_now (&gw) + 3000000);
+      pool_note_answer (runner (0, "llm", POOL_STAGE_DECODE), 1, gw_now (&gw));
+      int64_t before = quarantine_answered_us (table, 0xa);
+      send_request ("/chat/1", prompt);
+      receive_at_runner (0, &fd);
+      put (fd, head (200, stamp + std::string ("\r\n")) + event1);
+      ASSERT_TRUE (client_has (event1));
+      if (ended)
+        close (listeners[0]);
+      close (fd);
+      EXPECT_EQ (client_end (), "closed");
+      EXPECT_EQ (quarantine_answered_us (table, 0xa), before);
+      close (client);
+      got.clear ();
+      // The next request shows whether the runner is there.
+      tmr_advance (gw.tmr, gw_now (&gw) + 1000);
+      send_request ("/chat/2", "X-Goldcresthatch-Token-Count: 10,4\r\n");
+      if (!ended)
+        {
+          receive_at_runner (0, &fd);
+          put (fd, head (200, stamp + std::string (chunked)) + chunk (event1)
+                       + "0\r\n\r\n");
+        }
+      EXPECT_TRUE (client_has (ended ? "HTTP/1.1 503" : "\r\n0\r\n\r\n"));
+      run_until (
+          &gw.loop, [&] { return quarantine_crashes (table, 0xa) > 0; }, 200);
+      EXPECT_EQ (quarantine_crashes (table, 0xa), ended ? 1U : 0U);
+      EXPECT_EQ (quarantine_answered_us (table, 0xa) > before, !ended);
+      EXPECT_EQ (quarantine_crashes (table, 0xb), 0U);
+      close (fd);
+      close (client);
+      got.clear ();
+      close (listeners[0]);
+    }
+}
+
 }
