Let slow clients read the last answer of a connection

Cause: the time of a lingering close, meant for a client that has the answer and doesn't close, ran while output was still queued. The close then dropped the output; with SO_LINGER the client saw a reset, without a body that was too short.

Change: the time runs from when the output is written. Before that the limit is that of an idle connection.

HttpServer.LastAnswerIsReadByASlowClient failed before (128038 and 226366 of 614400 bytes read, framed by the connection and by a length) and passes; a client that doesn't read at all is still closed.

--- a/src/http_server.c
+++ b/src/http_server.c
@@ -13,7 +13,7 @@
   READ_AHEAD_MAX_BYTES = 64 * 1024, /* input buffered during a request */
   UNSENT_MAX_BYTES = 1024 * 1024,   /* output queued for a slow client */
   LINGERING_CLOSE_MS
-  = 1000 /* for a client to read the last answer and close */
+  = 1000 /* for a client to close once the last answer is written */
 };
 
 enum phase
@@ -45,7 +45,8 @@
   int closing;       /* uv_close was called */
   int write_failed;  /* a write failed or too much output is queued */
   uint64_t since_ms; /* when the connection became idle, the first byte of the
-                        head arrived, or the lingering close started */
+                        head arrived, the lingering close started, or its last
+                        output was written */
 };
 
 struct http_server
@@ -414,8 +415,12 @@
 
   /* The whole answer is in the socket.  The client's close ends the
      connection; http_server_check_timeouts bounds the wait.  */
-  if (status == 0 && c->until_close && !c->closing)
-    tcp_set_reset_on_close (&c->tcp, 0);
+  if (status == 0 && !c->closing)
+    {
+      c->since_ms = uv_now (c->srv->loop);
+      if (c->until_close)
+        tcp_set_reset_on_close (&c->tcp, 0);
+    }
   g_free (req);
 }
 
@@ -440,6 +445,16 @@
     }
 }
 
+/* Returns for how long a lingering close may last.  A client that is slow to
+   read the answer gets more time.  */
+static int64_t
+linger_ms (const struct conn *c)
+{
+  return uv_stream_get_write_queue_size ((const uv_stream_t *)&c->tcp) > 0
+             ? MAX (c->srv->limits.idle_ms, LINGERING_CLOSE_MS)
+             : LINGERING_CLOSE_MS;
+}
+
 static void
 next_request (struct conn *c)
 {
@@ -592,7 +607,7 @@
       else if (c->phase == PHASE_HEAD && c->in->len > 0
                && age > srv->limits.header_ms)
         refuse (c, 408, "head not complete in time");
-      else if (c->phase == PHASE_LINGER && age > LINGERING_CLOSE_MS)
+      else if (c->phase == PHASE_LINGER && age > linger_ms (c))
         conn_close (c, 0);
     }
 }
--- a/tests/unit_http_io.cc
+++ b/tests/unit_http_io.cc
@@ -245,6 +245,82 @@
     }
 }
 
+// Returns the socket of this process that is connected to CLIENT.
+int
+server_side (int client)
+{
+  struct sockaddr_in local = {};
+  socklen_t size = sizeof local;
+  getsockname (client, reinterpret_cast<struct sockaddr *> (&local), &size);
+  for (int fd = 3; fd < 1024; fd++)
+    {
+      struct sockaddr_in peer = {};
+      size = sizeof peer;
+      if (getpeername (fd, reinterpret_cast<struct sockaddr *> (&peer), &size)
+              == 0
+          && peer.sin_port == local.sin_port)
+        return fd;
+    }
+  return -1;
+}
+
+// Guards against a whole answer that is cut off because its client needs more
+// than the time of a lingering close to read it, and against waiting for ever
+// for one that doesn't read.
+TEST_F (HttpServer, LastAnswerIsReadByASlowClient)
+{
+  const std::string body (600 * 1024, 'x');
+  const struct
+  {
+    int64_t length;
+    bool reads;
+  } rows[] = { { HTTP_SERVER_UNTIL_CLOSE, true },
+               { static_cast<int64_t> (body.size ()), true },
+               { HTTP_SERVER_UNTIL_CLOSE, false } };
+  const struct http_server_limits limits = { 16384, 4194304, 3000, 3000 };
+  const int small = 65536;
+  http_server_set_limits (srv, &limits);
+  for (const auto &row : rows)
+    {
+      SCOPED_TRACE (std::to_string (row.length) + std::to_string (row.reads));
+      int fd = connect_raw (address);
+      size_t n = requests.size ();
+      setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+      put (fd, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+      ASSERT_TRUE (wait_requests (n + 1));
+      setsockopt (server_side (fd), SOL_SOCKET, SO_SNDBUF, &small,
+                  sizeof small);
+      http_server_start_response (srv, conn, 200, "", row.length);
+      http_server_send_body (srv, conn, body.data (), body.size ());
+      http_server_finish_response (srv, conn);
+      fcntl (fd, F_SETFL, O_NONBLOCK);
+      size_t received = 0;
+      bool ended = false;
+      for (int i = 0; i < 6000 && !ended; i++)
+        {
+          char buffer[4096];
+          ssize_t got = 0;
+          uv_run (&loop, UV_RUN_NOWAIT);
+          http_server_check_timeouts (srv);
+          if (!row.reads)
+            ended = http_server_connections (srv) == 0;
+          // The first read comes late, the others don't.
+          else if (i >= 1300)
+            do
+              {
+                got = read (fd, buffer, sizeof buffer);
+                received += static_cast<size_t> (MAX (got, 0));
+                ended = got == 0 || (got < 0 && errno != EAGAIN);
+              }
+            while (got > 0);
+          usleep (1000);
+        }
+      EXPECT_TRUE (ended);
+      EXPECT_EQ (received > body.size (), row.reads) << received;
+      close (fd);
+    }
+}
+
 // Guards against a server that is freed before or after its listener and
 // leaves connections behind.
 TEST_F (HttpServer, StopsListeningAndIsFreed)
