Accept states and orders whose answer ends with its connection

What operators saw: an engine whose answers on health have neither a length nor chunks counts as down ("0 of 1 known runners take work"), and none of its orders is confirmed.

A probe and an order need only the status, and the state is a JSON object, which tells its own end.

--- a/src/agent_order_io.c
+++ b/src/agent_order_io.c
@@ -114,8 +114,8 @@
   if (agent_order_is_engine (orders))
     {
       result->result = ENGINE_RESULT_FAILED;
-      if (http_run (&call, &status, &err) == HTTP_OK && status == STATUS_OK
-          && parse_state (body->str, result) == 0)
+      if (http_has_status (http_run (&call, &status, &err))
+          && status == STATUS_OK && parse_state (body->str, result) == 0)
         result->result = ENGINE_RESULT_OK;
     }
   g_string_free (body, TRUE);
@@ -142,12 +142,12 @@
   return text;
 }
 
-/* Without a complete answer the engine may be carrying out the order, even
+/* Without an answer the engine may be carrying out the order, even
    when the connection was refused; the query that follows determines this.  */
 static enum engine_result
 result_of (enum http_result result, int status)
 {
-  if (result != HTTP_OK)
+  if (!http_has_status (result))
     return ENGINE_RESULT_UNKNOWN;
   return status == STATUS_OK ? ENGINE_RESULT_OK : ENGINE_RESULT_FAILED;
 }
@@ -180,7 +180,7 @@
     {
       rc = http_run (&call, &status, &err);
       result->result = result_of (rc, status);
-      if (rc != HTTP_OK)
+      if (!http_has_status (rc))
         log_err (LOG_LEVEL_WARN, NULL, &err);
     }
   g_free (body);
--- a/src/agent_probe.c
+++ b/src/agent_probe.c
@@ -20,7 +20,8 @@
                             .timeout_s = PROBE_TIMEOUT_S };
   int status;
 
-  return http_run (&call, &status, err) == HTTP_OK && status == STATUS_OK;
+  return http_has_status (http_run (&call, &status, err))
+         && status == STATUS_OK;
 }
 
 /* Sets the state of the endpoint; the agent's lock is held.  Returns nonzero
--- a/src/agent_work.c
+++ b/src/agent_work.c
@@ -75,7 +75,7 @@
   if (strcmp (job->agent->settings.kind, "engine") != 0)
     return;
   snprintf (path, sizeof path, "/cancel?id=%s", request_id);
-  if (http_run (&call, &status, &err) != HTTP_OK)
+  if (!http_has_status (http_run (&call, &status, &err)))
     log_err (LOG_LEVEL_INFO, NULL, &err);
 }
 
--- a/src/http.c
+++ b/src/http.c
@@ -67,6 +67,12 @@
   return ne_get_response_header (req, "Content-Length") != NULL;
 }
 
+int
+http_has_status (enum http_result result)
+{
+  return result == HTTP_OK || result == HTTP_UNDELIMITED;
+}
+
 static enum http_result
 classify (const struct exchange *exchange, ne_request *req, int rc)
 {
--- a/src/http.h
+++ b/src/http.h
@@ -53,6 +53,11 @@
   int (*on_data) (void *ctx, const char *data, size_t size);
 };
 
+/* Returns nonzero when the whole of a response, or at least its head, was
+   received: enough where the status or a body that tells its own end counts.
+ */
+int http_has_status (enum http_result result);
+
 /* Runs CALL.  STATUS receives the status code, or 0 when no head arrived.  */
 enum http_result http_run (const struct http_call *call, int *status,
                            struct err *err);
