Don't mix notices of an earlier era into a listing of the restored store

What could happen (CONFIG, found by reading): while a gateway reads the pages of a restored store, a source that hasn't noticed tells of a change before. Its revision is higher than those of the listing, so a runner that is written again as draining stayed usable.

Cause: the notice was compared with the era of the feed, which changes only at the end of the listing. A notice now has to be of the era that the store is known to be in, too.

FollowerSync.NoticeOfAnEarlierEraIsNotMixedIntoAListing failed before and passes; the test's store answers in pages for it.

--- a/src/gw_sync.c
+++ b/src/gw_sync.c
@@ -451,7 +451,9 @@
                on_poll, feed);
       return;
     }
-  if (notice->era == feed->era && notice->since <= feed->revision)
+  /* While a listing of a later era is read, it is the state.  */
+  if (notice->era == feed->era && notice->era == gw->store_era
+      && notice->since <= feed->revision)
     {
       feed_apply (feed, notice->items, notice->n_items);
       feed->revision = MAX (feed->revision, notice->upto);
--- a/tests/unit_gw_sync.cc
+++ b/tests/unit_gw_sync.cc
@@ -42,6 +42,8 @@
   std::vector<std::string> calls; // other calls of the store, with the lease
   uint64_t next_lease = 9;
   enum store_rc fails = STORE_OK; // of every call
+  size_t page = SIZE_MAX;         // items in a page of a listing
+  std::function<void ()> on_page; // called when a page is sent, with more left
   unsigned watches = 0;           // calls of the store
   struct watch
   {
@@ -166,7 +168,8 @@
     era++;
   }
   void
-  reply_items (const std::vector<item> &items, store_done *done, void *ctx)
+  reply_items (const std::vector<item> &items, store_done *done, void *ctx,
+               bool more = false)
   {
     std::vector<struct store_item> out;
     for (const item &i : items)
@@ -176,18 +179,20 @@
     reply.items = out.data ();
     reply.n_items = out.size ();
     reply.revision = revision;
+    reply.more = more;
     reply.era = era;
     done (ctx, &reply);
   }
 
   static void
-  list (void *store_api, const char *prefix, const char *, int,
+  list (void *store_api, const char *prefix, const char *after, int,
         store_done *done, void *ctx)
   {
     auto *self = static_cast<Sync *> (store_api);
     if (self->failing (done, ctx))
       return;
     std::string p = prefix;
+    std::string last = after != nullptr ? after : "";
     self->call_after (4 * ms, [=] {
       std::vector<item> now;
       for (const item &i : self->log)
@@ -199,7 +204,18 @@
             if (!i.deleted)
               now.push_back (i);
           }
-      self->reply_items (now, done, ctx);
+      std::sort (now.begin (), now.end (),
+                 [] (const item &a, const item &b) { return a.key < b.key; });
+      now.erase (
+          std::remove_if (now.begin (), now.end (),
+                          [&] (const item &i) { return i.key <= last; }),
+          now.end ());
+      bool more = now.size () > self->page;
+      now.resize (std::min (now.size (), self->page));
+      self->reply_items (now, done, ctx, more);
+      std::function<void ()> hook = self->on_page;
+      if (more && hook)
+        hook ();
     });
   }
   // Checks for changes every few milliseconds, like a blocking watch.
@@ -814,4 +830,41 @@
   EXPECT_EQ (watches, before) << "it follows again";
 }
 
+// Guards against a late notice of the store as it was, which comes while the
+// restored one is being listed and outweighs what the listing says.
+TEST_F (FollowerSync, NoticeOfAnEarlierEraIsNotMixedIntoAListing)
+{
+  config (1);
+  runner ("a", "ready");
+  runner ("z", "ready");
+  uint64_t copy = revision;
+  for (int i = 0; i < 20; i++)
+    change ("other", "x");
+  gw_sync_new (&gw);
+  advance (100);
+  beats (8);
+  uint64_t since = revision;
+  runner ("z", "ready");
+  std::vector<item> before = log;
+  uint64_t era_before = era;
+  restore (copy);
+  runner ("z", "draining");
+  std::vector<item> after = log;
+  page = 1;
+  on_page = [&] {
+    // A source that has not noticed yet tells of the last change before.
+    on_page = nullptr;
+    log = before;
+    era = era_before;
+    tell (1, since);
+    log = after;
+    era = era_before + 1;
+  };
+  advance (4000);
+  EXPECT_EQ (gw.store_era, era);
+  EXPECT_FALSE (on_page);
+  EXPECT_FALSE (usable ("z"));
+  EXPECT_TRUE (usable ("a"));
+}
+
 }
