Don't renew the authority's lease of an earlier era

What could happen (CONFIG, found by reading): the leader over the engines renewed its lease by number although the store was known to be restored, where the number may be that of another gateway's entry, which then outlived its gateway. The read that follows a renewal noticed, but only then.

Change: a renewal in another era than that of the grant counts as refused, without a call. The first call after a restoration can't know; the store's protocol has no condition for it.

Sync.LeaderDoesNotRenewALeaseOfTheOldStore failed before ("renew 30" once) and passes.

--- a/src/gw_stage.c
+++ b/src/gw_stage.c
@@ -131,6 +131,19 @@
   auth_step (gw, &event);
 }
 
+/* Ends OP, the renewal of a lease of an earlier era: it has ended, and its
+   number may be that of somebody else's lease.  */
+static void
+renewal_refused (struct gw *gw, struct auth_op *op)
+{
+  struct authority_event event
+      = { .kind = op->kind, .now_us = gw_now (gw), .op = op->op };
+
+  event.draw = random_id (gw);
+  g_free (op);
+  auth_step (gw, &event);
+}
+
 static void
 auth_do (struct gw *gw, const struct authority_action *action)
 {
@@ -161,6 +174,11 @@
       return;
     case AUTHORITY_DO_RENEW:
       op->kind = AUTHORITY_EV_RENEWED;
+      if (gw->stage->lease_era != gw->store_era)
+        {
+          renewal_refused (gw, op);
+          return;
+        }
       gw->store_api->renew (gw->store_ctx, action->lease, on_auth_done, op);
       return;
     default:
--- a/tests/unit_gw_sync.cc
+++ b/tests/unit_gw_sync.cc
@@ -598,6 +598,28 @@
   EXPECT_TRUE (present);
 }
 
+// The same for the lease of the authority, which is renewed before the record
+// is read.
+TEST_F (Sync, LeaderDoesNotRenewALeaseOfTheOldStore)
+{
+  config (3);
+  gw_sync_new (&gw);
+  advance (100);
+  next_lease = 30;
+  advance (20000);
+  ASSERT_NE (gw_stage_token (&gw), 0U);
+  ASSERT_GE (std::count (calls.begin (), calls.end (), "renew 30"), 1);
+  next_lease = 40;
+  restore (100);
+  gw_sync_note_era (&gw, era);
+  calls.clear ();
+  advance (3000);
+  EXPECT_EQ (gw_stage_token (&gw), 0U);
+  advance (17000);
+  EXPECT_EQ (std::count (calls.begin (), calls.end (), "renew 30"), 0);
+  EXPECT_NE (gw_stage_token (&gw), 0U);
+}
+
 // Guards against a fencing token that is given out again by a restored store,
 // so that two leaders have the same one or the later leader a lower one.
 TEST_F (Sync, FencingTokensRiseWhenTheStoreIsRestored)
