Give no work to runners that have left and that an older copy shows

Runners that leave serve on for a while, and their addresses are used again by others.

Cause: the pool forgets a runner when its last request has ended, and an entry in the first listing of an era counted as written then.

Change: lifetimes that have left are remembered for a minute. One that the first listing after a restoration shows gets no new work if it had drained; otherwise none until its entry is written again or has stayed for 10 s, since a runner that is silent for long loses its entry. Within an era nothing changes: an entry that comes back is that of a live runner.

Ruled out: leaving out every entry of the listing with a revision that was known before; a live runner's entry isn't written again while only its count changes.

--- a/src/pool.c
+++ b/src/pool.c
@@ -18,6 +18,12 @@
 /* An engine whose change of stage a peer has reported is left out of queries,
    so the report is forgotten after this time.  */
 #define PEER_ORDER_US INT64_C (1000000)
+/* How long a lifetime that has left is remembered: longer than the copy is old
+   from which the registry is restored.  */
+#define DEPARTED_US INT64_C (60000000)
+/* An entry that is still in a restored registry after this time is no longer
+   taken for that of a runner that has left.  */
+#define DOUBT_US INT64_C (10000000)
 /* Weight of the old value in the moving averages.  */
 static const double average_decay = 0.9;
 
@@ -28,10 +34,21 @@
   = 3 /* broken connections in a row that start a back-off */
 };
 
+/* The latest lifetime of an id that has left.  */
+struct departed
+{
+  char id[64];
+  int64_t started_ms;
+  int64_t at_us;
+  int drained; /* it had announced that */
+};
+
 struct runner_pool
 {
   GPtrArray *runners;
-  GHashTable *by_hash; /* pool_runner.hash -> struct pool_runner */
+  GHashTable *by_hash;  /* pool_runner.hash -> struct pool_runner */
+  GHashTable *departed; /* id -> struct departed */
+  int restored;         /* the first listing after that hasn't ended */
   int reachable;
   int64_t registry_returned_us; /* when the registry last became reachable */
 };
@@ -43,6 +60,8 @@
 
   runner_pool->runners = g_ptr_array_new_with_free_func (g_free);
   runner_pool->by_hash = g_hash_table_new (g_int64_hash, g_int64_equal);
+  runner_pool->departed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   runner_pool->reachable = 1;
   runner_pool->registry_returned_us = INT64_MIN / 2;
   return runner_pool;
@@ -52,6 +71,7 @@
 pool_free (struct runner_pool *runner_pool)
 {
   g_hash_table_destroy (runner_pool->by_hash);
+  g_hash_table_destroy (runner_pool->departed);
   g_ptr_array_free (runner_pool->runners, TRUE);
   g_free (runner_pool);
 }
@@ -111,15 +131,69 @@
   return runner;
 }
 
+/* Notes that RUNNER has left.  */
+static void
+depart (struct runner_pool *runner_pool, struct pool_runner *runner,
+        int64_t now)
+{
+  struct departed *departed = g_new0 (struct departed, 1);
+
+  g_strlcpy (departed->id, runner->entry.id, sizeof departed->id);
+  departed->started_ms = runner->entry.started_ms;
+  departed->at_us = now;
+  departed->drained = runner->leaving && runner->doubt_until_us == 0;
+  g_hash_table_replace (runner_pool->departed, departed->id, departed);
+  runner->present = 0;
+  runner->leaving = 1;
+  runner->doubt_until_us = 0;
+}
+
+/* Returns the departure of the lifetime of ENTRY, or null.  */
+static const struct departed *
+departed_find (const struct runner_pool *runner_pool,
+               const struct pool_entry *entry)
+{
+  const struct departed *departed
+      = g_hash_table_lookup (runner_pool->departed, entry->id);
+
+  return departed != NULL && entry->started_ms <= departed->started_ms
+             ? departed
+             : NULL;
+}
+
+/* Decides whether RUNNER, which has just become present, gets new work.  The
+   older copy from which the registry was restored may show a runner that has
+   left since.  An entry that is written later shows that it is alive.  */
+static void
+admit (struct runner_pool *runner_pool, struct pool_runner *runner)
+{
+  const struct departed *departed
+      = departed_find (runner_pool, &runner->entry);
+
+  if (!runner_pool->restored || departed == NULL)
+    {
+      g_hash_table_remove (runner_pool->departed, runner->entry.id);
+      return;
+    }
+  runner->leaving = 1;
+  if (!departed->drained && !runner->entry.draining)
+    runner->doubt_until_us = INT64_MAX;
+}
+
 struct pool_runner *
 pool_put (struct runner_pool *runner_pool, const struct pool_entry *entry,
           uint64_t revision)
 {
   struct pool_runner *runner = pool_find (runner_pool, entry->id);
+  int was_present;
   int was_leaving;
 
   if (runner == NULL)
-    return add (runner_pool, entry, revision);
+    {
+      runner = add (runner_pool, entry, revision);
+      admit (runner_pool, runner);
+      return runner;
+    }
   if (entry->started_ms < runner->entry.started_ms)
     return NULL;
   if (entry->started_ms > runner->entry.started_ms
@@ -128,22 +202,32 @@
     {
       runner->present = 0;
       runner->leaving = 1;
-      return add (runner_pool, entry, revision);
+      runner = add (runner_pool, entry, revision);
+      admit (runner_pool, runner);
+      return runner;
     }
   runner->listed = 1;
   if (revision < runner->revision)
     return NULL;
+  was_present = runner->present;
   was_leaving = runner->leaving;
   runner->revision = revision;
   runner->missing_us = 0;
   /* A removed entry that is registered again shows that the runner is alive.
    */
-  runner->leaving = entry->draining || (was_leaving && runner->present);
-  if (runner->present && was_leaving == runner->leaving
+  runner->leaving
+      = entry->draining
+        || (was_leaving && was_present
+            && (runner->doubt_until_us == 0 || runner_pool->restored));
+  if (!runner_pool->restored || entry->draining)
+    runner->doubt_until_us = 0;
+  if (was_present && was_leaving == runner->leaving
       && runner->entry.stage == entry->stage)
     return NULL;
   runner->present = 1;
   runner->entry = *entry;
+  if (!was_present)
+    admit (runner_pool, runner);
   if (runner->ordered == entry->stage)
     runner->ordered = POOL_STAGE_ANY;
   return runner;
@@ -170,8 +254,7 @@
         runner->missing_us = now;
       return;
     }
-  runner->present = 0;
-  runner->leaving = 1;
+  depart (runner_pool, runner, now);
 }
 
 struct pool_runner *
@@ -195,6 +278,7 @@
   for (i = 0; i < runner_pool->runners->len; i++)
     pool_at (runner_pool, i)->revision = 0;
   runner_pool->registry_returned_us = now;
+  runner_pool->restored = 1;
 }
 
 void
@@ -216,7 +300,10 @@
       struct pool_runner *runner = pool_at (runner_pool, i);
       if (!runner->listed && runner->present && runner->revision <= revision)
         note_missing (runner_pool, runner, now);
+      if (runner->doubt_until_us != 0)
+        runner->doubt_until_us = MIN (runner->doubt_until_us, now + DOUBT_US);
     }
+  runner_pool->restored = 0;
 }
 
 void
@@ -228,19 +315,31 @@
   runner_pool->reachable = reachable;
 }
 
+static gboolean
+is_forgotten (gpointer id, gpointer value, gpointer now)
+{
+  const struct departed *departed = value;
+
+  (void)id;
+  return *(const int64_t *)now - departed->at_us > DEPARTED_US;
+}
+
 void
 pool_tick (struct runner_pool *runner_pool, int64_t now)
 {
   guint i = 0;
 
+  g_hash_table_foreach_remove (runner_pool->departed, is_forgotten, &now);
   while (i < runner_pool->runners->len)
     {
       struct pool_runner *runner = pool_at (runner_pool, i);
       if (runner->missing_us != 0 && runner->present
           && !registry_may_be_at_fault (runner_pool, now))
+        depart (runner_pool, runner, now);
+      if (runner->doubt_until_us != 0 && now > runner->doubt_until_us)
         {
-          runner->present = 0;
-          runner->leaving = 1;
+          runner->doubt_until_us = 0;
+          runner->leaving = runner->entry.draining;
         }
       if (runner->peer_ordered == runner->entry.stage
           || now - runner->peer_report_us > PEER_ORDER_US)
--- a/src/pool.h
+++ b/src/pool.h
@@ -12,8 +12,11 @@
  *
  *   A runner that is missing while the registry is unreachable, or shortly
  *   after, is kept for POOL_REREGISTER_US after the registry's return, since
- *   its entry may have expired although the runner is alive.  No input or
- *   output; times are in microseconds.
+ *   its entry may have expired although the runner is alive.  When the
+ * registry is restored from an older copy, its first listing may show runners
+ * that have left.  One that had drained gets no new work; any other one only
+ * once its entry is written again or has stayed for 10 s.  No input or output;
+ *   times are in microseconds.
  */
 #include <glib.h>
 #include <stddef.h>
@@ -47,14 +50,15 @@
 struct pool_runner
 {
   struct pool_entry entry;
-  char peer[96];       /* "ID@START", names the lifetime */
-  uint64_t revision;   /* of the registry at the last change */
-  int present;         /* in the registry */
-  int64_t missing_us;  /* absent since, during a registry outage, or 0 */
-  int leaving;         /* takes no new work in this lifetime */
-  int listed;          /* found by the listing in progress */
-  unsigned calls;      /* of this process, in progress */
-  unsigned references; /* held by requests */
+  char peer[96];          /* "ID@START", names the lifetime */
+  uint64_t revision;      /* of the registry at the last change */
+  int present;            /* in the registry */
+  int64_t missing_us;     /* absent since, during a registry outage, or 0 */
+  int leaving;            /* takes no new work in this lifetime */
+  int64_t doubt_until_us; /* LEAVING until then, unless written again, or 0 */
+  int listed;             /* found by the listing in progress */
+  unsigned calls;         /* of this process, in progress */
+  unsigned references;    /* held by requests */
   /* Load reported by the last answer, and the part from this process.  */
   unsigned load_reported;
   unsigned load_reported_own;
@@ -97,8 +101,8 @@
                                  int64_t now);
 
 /* The registry has been restored from an older copy: its revisions aren't
-   comparable with those before, and runners that are missing in it have to
-   register again.  */
+   comparable with those before, runners that are missing in it have to
+   register again, and runners that have left may be listed once more.  */
 void pool_restart_revisions (struct runner_pool *runner_pool, int64_t now);
 
 /* A complete listing: call pool_list_begin, pool_put for each entry, then
--- a/tests/unit_gw_sync.cc
+++ b/tests/unit_gw_sync.cc
@@ -574,6 +574,53 @@
     }
 }
 
+// The same for runners that have left altogether, with or without notice,
+// whose work has ended or goes on.
+TEST_F (Sync, OlderCopyDoesNotBringARunnerBackThatHasLeft)
+{
+  config (3);
+  for (const char *id : { "drained", "removed", "written", "busy", "kept" })
+    runner (id, "ready");
+  uint64_t copy = revision;
+  start ();
+  struct pool_runner *busy = pool_find (gw.runner_pool, "busy");
+  busy->references++;
+  runner ("drained", "draining");
+  advance (500);
+  for (const char *id : { "drained", "removed", "written", "busy" })
+    change (std::string ("servers/") + id, "", true);
+  advance (3000);
+  ASSERT_EQ (pool_find (gw.runner_pool, "removed"), nullptr);
+  restore (copy);
+  for (int i = 0; i < 60; i++)
+    {
+      advance (100);
+      for (const char *id : { "drained", "removed", "busy" })
+        EXPECT_FALSE (usable (id)) << id << i;
+      EXPECT_TRUE (usable ("kept")) << i;
+    }
+  restore (revision);
+  advance (2500);
+  EXPECT_FALSE (usable ("removed")) << "the next copy shows it as well";
+  EXPECT_FALSE (usable ("written"));
+  runner ("written", "ready");
+  change ("servers/busy", "", true);
+  advance (500);
+  EXPECT_TRUE (usable ("written")) << "it is alive";
+  advance (10000);
+  EXPECT_TRUE (usable ("removed")) << "it would be gone by now";
+  EXPECT_FALSE (usable ("busy"));
+  EXPECT_FALSE (usable ("drained"));
+  busy->references--;
+  // A runner that comes back in the same state of the store is alive.
+  change ("servers/kept", "", true);
+  advance (3000);
+  EXPECT_FALSE (usable ("kept"));
+  runner ("kept", "ready");
+  advance (500);
+  EXPECT_TRUE (usable ("kept"));
+}
+
 // Guards against a lease of the old store that is renewed or ended in the
 // restored one, where it has been granted to somebody else.
 TEST_F (Sync, LeasesOfTheOldStoreAreNotUsed)
