Lead revisions and leases of the key-value service with its era

What operators saw after the key-value service was restored from an older copy (CONFIG, the product's own path): a configuration that was written then is read by nobody until its revision passes the old one (no version v4 on the runner within 60 s); tokens of the authority fall, so that engines refuse orders; bookings are claimed under a lease that has gone for up to 50 minutes, or is somebody else's.

Change: the adapter puts the era above the number, 40 bits up, so that all that compare revisions, lead with tokens or keep leases stay right by themselves. Revisions rise over eras. A write or renewal by a number of an earlier era is refused without a call; the first one after a restoration, which can't know, counts as lost or as ended. Late answers of an earlier era count as none. A claim that is refused because its lease has ended is written under a new one at once.

In the first era, and with a service that names none, all numbers are as before. Processes of the version before disagree with these on tokens from the second era on, until both are of one version.

The stand-in of the service takes a copy and is put back to it.

--- a/include/goldcresthatch/kv.h
+++ b/include/goldcresthatch/kv.h
@@ -11,6 +11,10 @@
  *   with ERR_TIMEOUT or ERR_IO may have taken effect; the writer finds out by
  *   reading the write identity that its value carries.  With ERR_REFUSED it
  *   had no effect.
+ *
+ *   A service that is restored from an older copy gives revisions and leases
+ *   out again.  Here they are different ones, and revisions rise: the number
+ * of the restoration, which the service names in each answer, leads them.
  */
 
 #include <stddef.h>
@@ -41,7 +45,8 @@
 
   /* Writes KEY when its revision is PREV, 0 meaning absent; LEASE, unless 0,
      removes the key when that lease ends.  Returns 1 with the new revision, 0
-     when the revision differs, -1 when the effect is unknown.  */
+     when the revision differs, -1 when the effect is unknown.  With
+     ERR_NOT_FOUND, LEASE has ended and there was no effect.  */
   int (*cas) (void *ctx, const char *key, uint64_t prev, const void *data,
               size_t size, uint64_t lease, uint64_t *revision,
               struct err *err);
--- a/src/entry_claim_kv.c
+++ b/src/entry_claim_kv.c
@@ -126,24 +126,42 @@
   pthread_mutex_unlock (&lease->lock);
 }
 
+/* Forgets the lease ID, which the service doesn't know any more.  */
+static void
+forget_lease (struct entry_lease *lease, uint64_t id)
+{
+  pthread_mutex_lock (&lease->lock);
+  if (lease->id == id)
+    lease->id = 0;
+  pthread_mutex_unlock (&lease->lock);
+}
+
 static void
 write_record (struct claim_operation *task, struct call_event *event,
               struct err *err)
 {
   struct entry_call *call = task->call;
-  uint64_t lease = current_lease (call->entry, err);
-  int rc;
+  struct entry *entry = call->entry;
+  uint64_t lease = current_lease (entry, err);
+  int rc = -1;
+  int i;
 
   event->kind = CALL_EV_WRITE_REFUSED;
-  if (lease == 0 || task->text == NULL)
-    return;
-  rc = kv_cas (call->entry->kv, call->claim->key, task->prev, task->text,
-               strlen (task->text), lease, &event->revision, err);
+  for (i = 0; i < 2 && rc < 0 && lease != 0 && task->text != NULL; i++)
+    {
+      rc = kv_cas (entry->kv, call->claim->key, task->prev, task->text,
+                   strlen (task->text), lease, &event->revision, err);
+      if (rc >= 0 || err->code != ERR_NOT_FOUND)
+        break;
+      forget_lease (entry->claim_lease, lease);
+      lease = current_lease (entry, err);
+    }
   if (rc == 1)
     event->kind = CALL_EV_WRITE_DONE;
   else if (rc == 0)
     event->kind = CALL_EV_WRITE_CONFLICT;
-  else if (err->code != ERR_REFUSED)
+  else if (lease != 0 && err->code != ERR_REFUSED
+           && err->code != ERR_NOT_FOUND)
     event->kind = CALL_EV_WRITE_LOST;
 }
 
--- a/src/kv_http.c
+++ b/src/kv_http.c
@@ -1,6 +1,7 @@
 #include "goldcresthatch/kv.h"
 
 #include <glib.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,6 +11,7 @@
 enum
 {
   PATH_MAX_BYTES = KV_KEY_MAX_BYTES + 128,
+  NUMBER_BITS = 40, /* leaves the sum with an era exact in a JSON number */
   STATUS_OK = 200,
   STATUS_NOT_MODIFIED = 304,
   STATUS_NOT_FOUND = 404,
@@ -21,16 +23,47 @@
   struct kv kv;
   char address[ERR_PEER_BYTES];
   unsigned timeout_s;
+  _Atomic uint64_t era; /* the latest of a response, or 0 */
 };
 
 /* A response that is being received.  */
 struct response
 {
   GString *body;
+  uint64_t era; /* 0: not named */
   uint64_t revision;
   uint64_t lease;
 };
 
+/* The service is in another era when it was restored from an older copy, and
+   gives revisions and leases out again.  To callers they are numbers that lead
+   with the era, so that they differ and rise; in the first era, or without
+   one, they are those of the service.  */
+static uint64_t
+number_make (uint64_t era, uint64_t number)
+{
+  return number == 0 ? 0 : ((MAX (era, 1) - 1) << NUMBER_BITS) + number;
+}
+
+static uint64_t
+number_era (uint64_t number)
+{
+  return (number >> NUMBER_BITS) + 1;
+}
+
+static unsigned long long
+number_in_era (uint64_t number)
+{
+  return number & ((UINT64_C (1) << NUMBER_BITS) - 1);
+}
+
+/* Returns nonzero when NUMBER, or 0 for none, is one of ERA.  */
+static int
+number_is_of (uint64_t number, uint64_t era)
+{
+  return number == 0 || number_era (number) == MAX (era, 1);
+}
+
 static uint64_t
 header_number (ne_request *req, const char *name)
 {
@@ -45,6 +78,7 @@
   struct response *response = ctx;
 
   (void)status;
+  response->era = header_number (req, "Store-Era");
   response->revision = header_number (req, "X-Revision");
   response->lease = header_number (req, "X-Lease");
   return 0;
@@ -61,6 +95,23 @@
   return 0;
 }
 
+/* Notes the era of RESPONSE and puts it into the numbers there.  Returns 0, or
+   -1 when the response is a late one of an earlier era.  */
+static int
+note_era (struct kv_http *http, struct response *response)
+{
+  uint64_t known = atomic_load (&http->era);
+
+  if (response->era == 0)
+    response->era = known;
+  while (response->era > known
+         && !atomic_compare_exchange_weak (&http->era, &known, response->era))
+    ;
+  response->revision = number_make (response->era, response->revision);
+  response->lease = number_make (response->era, response->lease);
+  return response->era < known ? -1 : 0;
+}
+
 /* Runs one request.  Returns the status, or -1 with ERR when no complete
    answer was received.  */
 static int
@@ -84,8 +135,12 @@
   int status;
 
   result = http_run (&call, &status, err);
-  if (result == HTTP_OK)
+  if (result == HTTP_OK && note_era (http, response) == 0)
     return status;
+  if (result == HTTP_OK)
+    return err_set (err, ERR_PROTOCOL, "kv", http->address,
+                    "%s: a late answer of era %llu", path,
+                    (unsigned long long)response->era);
   if (err != NULL)
     {
       snprintf (err->step, sizeof err->step, "kv");
@@ -121,17 +176,21 @@
   return 1;
 }
 
+/* Reads PATH, unless the value is unchanged since AFTER.  */
 static int
-read_path (struct kv_http *http, const char *path, unsigned extra_s,
-           struct kv_value *out, struct err *err)
+read_path (struct kv_http *http, const char *path, uint64_t after,
+           unsigned extra_s, struct kv_value *out, struct err *err)
 {
-  struct response response = { g_string_new (NULL), 0, 0 };
+  struct response response = { .body = g_string_new (NULL) };
   int status
       = send_request (http, "GET", path, NULL, 0, extra_s, &response, err);
   int rc = -1;
 
   memset (out, 0, sizeof *out);
-  if (status >= 0)
+  if (status == STATUS_NOT_MODIFIED && !number_is_of (after, response.era))
+    err_set (err, ERR_PROTOCOL, "kv", http->address,
+             "%s: the service has been restored", path);
+  else if (status >= 0)
     rc = copy_value (http, path, status, &response, out, err);
   g_string_free (response.body, TRUE);
   return rc;
@@ -143,24 +202,35 @@
   char path[PATH_MAX_BYTES];
 
   snprintf (path, sizeof path, "/kv/%s", key);
-  return read_path (ctx, path, 0, out, err);
+  return read_path (ctx, path, 0, 0, out, err);
 }
 
 static int
 http_watch (void *ctx, const char *key, uint64_t after, unsigned wait_ms,
             struct kv_value *out, struct err *err)
 {
+  struct kv_http *http = ctx;
   char path[PATH_MAX_BYTES];
 
+  if (!number_is_of (after, atomic_load (&http->era)))
+    return http_get (ctx, key, out, err);
   snprintf (path, sizeof path, "/kv/%s?after=%llu&wait_ms=%u", key,
-            (unsigned long long)after, wait_ms);
-  return read_path (ctx, path, wait_ms / 1000 + 1, out, err);
+            number_in_era (after), wait_ms);
+  return read_path (ctx, path, after, wait_ms / 1000 + 1, out, err);
 }
 
 static int
 http_vms (void *ctx, struct kv_value *out, struct err *err)
 {
-  return read_path (ctx, "/vms", 0, out, err);
+  return read_path (ctx, "/vms", 0, 0, out, err);
+}
+
+static int
+lease_ended (struct kv_http *http, uint64_t lease, struct err *err)
+{
+  return err_set (err, ERR_NOT_FOUND, "kv", http->address,
+                  "lease %llu of era %llu has ended", number_in_era (lease),
+                  (unsigned long long)number_era (lease));
 }
 
 static int
@@ -168,22 +238,32 @@
           size_t size, uint64_t lease, uint64_t *revision, struct err *err)
 {
   struct kv_http *http = ctx;
-  struct response response = { g_string_new (NULL), 0, 0 };
+  uint64_t era = atomic_load (&http->era);
+  struct response response = { .body = g_string_new (NULL) };
   char path[PATH_MAX_BYTES];
   int status;
   int rc;
 
+  if (!number_is_of (lease, era) || !number_is_of (prev, era))
+    {
+      g_string_free (response.body, TRUE);
+      return number_is_of (lease, era) ? 0 : lease_ended (http, lease, err);
+    }
+  snprintf (path, sizeof path, "/kv/%s?prev=%llu", key, number_in_era (prev));
   if (lease != 0)
-    snprintf (path, sizeof path, "/kv/%s?prev=%llu&lease=%llu", key,
-              (unsigned long long)prev, (unsigned long long)lease);
-  else
-    snprintf (path, sizeof path, "/kv/%s?prev=%llu", key,
-              (unsigned long long)prev);
+    snprintf (path + strlen (path), sizeof path - strlen (path), "&lease=%llu",
+              number_in_era (lease));
   status = send_request (http, "PUT", path, data, size, 0, &response, err);
-  if (status == STATUS_OK)
+  if (status == STATUS_OK && number_is_of (prev, response.era)
+      && number_is_of (lease, response.era))
     rc = 1;
+  else if (status == STATUS_OK)
+    rc = err_set (err, ERR_PROTOCOL, "kv", http->address,
+                  "%s: written after the service was restored", path);
   else if (status == STATUS_PRECONDITION)
     rc = 0;
+  else if (status == STATUS_NOT_FOUND && lease != 0)
+    rc = lease_ended (http, lease, err);
   else
     rc = status < 0 ? -1 : unexpected_status (http, path, status, err);
   if (revision != NULL)
@@ -192,52 +272,54 @@
   return rc;
 }
 
-/* Runs a request on a lease.  Returns 1 on 200, 0 on 404, else -1.  */
 static int
-lease_request (struct kv_http *http, const char *method, const char *path,
-               uint64_t *lease, struct err *err)
+http_lease_grant (void *ctx, unsigned ttl_ms, uint64_t *lease, struct err *err)
 {
-  struct response response = { g_string_new (NULL), 0, 0 };
-  int status = send_request (http, method, path, NULL, 0, 0, &response, err);
-  int rc;
+  struct kv_http *http = ctx;
+  struct response response = { .body = g_string_new (NULL) };
+  char path[PATH_MAX_BYTES];
+  int status;
 
-  if (status == STATUS_OK)
-    rc = 1;
-  else if (status == STATUS_NOT_FOUND)
-    rc = 0;
-  else
-    rc = status < 0 ? -1 : unexpected_status (http, path, status, err);
-  if (lease != NULL)
-    *lease = response.lease;
+  snprintf (path, sizeof path, "/lease?ttl_ms=%u", ttl_ms);
+  status = send_request (http, "POST", path, NULL, 0, 0, &response, err);
+  *lease = response.lease;
   g_string_free (response.body, TRUE);
-  return rc;
+  if (status == STATUS_OK)
+    return 0;
+  return status < 0 ? -1 : unexpected_status (http, path, status, err);
 }
 
+/* Changes LEASE by METHOD at /lease/NUMBER and SUFFIX.  Returns 1, 0 when it
+   has ended, or -1.  */
 static int
-http_lease_grant (void *ctx, unsigned ttl_ms, uint64_t *lease, struct err *err)
+change_lease (struct kv_http *http, const char *method, uint64_t lease,
+              const char *suffix, struct err *err)
 {
+  struct response response = { .body = g_string_new (NULL) };
   char path[PATH_MAX_BYTES];
+  int status = STATUS_NOT_FOUND;
 
-  snprintf (path, sizeof path, "/lease?ttl_ms=%u", ttl_ms);
-  return lease_request (ctx, "POST", path, lease, err) == 1 ? 0 : -1;
+  snprintf (path, sizeof path, "/lease/%llu%s", number_in_era (lease), suffix);
+  if (number_is_of (lease, atomic_load (&http->era)))
+    status = send_request (http, method, path, NULL, 0, 0, &response, err);
+  if (status == STATUS_OK && !number_is_of (lease, response.era))
+    status = STATUS_NOT_FOUND;
+  g_string_free (response.body, TRUE);
+  if (status == STATUS_OK || status == STATUS_NOT_FOUND)
+    return status == STATUS_OK;
+  return status < 0 ? -1 : unexpected_status (http, path, status, err);
 }
 
 static int
 http_lease_renew (void *ctx, uint64_t lease, struct err *err)
 {
-  char path[PATH_MAX_BYTES];
-
-  snprintf (path, sizeof path, "/lease/%llu/renew", (unsigned long long)lease);
-  return lease_request (ctx, "POST", path, NULL, err);
+  return change_lease (ctx, "POST", lease, "/renew", err);
 }
 
 static int
 http_lease_revoke (void *ctx, uint64_t lease, struct err *err)
 {
-  char path[PATH_MAX_BYTES];
-
-  snprintf (path, sizeof path, "/lease/%llu", (unsigned long long)lease);
-  return lease_request (ctx, "DELETE", path, NULL, err) < 0 ? -1 : 0;
+  return change_lease (ctx, "DELETE", lease, "", err) < 0 ? -1 : 0;
 }
 
 static const struct kv_ops http_ops = {
--- a/tests/scripts/standin_kv.sh
+++ b/tests/scripts/standin_kv.sh
@@ -52,6 +52,15 @@
 echo "-- largest value"
 head -c 1048577 /dev/zero | call -X PUT --data-binary @- "$BASE/kv/big?prev=0"
 head -c 1048576 /dev/zero | call -X PUT --data-binary @- "$BASE/kv/big?prev=0"
+echo "-- restored from a copy"
+call -X POST "$BASE/test/fault?kind=copy"
+call -X PUT -d four "$BASE/kv/a/b?prev=4"
+call -X PUT -d new "$BASE/kv/new?prev=0"
+call -X POST "$BASE/test/fault?kind=restore"
+call "$BASE/kv/a/b"
+call "$BASE/kv/new"
+call -X PUT -d five "$BASE/kv/a/b?prev=4"
+curl -s -o /dev/null -w '%header{store-era}\n' "$BASE/kv/a/b"
 
 kill $pid
 wait $pid
--- a/tests/standin_kv.c
+++ b/tests/standin_kv.c
@@ -2,7 +2,9 @@
    leases, watches and the list of VMs.  POST /test/fault?kind=KIND sets one of
    outage (ms, and status for an answer instead of silence; calls held back are
    carried out when it ends), slow (ms, count), lose-answer (count), vms-lag
-   (ms), lapse-leases and none.  A watch above a nonzero revision of an absent
+   (ms), lapse-leases, copy (notes the state) and restore (puts the last copy
+   back) and none.  Store-Era in each answer rises when a copy is put back.  A
+   watch above a nonzero revision of an absent
    key gets 404 at once, so that its watcher learns of a lapsed lease.  */
 
 #include <arpa/inet.h>
@@ -62,6 +64,14 @@
 static GQueue vms = G_QUEUE_INIT;
 static guint64 last_revision;
 static guint64 last_lease;
+static guint64 era = 1;
+static struct
+{
+  GHashTable *entries;
+  GHashTable *leases;
+  guint64 last_revision;
+  guint64 last_lease;
+} copy;
 static guint64 reads;
 static guint64 writes;
 static guint64 lost_answers;
@@ -159,6 +169,7 @@
   struct MHD_Response *response;
   enum MHD_Result result;
   char text[32];
+  char era_text[32];
 
   response = MHD_create_response_from_buffer (size, (void *)body,
                                               MHD_RESPMEM_MUST_COPY);
@@ -169,6 +180,8 @@
       g_snprintf (text, sizeof text, "%" G_GUINT64_FORMAT, value);
       MHD_add_response_header (response, name, text);
     }
+  g_snprintf (era_text, sizeof era_text, "%" G_GUINT64_FORMAT, era);
+  MHD_add_response_header (response, "Store-Era", era_text);
   result = MHD_queue_response (rq->connection, status, response);
   MHD_destroy_response (response);
   return result;
@@ -349,6 +362,66 @@
   return answer_text (rq, MHD_HTTP_OK, "");
 }
 
+static GHashTable *
+copy_entries (GHashTable *from)
+{
+  GHashTable *to
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, entry_free);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, from);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      struct entry *entry = g_memdup2 (value, sizeof *entry);
+      entry->data = malloc (entry->size + 1);
+      memcpy (entry->data, ((struct entry *)value)->data, entry->size + 1);
+      g_hash_table_replace (to, g_strdup (key), entry);
+    }
+  return to;
+}
+
+static GHashTable *
+copy_leases (GHashTable *from)
+{
+  GHashTable *to
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, from);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct lease *lease = g_memdup2 (value, sizeof *lease);
+      g_hash_table_replace (to, &lease->id, lease);
+    }
+  return to;
+}
+
+static void
+take_copy (void)
+{
+  g_clear_pointer (&copy.entries, g_hash_table_destroy);
+  g_clear_pointer (&copy.leases, g_hash_table_destroy);
+  copy.entries = copy_entries (entries);
+  copy.leases = copy_leases (leases);
+  copy.last_revision = last_revision;
+  copy.last_lease = last_lease;
+}
+
+static void
+restore (void)
+{
+  g_hash_table_destroy (entries);
+  g_hash_table_destroy (leases);
+  entries = copy_entries (copy.entries);
+  leases = copy_leases (copy.leases);
+  last_revision = copy.last_revision;
+  last_lease = copy.last_lease;
+  era++;
+}
+
 static void
 end_faults (void)
 {
@@ -394,6 +467,10 @@
     }
   else if (strcmp (kind, "vms-lag") == 0)
     vms_lag = us;
+  else if (strcmp (kind, "copy") == 0)
+    take_copy ();
+  else if (strcmp (kind, "restore") == 0 && copy.entries != NULL)
+    restore ();
   else
     return answer_text (rq, MHD_HTTP_BAD_REQUEST, "unknown kind\n");
   g_cond_broadcast (&changed);
