Write claims again that a restored key-value service has lost

The record was in the service alone, and an absent record means a free key.

Change: an entry keeps the records that it wrote for a minute (claim_log_). When the era of the service rises it writes them again, in place of a claim that isn't sent yet. Until all entries have done so, the longest time between two polls of the configuration and a second, none makes a claim; a claim by which an entry learns of the era is read again after that. A result whose claim is missing is recorded all the same (call_, state RECORD_READ).

--- a/include/goldcresthatch/kv.h
+++ b/include/goldcresthatch/kv.h
@@ -68,6 +68,9 @@
 
   /* Reads the platform's list of VMs as a JSON array into OUT.  */
   int (*vms) (void *ctx, struct kv_value *out, struct err *err);
+
+  /* Returns the era of the service as of its last answer, or 0.  */
+  uint64_t (*era) (void *ctx);
 };
 
 struct kv
@@ -96,6 +99,10 @@
 int kv_lease_revoke (struct kv *kv, uint64_t lease, struct err *err);
 int kv_list_vms (struct kv *kv, struct kv_value *out, struct err *err);
 
+/* Returns a number that rises when the service is restored from an older copy,
+   as of its last answer; 0: unknown.  */
+uint64_t kv_era (const struct kv *kv);
+
 void kv_value_free (struct kv_value *value);
 
 #endif
--- a/src/call.c
+++ b/src/call.c
@@ -433,9 +433,13 @@
       call->prev = event->revision;
       set_action (call, action, CALL_ST_RECORD, CALL_ACT_WRITE, &call->next);
     }
-  else if (event->kind == CALL_EV_READ_DONE
-           || event->kind == CALL_EV_READ_ABSENT
-           || event->kind == CALL_EV_READ_BAD)
+  else if (event->kind == CALL_EV_READ_ABSENT)
+    {
+      /* The service has lost it: it was restored from an older copy.  */
+      call->prev = 0;
+      set_action (call, action, CALL_ST_RECORD, CALL_ACT_WRITE, &call->next);
+    }
+  else if (event->kind == CALL_EV_READ_DONE || event->kind == CALL_EV_READ_BAD)
     set_action (call, action, CALL_ST_FINISHED, CALL_ACT_FINISHED, NULL);
 }
 
--- a/src/cfg_sync.c
+++ b/src/cfg_sync.c
@@ -294,16 +294,24 @@
     log_err (LOG_LEVEL_WARN, NULL, &err);
 }
 
-/* Returns the time until the next poll.  */
-static gint64
-poll_interval (struct cfg_sync *sync)
+int64_t
+cfg_sync_poll_max_us (struct cfg_sync *sync)
 {
   gint64 base = (gint64)(sync->ops->fleet_size (sync->ctx) * G_USEC_PER_SEC
                          / POLL_FLEET_READS_PER_S);
 
   base = CLAMP (base, POLL_MIN_US, POLL_MAX_US);
-  base += base / 10 - (gint64)randombytes_uniform ((uint32_t)(base / 5));
-  return CLAMP (base, POLL_MIN_US, POLL_MAX_US);
+  return CLAMP (base + base / 10, POLL_MIN_US, POLL_MAX_US);
+}
+
+/* Returns the time until the next poll.  */
+static gint64
+poll_interval (struct cfg_sync *sync)
+{
+  gint64 most = cfg_sync_poll_max_us (sync);
+
+  return MAX (most - (gint64)randombytes_uniform ((uint32_t)(most / 6)),
+              POLL_MIN_US);
 }
 
 /* Polls once.  Returns the time until the next poll.  */
--- a/src/cfg_sync.h
+++ b/src/cfg_sync.h
@@ -50,6 +50,10 @@
    read.  */
 bool cfg_sync_ready (struct cfg_sync *sync);
 
+/* Returns the longest time between two polls of the service, in
+   microseconds.  */
+int64_t cfg_sync_poll_max_us (struct cfg_sync *sync);
+
 /* Returns the snapshot with a reference.  Safe under any lock.  */
 struct cfg_snapshot *cfg_sync_snapshot (struct cfg_sync *sync);
 
--- a/src/entry.h
+++ b/src/entry.h
@@ -271,6 +271,10 @@
 int entry_claim_open (struct entry *entry, struct err *err);
 void entry_claim_close (struct entry *entry);
 
+/* Writes records that the service has lost again, when it was restored from an
+   older copy; no lock is held.  */
+void entry_claim_check_service (struct entry *entry, gint64 now_us);
+
 /* Writes the claim of the at-most-once CALL for RUNNER, then sends the
    attempt, which is already counted on RUNNER.  */
 void entry_claim_start (struct entry_call *call,
--- a/src/entry_claim_kv.c
+++ b/src/entry_claim_kv.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cfg_sync.h"
+#include "claim_log.h"
 #include "goldcresthatch/metric.h"
 #include "goldcresthatch/log.h"
 
@@ -21,7 +23,13 @@
      front of the workers; the others are deferred for CLAIM_OUTAGE_TIMEOUT_US
      and then fail without an effect.  */
   FAILURES_BEFORE_PROBING = 8,
-  KV_PROBE_PERIOD_US = 250 * 1000
+  KV_PROBE_PERIOD_US = 250 * 1000,
+
+  /* After a restoration of the service, records of other entries may be
+     missing.  Each entry notices it by its next poll of the configuration and
+     then writes them again within this time.  */
+  REWRITE_US = 1000 * 1000,
+  REWRITE_RETRY_US = 250 * 1000
 };
 
 struct entry_lease
@@ -31,6 +39,17 @@
   gint64 granted_us;
   unsigned failures;    /* consecutive failed operations */
   gint64 next_probe_us; /* earliest operation while the circuit is open */
+
+  struct claim_log *log;
+  uint64_t era;           /* of the service, or 0 before the first answer */
+  gint64 held_until_us;   /* no claim is made before this time */
+  gint64 next_rewrite_us; /* time to write LOG's records again, or 0 */
+};
+
+struct rewrite
+{
+  struct entry_task task;
+  struct entry *entry;
 };
 
 /* One key-value operation.  */
@@ -63,6 +82,7 @@
                     (int)entry->settings.workers);
   entry->claim_lease = g_new0 (struct entry_lease, 1);
   pthread_mutex_init (&entry->claim_lease->lock, NULL);
+  entry->claim_lease->log = claim_log_new ();
   return 0;
 }
 
@@ -70,6 +90,7 @@
 entry_claim_close (struct entry *entry)
 {
   g_thread_pool_free (entry->workers, FALSE, TRUE);
+  claim_log_free (entry->claim_lease->log);
   pthread_mutex_destroy (&entry->claim_lease->lock);
   g_free (entry->claim_lease);
 }
@@ -136,32 +157,184 @@
   pthread_mutex_unlock (&lease->lock);
 }
 
+/* Notices that the service has been restored from an older copy.  */
 static void
-write_record (struct claim_operation *task, struct call_event *event,
-              struct err *err)
+check_era (struct entry *entry)
 {
-  struct entry_call *call = task->call;
-  struct entry *entry = call->entry;
+  struct entry_lease *lease = entry->claim_lease;
+  uint64_t era = kv_era (entry->kv);
+  gint64 now = g_get_monotonic_time ();
+  gint64 hold_us;
+  int restored;
+
+  pthread_mutex_lock (&lease->lock);
+  restored = lease->era != 0 && era > lease->era;
+  if (lease->era == 0)
+    lease->era = era;
+  pthread_mutex_unlock (&lease->lock);
+  if (!restored)
+    return;
+  hold_us = cfg_sync_poll_max_us (entry->config) + REWRITE_US;
+  pthread_mutex_lock (&lease->lock);
+  restored = era > lease->era;
+  if (restored)
+    {
+      lease->era = era;
+      lease->held_until_us = now + hold_us;
+      lease->next_rewrite_us = now;
+    }
+  pthread_mutex_unlock (&lease->lock);
+  if (restored)
+    log_write (LOG_LEVEL_WARN, NULL, "kv", entry->settings.kv,
+               "restored from an older copy, era %llu; no claims for %d ms",
+               (unsigned long long)era, (int)(hold_us / 1000));
+}
+
+/* Writes TEXT under KEY as kv_cas does, under a new lease when the current one
+   has ended.  */
+static int
+put_record (struct entry *entry, const char *key, uint64_t prev,
+            const char *text, uint64_t *revision, struct err *err)
+{
+  struct entry_lease *state = entry->claim_lease;
   uint64_t lease = current_lease (entry, err);
   int rc = -1;
   int i;
 
-  event->kind = CALL_EV_WRITE_REFUSED;
-  for (i = 0; i < 2 && rc < 0 && lease != 0 && task->text != NULL; i++)
+  for (i = 0; i < 2 && lease != 0; i++)
     {
-      rc = kv_cas (entry->kv, call->claim->key, task->prev, task->text,
-                   strlen (task->text), lease, &event->revision, err);
+      rc = kv_cas (entry->kv, key, prev, text, strlen (text), lease, revision,
+                   err);
       if (rc >= 0 || err->code != ERR_NOT_FOUND)
         break;
-      forget_lease (entry->claim_lease, lease);
+      forget_lease (state, lease);
       lease = current_lease (entry, err);
     }
-  if (rc == 1)
-    event->kind = CALL_EV_WRITE_DONE;
-  else if (rc == 0)
+  check_era (entry);
+  if (lease == 0 || (rc < 0 && err->code == ERR_NOT_FOUND))
+    err->code = ERR_REFUSED;
+  if (rc != 1)
+    return rc;
+  pthread_mutex_lock (&state->lock);
+  claim_log_note (state->log, key, text, g_get_monotonic_time ());
+  pthread_mutex_unlock (&state->lock);
+  return 1;
+}
+
+/* Writes RECORD, which the restored service may have lost.  Returns 0, or -1
+   when that has to be tried again.  */
+static int
+rewrite_record (struct entry *entry, const struct claim_log_record *record)
+{
+  struct call_record lost = { 0 };
+  struct call_record found = { 0 };
+  struct kv_value value = { 0 };
+  uint64_t revision;
+  struct err err;
+  int rc = put_record (entry, record->key, 0, record->text, &revision, &err);
+
+  if (rc != 0)
+    return rc < 0 ? -1 : 0;
+  rc = kv_get (entry->kv, record->key, &value, &err);
+  if (rc == 1
+      && call_record_decode (record->text, strlen (record->text), &lost, &err)
+             == 0
+      && call_record_decode (value.data, value.size, &found, &err) == 0
+      && claim_log_may_replace (&lost, &found))
+    rc = put_record (entry, record->key, value.revision, record->text,
+                     &revision, &err)
+         - 1;
+  kv_value_free (&value);
+  call_record_clear (&lost);
+  call_record_clear (&found);
+  return rc < 0 ? -1 : 0;
+}
+
+static void
+run_rewrite (struct entry_task *base)
+{
+  struct rewrite *rewrite = (struct rewrite *)base;
+  struct entry *entry = rewrite->entry;
+  struct entry_lease *lease = entry->claim_lease;
+  GPtrArray *records;
+  guint i;
+
+  pthread_mutex_lock (&lease->lock);
+  records = claim_log_list (lease->log, g_get_monotonic_time ());
+  pthread_mutex_unlock (&lease->lock);
+  for (i = 0; i < records->len; i++)
+    if (rewrite_record (entry, g_ptr_array_index (records, i)) != 0)
+      break;
+  if (i < records->len)
+    {
+      pthread_mutex_lock (&lease->lock);
+      lease->next_rewrite_us = g_get_monotonic_time () + REWRITE_RETRY_US;
+      pthread_mutex_unlock (&lease->lock);
+    }
+  else
+    log_write (LOG_LEVEL_INFO, NULL, "kv", entry->settings.kv,
+               "%u records of claims are there again", records->len);
+  g_ptr_array_free (records, TRUE);
+  g_free (rewrite);
+}
+
+void
+entry_claim_check_service (struct entry *entry, gint64 now_us)
+{
+  struct entry_lease *lease = entry->claim_lease;
+  struct rewrite *rewrite;
+  int due;
+
+  check_era (entry);
+  pthread_mutex_lock (&lease->lock);
+  due = lease->next_rewrite_us != 0 && now_us >= lease->next_rewrite_us;
+  if (due)
+    lease->next_rewrite_us = 0;
+  pthread_mutex_unlock (&lease->lock);
+  if (!due)
+    return;
+  rewrite = g_new0 (struct rewrite, 1);
+  rewrite->task.run = run_rewrite;
+  rewrite->entry = entry;
+  g_thread_pool_push (entry->workers, rewrite, NULL);
+}
+
+/* Returns nonzero when no claim may be made and CALL isn't sent yet.  */
+static int
+is_held (struct entry_call *call)
+{
+  struct entry_lease *lease = call->entry->claim_lease;
+  gint64 until;
+  int undecided;
+
+  pthread_mutex_lock (&lease->lock);
+  until = lease->held_until_us;
+  pthread_mutex_unlock (&lease->lock);
+  pthread_mutex_lock (&call->lock);
+  undecided = !call->claim->sent && !call->claim->answered;
+  pthread_mutex_unlock (&call->lock);
+  return undecided && g_get_monotonic_time () < until;
+}
+
+static void
+write_record (struct claim_operation *task, struct call_event *event,
+              struct err *err)
+{
+  struct entry_call *call = task->call;
+  int rc;
+
+  event->kind = CALL_EV_WRITE_REFUSED;
+  if (task->text == NULL)
+    return;
+  rc = put_record (call->entry, call->claim->key, task->prev, task->text,
+                   &event->revision, err);
+  if (rc == 0)
     event->kind = CALL_EV_WRITE_CONFLICT;
-  else if (lease != 0 && err->code != ERR_REFUSED
-           && err->code != ERR_NOT_FOUND)
+  /* When the restoration was noticed with this write, it doesn't tell yet that
+     the key was free.  */
+  else if (rc == 1)
+    event->kind = is_held (call) ? CALL_EV_WRITE_LOST : CALL_EV_WRITE_DONE;
+  else if (err->code != ERR_REFUSED)
     event->kind = CALL_EV_WRITE_LOST;
 }
 
@@ -172,6 +345,7 @@
   struct kv_value value = { 0 };
   int rc = kv_get (task->call->entry->kv, task->call->claim->key, &value, err);
 
+  check_era (task->call->entry);
   event->kind = rc == 0 ? CALL_EV_READ_ABSENT : CALL_EV_READ_FAILED;
   if (rc != 1)
     return;
@@ -223,6 +397,13 @@
   struct entry *entry = task->call->entry;
   int write = task->kind == CALL_ACT_WRITE;
 
+  if (is_held (task->call))
+    {
+      event->kind = write ? CALL_EV_WRITE_REFUSED : CALL_EV_READ_FAILED;
+      err_set (err, ERR_REFUSED, "kv", entry->settings.kv,
+               "not called: records may be missing after a restoration");
+      return;
+    }
   if (!try)
     {
       event->kind = write ? CALL_EV_WRITE_REFUSED : CALL_EV_READ_FAILED;
--- a/src/entry_main.c
+++ b/src/entry_main.c
@@ -69,6 +69,7 @@
         {
           entry_fleet_tick (entry, now);
           entry_call_tick (entry, now);
+          entry_claim_check_service (entry, now);
           entry_warn_tick (entry, now);
           tick_us = now + (gint64)ENTRY_TICK_PERIOD_MS * 1000;
         }
--- a/src/kv.c
+++ b/src/kv.c
@@ -69,6 +69,12 @@
   return count_call (METRIC_KV_READS, kv->ops->vms (kv->ctx, out, err));
 }
 
+uint64_t
+kv_era (const struct kv *kv)
+{
+  return kv->ops->era (kv->ctx);
+}
+
 void
 kv_value_free (struct kv_value *value)
 {
--- a/src/kv_http.c
+++ b/src/kv_http.c
@@ -254,8 +254,7 @@
     snprintf (path + strlen (path), sizeof path - strlen (path), "&lease=%llu",
               number_in_era (lease));
   status = send_request (http, "PUT", path, data, size, 0, &response, err);
-  if (status == STATUS_OK && number_is_of (prev, response.era)
-      && number_is_of (lease, response.era))
+  if (status == STATUS_OK && (era == 0 || response.era == era))
     rc = 1;
   else if (status == STATUS_OK)
     rc = err_set (err, ERR_PROTOCOL, "kv", http->address,
@@ -322,6 +321,14 @@
   return change_lease (ctx, "DELETE", lease, "", err) < 0 ? -1 : 0;
 }
 
+static uint64_t
+http_era (void *ctx)
+{
+  struct kv_http *http = ctx;
+
+  return atomic_load (&http->era);
+}
+
 static const struct kv_ops http_ops = {
   .get = http_get,
   .cas = http_cas,
@@ -330,6 +337,7 @@
   .lease_renew = http_lease_renew,
   .lease_revoke = http_lease_revoke,
   .vms = http_vms,
+  .era = http_era,
 };
 
 struct kv *
--- a/tests/unit_call.cc
+++ b/tests/unit_call.cc
@@ -293,3 +293,16 @@
       answered (outcome);
     }
 }
+
+// Guards against a result that is answered and then known to nobody, because a
+// restored key-value service has lost the claim.
+TEST_F (Call, ResultIsRecordedWithoutTheLostClaim)
+{
+  send ();
+  ASSERT_EQ (end (MSG_OUTCOME_DONE), CALL_ACT_WRITE);
+  answered (CALL_OUTCOME_DONE);
+  ASSERT_EQ (step (CALL_EV_WRITE_CONFLICT), CALL_ACT_READ);
+  step (CALL_EV_READ_ABSENT);
+  writes (CALL_DONE, 0);
+  EXPECT_EQ (step (CALL_EV_WRITE_DONE, 3), CALL_ACT_FINISHED);
+}
--- a/tests/unit_kv_http.cc
+++ b/tests/unit_kv_http.cc
@@ -128,6 +128,20 @@
   EXPECT_EQ (cas (0), 1);
 }
 
+// Where nothing was under the key, what was written there may be lost.
+TEST_F (KvHttp, FirstWriteAfterARestorationIsNotConfirmed)
+{
+  answers (1, 200, "X-Revision: 7\r\n");
+  EXPECT_EQ (kv_era (kv), 0U);
+  EXPECT_EQ (cas (0), 1);
+  EXPECT_EQ (kv_era (kv), 1U);
+  answers (2, 200, "X-Revision: 7\r\n");
+  EXPECT_EQ (cas (0), -1);
+  EXPECT_NE (err.code, ERR_REFUSED);
+  EXPECT_EQ (kv_era (kv), 2U);
+  EXPECT_EQ (cas (0), 1);
+}
+
 TEST_F (KvHttp, WatchesBeginAnew)
 {
   answers (1, 200, "X-Revision: 70\r\n", "v");
