--- a/tests/standin_kv.c
+++ b/tests/standin_kv.c
@@ -402,8 +402,11 @@
 static void
 take_copy (void)
 {
-  g_clear_pointer (&copy.entries, g_hash_table_destroy);
-  g_clear_pointer (&copy.leases, g_hash_table_destroy);
+  if (copy.entries != NULL)
+    {
+      g_hash_table_destroy (copy.entries);
+      g_hash_table_destroy (copy.leases);
+    }
   copy.entries = copy_entries (entries);
   copy.leases = copy_leases (leases);
   copy.last_revision = last_revision;
--- a/tests/standin_runner.c
+++ b/tests/standin_runner.c
@@ -335,13 +335,12 @@
 static ssize_t
 read_text (void *ctx, uint64_t offset, char *buffer, size_t max)
 {
-  const char *text = ctx;
-  size_t size = strlen (text);
+  const char *rest = (const char *)ctx + offset;
+  size_t size = strnlen (rest, max);
 
-  if (offset >= size)
+  if (size == 0)
     return MHD_CONTENT_READER_END_OF_STREAM;
-  size = MIN (size - offset, max);
-  memcpy (buffer, text + offset, size);
+  memcpy (buffer, rest, size);
   return (ssize_t)size;
 }
 
