Split what keeps the records of claims from the operations of calls

entry_claim_store has the lease, the records written recently and what follows a restoration; entry_claim_kv carries out the operations of calls, with the circuit breaker.

--- a/src/claim_log.c
+++ b/src/claim_log.c
@@ -99,7 +99,7 @@
   GList *node;
 
   forget_old (log, now);
-  for (node = log->order.head; node != NULL; node = node->next)
+  for (node = log->order.tail; node != NULL; node = node->prev)
     {
       const struct noted *noted = node->data;
       struct claim_log_record *record = g_new0 (struct claim_log_record, 1);
--- a/src/claim_log.h
+++ b/src/claim_log.h
@@ -38,8 +38,8 @@
 /* Notes that TEXT was written under KEY, in place of what was noted before. */
 void claim_log_note (struct claim_log *log, const char *key, const char *text,
                      int64_t now);
-/* Returns copies of the records at NOW, oldest first; the array frees them.
- */
+/* Returns copies of the records at NOW, the latest first, since those are the
+   most likely to be lost; the array frees them.  */
 GPtrArray *claim_log_list (struct claim_log *log, int64_t now);
 
 /* Returns nonzero when the record LOST may be written in the place of FOUND,
--- a/src/entry.h
+++ b/src/entry.h
@@ -181,7 +181,8 @@
   pthread_t list_thread;
   gint stopping;
   gint draining;
-  struct entry_lease *claim_lease; /* under which claims are stored */
+  struct entry_claim_store *claim_store;
+  struct entry_claim_breaker *claim_breaker;
   struct entry_control *control;
   struct cfg_sync *config;
   struct entry_trace_rings *rings;
@@ -271,7 +272,7 @@
 int entry_claim_open (struct entry *entry, struct err *err);
 void entry_claim_close (struct entry *entry);
 
-/* Writes records that the service has lost again, when it was restored from an
+/* Writes records again that the service has lost, when it was restored from an
    older copy; no lock is held.  */
 void entry_claim_check_service (struct entry *entry, gint64 now_us);
 
--- a/src/entry_claim_kv.c
+++ b/src/entry_claim_kv.c
@@ -1,55 +1,28 @@
 #include "entry_claim.h"
+#include "entry_claim_store.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#include "cfg_sync.h"
-#include "claim_log.h"
 #include "goldcresthatch/metric.h"
 #include "goldcresthatch/log.h"
 
 enum
 {
-  /* A record is kept for at least 24 h.  The lease lasts 25 h and is replaced
-     once it is 50 min old; no claim is written under a lease older than 1 h.
-   */
-  LEASE_TTL_MS = 25 * 3600 * 1000,
-  LEASE_RENEW_AGE_S = 50 * 60,
-  LEASE_USE_MAX_AGE_S = 60 * 60,
-
   /* Circuit breaker for the service.  During an outage each operation occupies
      a worker for the adapter's timeout.  After this many consecutive failures,
      only one operation in each period is sent, so that no queue builds up in
      front of the workers; the others are deferred for CLAIM_OUTAGE_TIMEOUT_US
      and then fail without an effect.  */
   FAILURES_BEFORE_PROBING = 8,
-  KV_PROBE_PERIOD_US = 250 * 1000,
-
-  /* After a restoration of the service, records of other entries may be
-     missing.  Each entry notices it by its next poll of the configuration and
-     then writes them again within this time.  */
-  REWRITE_US = 1000 * 1000,
-  REWRITE_RETRY_US = 250 * 1000
+  KV_PROBE_PERIOD_US = 250 * 1000
 };
 
-struct entry_lease
+struct entry_claim_breaker
 {
   pthread_mutex_t lock;
-  uint64_t id; /* 0 before the first grant */
-  gint64 granted_us;
   unsigned failures;    /* consecutive failed operations */
   gint64 next_probe_us; /* earliest operation while the circuit is open */
-
-  struct claim_log *log;
-  uint64_t era;           /* of the service, or 0 before the first answer */
-  gint64 held_until_us;   /* no claim is made before this time */
-  gint64 next_rewrite_us; /* time to write LOG's records again, or 0 */
-};
-
-struct rewrite
-{
-  struct entry_task task;
-  struct entry *entry;
 };
 
 /* One key-value operation.  */
@@ -80,9 +53,9 @@
     return err_set (err, ERR_LIMIT, "workers", NULL,
                     "cannot start the pool of %d worker threads",
                     (int)entry->settings.workers);
-  entry->claim_lease = g_new0 (struct entry_lease, 1);
-  pthread_mutex_init (&entry->claim_lease->lock, NULL);
-  entry->claim_lease->log = claim_log_new ();
+  entry->claim_breaker = g_new0 (struct entry_claim_breaker, 1);
+  pthread_mutex_init (&entry->claim_breaker->lock, NULL);
+  entry->claim_store = entry_claim_store_new ();
   return 0;
 }
 
@@ -90,230 +63,47 @@
 entry_claim_close (struct entry *entry)
 {
   g_thread_pool_free (entry->workers, FALSE, TRUE);
-  claim_log_free (entry->claim_lease->log);
-  pthread_mutex_destroy (&entry->claim_lease->lock);
-  g_free (entry->claim_lease);
-}
-
-/* Returns the lease for a record that is written now, or 0 with ERR when none
-   can be granted.  */
-static uint64_t
-current_lease (struct entry *entry, struct err *err)
-{
-  struct entry_lease *lease = entry->claim_lease;
-  gint64 now = g_get_monotonic_time ();
-  uint64_t granted;
-  uint64_t id;
-  gint64 age_s;
-
-  pthread_mutex_lock (&lease->lock);
-  id = lease->id;
-  age_s = (now - lease->granted_us) / G_USEC_PER_SEC;
-  pthread_mutex_unlock (&lease->lock);
-  if (id != 0 && age_s < LEASE_RENEW_AGE_S)
-    return id;
-  if (kv_lease_grant (entry->kv, LEASE_TTL_MS, &granted, err) != 0)
-    return id != 0 && age_s < LEASE_USE_MAX_AGE_S ? id : 0;
-  pthread_mutex_lock (&lease->lock);
-  lease->id = granted;
-  lease->granted_us = now;
-  pthread_mutex_unlock (&lease->lock);
-  return granted;
+  entry_claim_store_free (entry->claim_store);
+  pthread_mutex_destroy (&entry->claim_breaker->lock);
+  g_free (entry->claim_breaker);
 }
 
 /* Returns nonzero when the circuit breaker allows an operation now.  */
 static int
-may_call_service (struct entry_lease *lease)
+may_call_service (struct entry_claim_breaker *breaker)
 {
   gint64 now = g_get_monotonic_time ();
   int may = 1;
 
-  pthread_mutex_lock (&lease->lock);
-  if (lease->failures >= FAILURES_BEFORE_PROBING)
+  pthread_mutex_lock (&breaker->lock);
+  if (breaker->failures >= FAILURES_BEFORE_PROBING)
     {
-      may = now >= lease->next_probe_us;
+      may = now >= breaker->next_probe_us;
       if (may)
-        lease->next_probe_us = now + KV_PROBE_PERIOD_US;
+        breaker->next_probe_us = now + KV_PROBE_PERIOD_US;
     }
-  pthread_mutex_unlock (&lease->lock);
+  pthread_mutex_unlock (&breaker->lock);
   return may;
 }
 
 static void
-count_failure (struct entry_lease *lease, int failed)
-{
-  pthread_mutex_lock (&lease->lock);
-  lease->failures = failed ? lease->failures + 1 : 0;
-  pthread_mutex_unlock (&lease->lock);
-}
-
-/* Forgets the lease ID, which the service doesn't know any more.  */
-static void
-forget_lease (struct entry_lease *lease, uint64_t id)
+count_failure (struct entry_claim_breaker *breaker, int failed)
 {
-  pthread_mutex_lock (&lease->lock);
-  if (lease->id == id)
-    lease->id = 0;
-  pthread_mutex_unlock (&lease->lock);
-}
-
-/* Notices that the service has been restored from an older copy.  */
-static void
-check_era (struct entry *entry)
-{
-  struct entry_lease *lease = entry->claim_lease;
-  uint64_t era = kv_era (entry->kv);
-  gint64 now = g_get_monotonic_time ();
-  gint64 hold_us;
-  int restored;
-
-  pthread_mutex_lock (&lease->lock);
-  restored = lease->era != 0 && era > lease->era;
-  if (lease->era == 0)
-    lease->era = era;
-  pthread_mutex_unlock (&lease->lock);
-  if (!restored)
-    return;
-  hold_us = cfg_sync_poll_max_us (entry->config) + REWRITE_US;
-  pthread_mutex_lock (&lease->lock);
-  restored = era > lease->era;
-  if (restored)
-    {
-      lease->era = era;
-      lease->held_until_us = now + hold_us;
-      lease->next_rewrite_us = now;
-    }
-  pthread_mutex_unlock (&lease->lock);
-  if (restored)
-    log_write (LOG_LEVEL_WARN, NULL, "kv", entry->settings.kv,
-               "restored from an older copy, era %llu; no claims for %d ms",
-               (unsigned long long)era, (int)(hold_us / 1000));
-}
-
-/* Writes TEXT under KEY as kv_cas does, under a new lease when the current one
-   has ended.  */
-static int
-put_record (struct entry *entry, const char *key, uint64_t prev,
-            const char *text, uint64_t *revision, struct err *err)
-{
-  struct entry_lease *state = entry->claim_lease;
-  uint64_t lease = current_lease (entry, err);
-  int rc = -1;
-  int i;
-
-  for (i = 0; i < 2 && lease != 0; i++)
-    {
-      rc = kv_cas (entry->kv, key, prev, text, strlen (text), lease, revision,
-                   err);
-      if (rc >= 0 || err->code != ERR_NOT_FOUND)
-        break;
-      forget_lease (state, lease);
-      lease = current_lease (entry, err);
-    }
-  check_era (entry);
-  if (lease == 0 || (rc < 0 && err->code == ERR_NOT_FOUND))
-    err->code = ERR_REFUSED;
-  if (rc != 1)
-    return rc;
-  pthread_mutex_lock (&state->lock);
-  claim_log_note (state->log, key, text, g_get_monotonic_time ());
-  pthread_mutex_unlock (&state->lock);
-  return 1;
-}
-
-/* Writes RECORD, which the restored service may have lost.  Returns 0, or -1
-   when that has to be tried again.  */
-static int
-rewrite_record (struct entry *entry, const struct claim_log_record *record)
-{
-  struct call_record lost = { 0 };
-  struct call_record found = { 0 };
-  struct kv_value value = { 0 };
-  uint64_t revision;
-  struct err err;
-  int rc = put_record (entry, record->key, 0, record->text, &revision, &err);
-
-  if (rc != 0)
-    return rc < 0 ? -1 : 0;
-  rc = kv_get (entry->kv, record->key, &value, &err);
-  if (rc == 1
-      && call_record_decode (record->text, strlen (record->text), &lost, &err)
-             == 0
-      && call_record_decode (value.data, value.size, &found, &err) == 0
-      && claim_log_may_replace (&lost, &found))
-    rc = put_record (entry, record->key, value.revision, record->text,
-                     &revision, &err)
-         - 1;
-  kv_value_free (&value);
-  call_record_clear (&lost);
-  call_record_clear (&found);
-  return rc < 0 ? -1 : 0;
-}
-
-static void
-run_rewrite (struct entry_task *base)
-{
-  struct rewrite *rewrite = (struct rewrite *)base;
-  struct entry *entry = rewrite->entry;
-  struct entry_lease *lease = entry->claim_lease;
-  GPtrArray *records;
-  guint i;
-
-  pthread_mutex_lock (&lease->lock);
-  records = claim_log_list (lease->log, g_get_monotonic_time ());
-  pthread_mutex_unlock (&lease->lock);
-  for (i = 0; i < records->len; i++)
-    if (rewrite_record (entry, g_ptr_array_index (records, i)) != 0)
-      break;
-  if (i < records->len)
-    {
-      pthread_mutex_lock (&lease->lock);
-      lease->next_rewrite_us = g_get_monotonic_time () + REWRITE_RETRY_US;
-      pthread_mutex_unlock (&lease->lock);
-    }
-  else
-    log_write (LOG_LEVEL_INFO, NULL, "kv", entry->settings.kv,
-               "%u records of claims are there again", records->len);
-  g_ptr_array_free (records, TRUE);
-  g_free (rewrite);
-}
-
-void
-entry_claim_check_service (struct entry *entry, gint64 now_us)
-{
-  struct entry_lease *lease = entry->claim_lease;
-  struct rewrite *rewrite;
-  int due;
-
-  check_era (entry);
-  pthread_mutex_lock (&lease->lock);
-  due = lease->next_rewrite_us != 0 && now_us >= lease->next_rewrite_us;
-  if (due)
-    lease->next_rewrite_us = 0;
-  pthread_mutex_unlock (&lease->lock);
-  if (!due)
-    return;
-  rewrite = g_new0 (struct rewrite, 1);
-  rewrite->task.run = run_rewrite;
-  rewrite->entry = entry;
-  g_thread_pool_push (entry->workers, rewrite, NULL);
+  pthread_mutex_lock (&breaker->lock);
+  breaker->failures = failed ? breaker->failures + 1 : 0;
+  pthread_mutex_unlock (&breaker->lock);
 }
 
 /* Returns nonzero when no claim may be made and CALL isn't sent yet.  */
 static int
 is_held (struct entry_call *call)
 {
-  struct entry_lease *lease = call->entry->claim_lease;
-  gint64 until;
   int undecided;
 
-  pthread_mutex_lock (&lease->lock);
-  until = lease->held_until_us;
-  pthread_mutex_unlock (&lease->lock);
   pthread_mutex_lock (&call->lock);
   undecided = !call->claim->sent && !call->claim->answered;
   pthread_mutex_unlock (&call->lock);
-  return undecided && g_get_monotonic_time () < until;
+  return undecided && entry_claim_store_is_held (call->entry->claim_store);
 }
 
 static void
@@ -326,8 +116,8 @@
   event->kind = CALL_EV_WRITE_REFUSED;
   if (task->text == NULL)
     return;
-  rc = put_record (call->entry, call->claim->key, task->prev, task->text,
-                   &event->revision, err);
+  rc = entry_claim_store_put (call->entry, call->claim->key, task->prev,
+                              task->text, &event->revision, err);
   if (rc == 0)
     event->kind = CALL_EV_WRITE_CONFLICT;
   /* When the restoration was noticed with this write, it doesn't tell yet that
@@ -345,7 +135,7 @@
   struct kv_value value = { 0 };
   int rc = kv_get (task->call->entry->kv, task->call->claim->key, &value, err);
 
-  check_era (task->call->entry);
+  entry_claim_store_check_era (task->call->entry);
   event->kind = rc == 0 ? CALL_EV_READ_ABSENT : CALL_EV_READ_FAILED;
   if (rc != 1)
     return;
@@ -417,8 +207,8 @@
     write_record (task, event, err);
   else
     read_record (task, event, record, err);
-  count_failure (entry->claim_lease, is_service_failure (event->kind)
-                                         && event->kind != CALL_EV_READ_BAD);
+  count_failure (entry->claim_breaker, is_service_failure (event->kind)
+                                           && event->kind != CALL_EV_READ_BAD);
 }
 
 /* Runs in a worker thread: carries out one operation and passes its result to
@@ -431,7 +221,7 @@
   struct call_record record = { 0 };
   struct call_event event = { 0 };
   struct err err = { 0 };
-  int try = may_call_service (call->entry->claim_lease);
+  int try = may_call_service (call->entry->claim_breaker);
 
   if (!try && defer_operation (task))
     return;
