Go on from the configuration in force after a restoration

What operators saw, once the key-value service had come back from an older copy (CONFIG, the product's own path): an edit was reported as in force and wasn't (queue_max 15 written, 30 kept by all entries), since its generation was not above the one that processes held; once generations had caught up, the next edit of another section would have undone what was in force.

Cause: what the service had acknowledged counted as kept; an edit started from the document there.

Change: in a later era goldcresthatchctl compares the document with the generations of the listed peers. When one is ahead, it takes the document from there, with credentials and history from the service (cfg_apply_lost); without an answer the edit fails, and nothing is written. Its write brings the lost changes back.

Ruled out: processes that write their document back, as they have no credentials.

The interface of an edit has a new member, set to null in older tests.

--- a/include/goldcresthatch/cfg.h
+++ b/include/goldcresthatch/cfg.h
@@ -99,6 +99,12 @@
 struct cfg_doc *cfg_apply_delta (const struct cfg_doc *held, const char *text,
                                  size_t size, struct err *err);
 
+/* Applies the delta TEXT to STORED, a document of the service, which has lost
+   what is in the delta.  What deltas don't have, credentials and history,
+   stays as it is there.  Returns the new document, or null with ERR.  */
+struct cfg_doc *cfg_apply_lost (const struct cfg_doc *stored, const char *text,
+                                size_t size, struct err *err);
+
 /* Replaces *HELD when CANDIDATE has a higher generation.  Consumes CANDIDATE.
    Returns true when adopted.  */
 bool cfg_adopt (struct cfg_doc **held, struct cfg_doc *candidate);
@@ -248,6 +254,12 @@
   const char *new_credential; /* replaces the section's, unless null */
   const char *write_id;       /* unique to this edit */
   int64_t now_us;             /* wall clock, recorded in the history */
+  /* Unless null, returns the document that is to be edited in the place of
+     DOC, which was read from the service and is given away, or null with
+     ERR.  */
+  struct cfg_doc *(*complete) (void *ctx, struct cfg_doc *doc,
+                               struct err *err);
+  void *complete_ctx;
 };
 
 /* Generates a random write id.  */
--- a/src/cfg.c
+++ b/src/cfg.c
@@ -417,6 +417,27 @@
   return doc;
 }
 
+struct cfg_doc *
+cfg_apply_lost (const struct cfg_doc *stored, const char *text, size_t size,
+                struct err *err)
+{
+  struct cfg_doc *doc = cfg_apply_delta (stored, text, size, err);
+
+  for (int id = 0; doc != NULL && id < CFG_SECTION_MAX; id++)
+    {
+      struct json_object *from = cfg_section_json (stored->root, id);
+      struct json_object *to = cfg_section_json (doc->root, id);
+
+      for (size_t i = 0; i < G_N_ELEMENTS (local_members); i++)
+        if (cfg_member (to, local_members[i]) == NULL
+            && cfg_member (from, local_members[i]) != NULL)
+          json_object_object_add (
+              to, local_members[i],
+              json_object_get (cfg_member (from, local_members[i])));
+    }
+  return doc;
+}
+
 bool
 cfg_adopt (struct cfg_doc **held, struct cfg_doc *candidate)
 {
--- a/src/cfg_edit.c
+++ b/src/cfg_edit.c
@@ -366,6 +366,13 @@
 
       if (doc == NULL && is_unreachable)
         continue;
+      if (doc != NULL && attempt->edit->complete != NULL)
+        {
+          doc = attempt->edit->complete (attempt->edit->complete_ctx, doc,
+                                         err);
+          if (doc == NULL)
+            return -1;
+        }
       if (doc == NULL)
         return err_set (err, attempt->in_doubt ? ERR_TIMEOUT : ERR_PROTOCOL,
                         "config-edit", NULL,
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -60,8 +60,9 @@
 int ctl_config_set (struct ctl *ctl);
 int ctl_config_history (struct ctl *ctl);
 
-/* Returns the configuration document of the key-value service, the built-in
-   one when none is stored, or null with ERR.  */
+/* Returns the configuration document of the key-value service, with what it
+   has lost when it was restored from an older copy, the built-in one when none
+   is stored, or null with ERR.  */
 struct cfg_doc *ctl_read_document (struct ctl *ctl, struct err *err);
 
 struct ctl_edit
--- a/src/ctl_config.c
+++ b/src/ctl_config.c
@@ -9,7 +9,8 @@
 {
   /* Twice the time within which a change must be in force.  */
   IN_FORCE_TIMEOUT_US = 30 * G_USEC_PER_SEC,
-  POLL_PERIOD_US = 200 * 1000
+  POLL_PERIOD_US = 200 * 1000,
+  STATUS_OK = 200
 };
 
 /* Returns the section NAME, or -1 after an error message.  */
@@ -46,6 +47,68 @@
   g_free (text);
 }
 
+static void
+poll_peers (const struct settings_list *peers, struct cfg_peer_status *round)
+{
+  struct err err;
+
+  for (size_t i = 0; i < peers->count; i++)
+    if (peer_get_config (peers->items[i], UINT64_MAX, NULL, &round[i], &err)
+        < 0)
+      round[i] = (struct cfg_peer_status){ .answered = false };
+}
+
+/* Returns the index of the ready process with the highest generation above
+   GENERATION, or -1.  */
+static int
+newest_peer (const struct settings_list *peers, uint64_t generation)
+{
+  struct cfg_peer_status round[SETTINGS_LIST_MAX];
+  int newest = -1;
+
+  poll_peers (peers, round);
+  for (size_t i = 0; i < peers->count; i++)
+    if (round[i].answered && round[i].ready
+        && round[i].generation > generation)
+      {
+        generation = round[i].generation;
+        newest = (int)i;
+      }
+  return newest;
+}
+
+/* Returns DOC, or in its place the document in force, when the service has
+   been restored from an older copy and has lost changes that processes have.
+   Returns null with ERR when these can't be read.  */
+static struct cfg_doc *
+complete_document (void *ctx, struct cfg_doc *doc, struct err *err)
+{
+  struct ctl *ctl = ctx;
+  const struct settings_list *peers = &ctl->settings.config_peers;
+  struct cfg_peer_status status;
+  struct cfg_doc *completed = NULL;
+  GString *body;
+  int newest;
+  int rc;
+
+  if (kv_era (ctl->kv) <= 1)
+    return doc;
+  newest = newest_peer (peers, cfg_generation (doc));
+  if (newest < 0)
+    return doc;
+  body = g_string_new (NULL);
+  rc = peer_get_config (peers->items[newest], cfg_generation (doc), body,
+                        &status, err);
+  if (rc == STATUS_OK)
+    completed = cfg_apply_lost (doc, body->str, body->len, err);
+  else if (rc >= 0)
+    err_set (err, ERR_PROTOCOL, "config", peers->items[newest],
+             "status %d for changes that the service has lost", rc);
+  g_string_free (body, TRUE);
+  cfg_free (doc);
+  return completed;
+}
+
 struct cfg_doc *
 ctl_read_document (struct ctl *ctl, struct err *err)
 {
@@ -56,10 +119,11 @@
   if (rc < 0)
     return NULL;
   if (rc == 0)
-    return cfg_default ();
-  doc = cfg_parse (value.data, value.size, CFG_KEY, NULL, err);
+    doc = cfg_default ();
+  else
+    doc = cfg_parse (value.data, value.size, CFG_KEY, NULL, err);
   kv_value_free (&value);
-  return doc;
+  return doc != NULL ? complete_document (ctl, doc, err) : NULL;
 }
 
 /* Checks the section as a change of the stored document if the key-value
@@ -201,17 +265,6 @@
   return CTL_OK;
 }
 
-static void
-poll_peers (const struct settings_list *peers, struct cfg_peer_status *round)
-{
-  struct err err;
-
-  for (size_t i = 0; i < peers->count; i++)
-    if (peer_get_config (peers->items[i], UINT64_MAX, NULL, &round[i], &err)
-        < 0)
-      round[i] = (struct cfg_peer_status){ .answered = false };
-}
-
 /* Waits until GENERATION is in force by cfg_in_force, and returns false after
    IN_FORCE_TIMEOUT_US without success.  LAST receives the last answers.  */
 static bool
@@ -298,7 +351,9 @@
                                .source = edit->source,
                                .operator_name = ctl->operator_name,
                                .write_id = write_id,
-                               .now_us = g_get_real_time () };
+                               .now_us = g_get_real_time (),
+                               .complete = complete_document,
+                               .complete_ctx = ctl };
   char *credential = read_credential (ctl->credential_file);
   char *next = NULL;
   uint64_t generation;
--- a/tests/diff_cfg.cc
+++ b/tests/diff_cfg.cc
@@ -116,7 +116,9 @@
                                  "secret",
                                  nullptr,
                                  id.c_str (),
-                                 1 };
+                                 1,
+                                 nullptr,
+                                 nullptr };
     struct err err = {};
     uint64_t generation = 0;
     int rc = cfg_edit (&store.kv, &change, nullptr, &generation, &err);
--- a/tests/unit_cfg.cc
+++ b/tests/unit_cfg.cc
@@ -77,9 +77,9 @@
 
     cfg_write_id (id);
     err = {};
-    struct cfg_change edit
-        = { section, base,       body.c_str (), body.size (), "edit.json",
-            name,    credential, next,          id,           1000 };
+    struct cfg_change edit = { section,     base, body.c_str (), body.size (),
+                               "edit.json", name, credential,    next,
+                               id,          1000, nullptr,       nullptr };
     rc = cfg_edit (&store.kv, &edit, list, &generation, &err);
     problems = take (cfg_problems_text (list));
     g_ptr_array_unref (list);
@@ -341,8 +341,9 @@
   EXPECT_EQ (ana.err.code, ERR_INVALID);
   EXPECT_EQ (store.revision, 0u);
   struct cfg_doc *doc = cfg_default ();
-  struct cfg_change change = { CFG_LIMITS, 9,       "{}",    2,   "edit.json",
-                               "ana",      nullptr, nullptr, "1", 1 };
+  struct cfg_change change
+      = { CFG_LIMITS, 9,       "{}", 2, "edit.json", "ana",
+          nullptr,    nullptr, "1",  1, nullptr,     nullptr };
   EXPECT_EQ (cfg_check_change (doc, &change, nullptr, nullptr), 0);
   change.section = CFG_FLEET;
   change.body = "{\"runners\":{\"r\":{\"models\":[\"m\"]}}}";
