--- a/src/pool.c
+++ b/src/pool.c
@@ -48,7 +48,7 @@
   GPtrArray *runners;
   GHashTable *by_hash;  /* pool_runner.hash -> struct pool_runner */
   GHashTable *departed; /* id -> struct departed */
-  int restored;         /* the first listing after that hasn't ended */
+  int restored; /* from an older copy, and no listing has ended since */
   int reachable;
   int64_t registry_returned_us; /* when the registry last became reachable */
 };
