--- a/tests/scripts/kv_restored_config.sh
+++ b/tests/scripts/kv_restored_config.sh
@@ -26,3 +26,4 @@
 echo '{"queue_max": 50}' > "$WORK/body"
 ctl config set limits "$WORK/body" --base 4 --operator eva \
   --credential-file <(echo other) 2>&1
+echo "exit status $?"
