Log what became of a runner that broke off a request

The logs told that a connection had broken, and later perhaps that a request was in quarantine. Whether an end was noticed in between, taken for silence or forgotten couldn't be told: the three hypotheses of the incident look alike.

--- a/src/gw_quarantine.c
+++ b/src/gw_quarantine.c
@@ -102,6 +102,26 @@
     add_pending (call, call->in.parts[i], answered);
 }
 
+/* Logs what became of a runner, and whether that is evidence for or against a
+   request that was in progress there.  */
+static void
+log_fate (const struct gw *gw, const struct pending *pending, enum fate fate,
+          int is_evidence)
+{
+  static const char *const names[] = { [FATE_UNKNOWN] = "unknown",
+                                       [FATE_ENDED] = "ended",
+                                       [FATE_REACHED] = "reached" };
+  const char *evidence = fate == FATE_ENDED ? "against" : "for";
+
+  event_log_write ("runner_fate", NULL,
+                   "\"runner\":\"%s\",\"fate\":\"%s\",\"key\":\"%" PRIx64
+                   "\",\"evidence\":\"%s\",\"crashes\":%zu,\"ms\":%" PRId64,
+                   pending->runner->entry.id, names[fate], pending->key,
+                   is_evidence ? evidence : "none",
+                   quarantine_crashes (gw_quarantine_table (gw), pending->key),
+                   (tmr_now (gw->tmr) - pending->at_us) / 1000);
+}
+
 /* Decides on what is pending for RUNNER, or for all runners if it is null, of
    which FATE was seen at SINCE.  A request whose connection ended later stays
    pending, unless the runner has ended.  Returns nonzero when one stays.  */
@@ -130,6 +150,7 @@
           i++;
           continue;
         }
+      log_fate (gw, at, fate, is_evidence);
       at->runner->references--;
       g_array_remove_index_fast (pending, i);
       if (is_evidence)
