Test: each way in which the end of a runner shows or stays hidden

What callers saw: a service of three plain runners ended again and again under one request, and its other requests were refused meanwhile.

soak-world plays them with mode crash-request; its seed's bits choose silent or refusing addresses, return before or after the entry expires, idempotent or not, other requests beside it or none, one caller or four.

--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -6,26 +6,32 @@
    Faults of the service and the runners are drawn from SEED and end some
    seconds before the run does.  With MODE "crash-part" the only fault is a
    part of some prompts that crashes each engine that begins to answer it,
-   until the end.  With MODE "limit" two engines name a limit on the requests
-   that they take.  With MODE "restored" the service is put back to an older
-   copy now and then, and what the runners and the operator wrote since is
-   written again a while later.  Prints each promise that was broken; exits 0
-   when there is none.  */
+   until the end.  With MODE "crash-request" it is one request that ends each
+   runner of a plain service and is sent again and again; the bits of SEED
+   choose how (enum crash_request_bit).  With MODE "limit" two engines name a
+   limit on the requests that they take.  With MODE "restored" the service is
+   put back to an older copy now and then, and what the runners and the
+   operator wrote since is written again a while later.  Prints each promise
+   that was broken; exits 0 when there is none.  */
 #include <glib.h>
 #include <json-c/json.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include "goldcresthatch/settings.h"
 #include "goldcresthatch/tmr.h"
 #include "http_client.h"
 #include "http_server.h"
 
 enum
 {
-  RUNNERS = 7,
+  RUNNERS = 8,
   ENGINES = 5,
+  APPS = 2,              /* plain runners; three with MODE "crash-request" */
   CALL_MS = 6,           /* between two requests of the callers */
   BUDGET_MS = 1500,      /* that a caller waits */
   CALM_MS = 9000,        /* at the end, without faults */
@@ -41,6 +47,12 @@
   CRASHES_LEARNED = 5, /* after which the gateways must know the part */
   LEARN_MS = 3000,     /* and this later it must not be sent any more */
   CRASH_SENDS_MAX = 3,
+  CRASH_REQUEST_CRASHES = 3, /* after which the request must be known */
+  CRASH_REQUEST_MS = 1300,   /* between two tries of a caller */
+  CRASH_REQUEST_CALLERS = 4,
+  CRASH_REQUEST_FIRST_MS = 1000, /* after the start */
+  BACK_AT_ONCE_MS = 300,
+  BACKLOG = 4, /* connections that fill the queue of a silent address */
   LIMITED = 2, /* the first engines, in both stages */
   LIMIT_PER_S = 8,
   LIMIT_FROM_MS = 3000,   /* after the start */
@@ -48,6 +60,16 @@
   LIMIT_MAX = LIMIT_WINDOW_MS / 1000 * LIMIT_PER_S * 3 / 2 + 5
 };
 
+/* How runners end with MODE "crash-request".  */
+enum crash_request_bit
+{
+  BIT_SILENT = 1,  /* their addresses no longer answer, until they are back */
+  BIT_AT_ONCE = 2, /* they are back before their entries expire */
+  BIT_ONCE = 4,    /* the request may run only once */
+  BIT_ALONE = 8,   /* no other requests to the service */
+  BIT_CALLERS = 16 /* several callers send the request */
+};
+
 enum mode
 {
   MODE_SOUND,
@@ -70,6 +92,7 @@
   int orders;
   enum mode mode;
   struct http_server *srv; /* null while it is down */
+  int silent[BACKLOG + 1]; /* sockets that keep its address silent, or -1 */
   unsigned lifetime;
   GQueue arrivals; /* times of the requests since it must keep to its limit */
   unsigned most;   /* of them within LIMIT_WINDOW_MS */
@@ -140,7 +163,10 @@
 static int broken;
 static int judged;
 static int judged_served;
-static int crash_part;   /* the mode */
+static int crash_part;    /* the mode */
+static int crash_request; /* the mode */
+static int crash_bits;
+static int n_runners = ENGINES + APPS;
 static int limit;        /* the mode */
 static int restored;     /* the mode */
 static uint64_t era = 1; /* of the store */
@@ -561,8 +587,7 @@
 static void
 on_crash_expiry (void *ctx, int64_t now)
 {
-  struct runner *r = ctx;
-  char *key = g_strconcat ("servers/", r->id, NULL);
+  char *key = ctx;
 
   (void)now;
   item_write (key, NULL, 0);
@@ -570,12 +595,48 @@
   g_free (key);
 }
 
+/* Lets the address of R swallow connections: their queue is full.  */
+static void
+silence_begin (struct runner *r)
+{
+  struct sockaddr_in address;
+  int on = 1;
+  int i;
+
+  settings_parse_address (r->address, &address);
+  for (i = 0; i <= BACKLOG; i++)
+    r->silent[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  setsockopt (r->silent[0], SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (r->silent[0], (struct sockaddr *)&address, sizeof address) != 0
+      || listen (r->silent[0], 0) != 0)
+    {
+      fprintf (stderr, "soak-world: %s can't be kept silent\n", r->address);
+      exit (2);
+    }
+  for (i = 1; i <= BACKLOG; i++)
+    (void)connect (r->silent[i], (struct sockaddr *)&address, sizeof address);
+}
+
+static void
+silence_end (struct runner *r)
+{
+  int i;
+
+  for (i = 0; i <= BACKLOG; i++)
+    {
+      if (r->silent[i] > 0)
+        close (r->silent[i]);
+      r->silent[i] = -1;
+    }
+}
+
 static void
 on_crash_return (void *ctx, int64_t now)
 {
   struct runner *r = ctx;
 
   (void)now;
+  silence_end (r);
   r->lifetime++;
   g_snprintf (r->id, sizeof r->id, "r%d-%u", r->index, r->lifetime);
   r->orders = 0;
@@ -589,10 +650,17 @@
 {
   http_server_free (r->srv);
   r->srv = NULL;
-  if (++crashes == CRASHES_LEARNED)
+  if (crash_bits & BIT_SILENT)
+    silence_begin (r);
+  if (++crashes == (crash_request ? CRASH_REQUEST_CRASHES : CRASHES_LEARNED))
     learned_us = now + INT64_C (1000) * LEARN_MS;
-  tmr_add (tmr, INT64_C (1000) * CRASH_REGISTERED_MS, 0, on_crash_expiry, r);
-  tmr_add (tmr, INT64_C (1000) * CRASH_RETURN_MS, 0, on_crash_return, r);
+  tmr_add (tmr, INT64_C (1000) * CRASH_REGISTERED_MS, 0, on_crash_expiry,
+           g_strconcat ("servers/", r->id, NULL));
+  tmr_add (
+      tmr,
+      INT64_C (1000)
+          * (crash_bits & BIT_AT_ONCE ? BACK_AT_ONCE_MS : CRASH_RETURN_MS),
+      0, on_crash_return, r);
 }
 
 static void
@@ -794,8 +862,8 @@
   record = g_hash_table_lookup (records, name);
   promise (record != NULL, "a request that no caller sent", name);
   g_free (name);
-  if (record != NULL && record->crashes && !record->late && learned_us != 0
-      && tmr_now (tmr) > learned_us)
+  if (record != NULL && record->crashes && (crash_request || !record->late)
+      && learned_us != 0 && tmr_now (tmr) > learned_us)
     {
       record->late = 1;
       late_sends++;
@@ -891,8 +959,26 @@
   record->status = 0;
 }
 
+/* Kinds of requests.  */
+enum
+{
+  ORDER,
+  READ,
+  CHECK,
+  CHAT
+};
+
+/* Returns the kind of a request with MODE "crash-request".  */
+static int
+crash_request_kind (int kind, int crashes_runners)
+{
+  if (crashes_runners)
+    return crash_bits & BIT_ONCE ? ORDER : READ;
+  return kind <= READ && crash_bits & BIT_ALONE ? CHAT : kind;
+}
+
 static void
-call (int is_judged)
+call (int is_judged, int crashes_runners)
 {
   static const struct
   {
@@ -913,8 +999,6 @@
       = { on_head, on_body, on_done, 0, 0 };
   enum
   {
-    READ = 1, /* of KINDS */
-    CHECK = 2,
     SESSIONS = 30
   };
   static unsigned number;
@@ -922,6 +1006,8 @@
   int kind = g_rand_int_range (rand_state, 0, G_N_ELEMENTS (kinds));
   char address[32];
   char newest[32];
+  char own[32];
+  const char *path;
   char *fields;
   char *text;
 
@@ -932,6 +1018,18 @@
       record->crashes = 1;
       is_judged = 0;
     }
+  if (crash_request)
+    kind = crash_request_kind (kind, crashes_runners);
+  record->crashes |= crashes_runners;
+  path = kinds[kind].path;
+  /* Only the newest configuration has this route.  */
+  g_snprintf (newest, sizeof newest, "/new-%d/1", config_version);
+  if (restored && is_judged && kind == READ)
+    path = newest;
+  g_snprintf (own, sizeof own, "%.*s%x", (int)(strlen (path) - 1), path,
+              crashes_runners ? 0xbad : number);
+  if (crash_request)
+    path = own;
   fields = kind == CHECK && (crash_part || limit)
                ? g_strdup_printf (
                    "X-Goldcresthatch-Token-Count: 2000,4\r\n"
@@ -947,15 +1045,11 @@
   g_hash_table_insert (records, record->id, record);
   g_snprintf (address, sizeof address, "127.%d.4.%d:8000", net,
               g_rand_int_range (rand_state, 1, gateways + 1));
-  /* Only the newest configuration has this route.  */
-  g_snprintf (newest, sizeof newest, "/new-%d/1", config_version);
   text = g_strdup_printf (
       "%s %s HTTP/1.1\r\nHost: h\r\nX-Goldcresthatch-Request-Id: %s\r\n"
       "X-Goldcresthatch-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
-      kinds[kind].method,
-      restored && is_judged && kind == READ ? newest : kinds[kind].path,
-      record->id, BUDGET_MS, fields, kind == 1 ? 0 : 4,
-      kind == 1 ? "" : "body");
+      kinds[kind].method, path, record->id, BUDGET_MS, fields,
+      kind == 1 ? 0 : 4, kind == 1 ? "" : "body");
   record->timer
       = tmr_add (tmr, INT64_C (1000) * BUDGET_MS, 0, on_caller_leaves, record);
   record->call = http_client_call (cli, address, address, text, strlen (text),
@@ -975,7 +1069,7 @@
   guint n = items->len;
   guint i;
 
-  for (i = 0; i < RUNNERS; i++)
+  for (i = 0; i < (guint)n_runners; i++)
     {
       g_hash_table_add (ids, runners[i].id);
       runner_write (&runners[i]);
@@ -1041,7 +1135,7 @@
 static void
 fault (void)
 {
-  struct runner *r = &runners[g_rand_int_range (rand_state, 0, RUNNERS)];
+  struct runner *r = &runners[g_rand_int_range (rand_state, 0, n_runners)];
 
   switch (g_rand_int_range (rand_state, 0, 8))
     {
@@ -1077,7 +1171,7 @@
   int i;
 
   store_mode = MODE_SOUND;
-  for (i = 0; i < RUNNERS; i++)
+  for (i = 0; i < n_runners; i++)
     runners[i].mode = MODE_SOUND;
 }
 
@@ -1115,8 +1209,13 @@
                "a runner with a limit gets requests", runners[i].id);
     }
   promise (!crash_part || crashes > 0, "the part was tried", "all");
+  promise (!crash_request || crashes >= CRASH_REQUEST_CRASHES,
+           "the request was tried", "all");
   promise (late_sends <= CRASH_SENDS_MAX,
-           "requests with a part that crashes engines sent again and again",
+           crash_request
+               ? "a request that crashes runners sent again and again"
+               : "requests with a part that crashes engines sent again and "
+                 "again",
            "all");
   promise (judged_served * 100 >= judged * SERVED_LEAST,
            "most requests served after the faults", "all");
@@ -1130,6 +1229,7 @@
   static int64_t start;
   static int64_t next_call;
   static int64_t next_fault;
+  static int64_t next_crash;
   static int put_back_last;
   int64_t now = (int64_t)(uv_hrtime () / 1000);
   int64_t left_ms;
@@ -1140,6 +1240,7 @@
     {
       start = next_call = next_fault = now + 2000000;
       limit_us = start + INT64_C (1000) * LIMIT_FROM_MS;
+      next_crash = start + INT64_C (1000) * CRASH_REQUEST_FIRST_MS;
     }
   left_ms = ((int64_t)seconds * 1000000 - (now - start)) / 1000;
   if (left_ms < 0)
@@ -1147,7 +1248,15 @@
   if (now >= next_call)
     {
       next_call = now + INT64_C (1000) * CALL_MS;
-      call (left_ms < JUDGED_MS && left_ms > BUDGET_MS);
+      call (left_ms < JUDGED_MS && left_ms > BUDGET_MS, 0);
+    }
+  if (crash_request && now >= next_crash)
+    {
+      next_crash
+          = now
+            + INT64_C (1000) * CRASH_REQUEST_MS
+                  / (crash_bits & BIT_CALLERS ? CRASH_REQUEST_CALLERS : 1);
+      call (0, 1);
     }
   if (left_ms < CALM_MS)
     {
@@ -1156,7 +1265,7 @@
         store_restore (1);
       put_back_last = 1;
     }
-  else if (!crash_part && !limit && now >= next_fault)
+  else if (!crash_part && !crash_request && !limit && now >= next_fault)
     {
       if (restored && g_rand_int_range (rand_state, 0, 3) == 0)
         store_restore (g_rand_int_range (rand_state, 0, 2));
@@ -1188,7 +1297,7 @@
 {
   int i;
 
-  for (i = 0; i < RUNNERS; i++)
+  for (i = 0; i < n_runners; i++)
     {
       struct runner *r = &runners[i];
       r->index = i;
@@ -1214,15 +1323,21 @@
   crash_part = argc == 6 && strcmp (argv[5], "crash-part") == 0;
   limit = argc == 6 && strcmp (argv[5], "limit") == 0;
   restored = argc == 6 && strcmp (argv[5], "restored") == 0;
-  if (argc != 5 + crash_part + limit + restored)
+  crash_request = argc == 6 && strcmp (argv[5], "crash-request") == 0;
+  if (argc != 5 + crash_part + crash_request + limit + restored)
     {
       fputs ("usage: soak-world NET SEED SECONDS GATEWAYS "
-             "[crash-part|limit|restored]\n",
+             "[crash-part|crash-request|limit|restored]\n",
              stderr);
       return 2;
     }
   net = atoi (argv[1]);
   rand_state = g_rand_new_with_seed ((guint32)atoi (argv[2]));
+  if (crash_request)
+    {
+      crash_bits = atoi (argv[2]);
+      n_runners = RUNNERS;
+    }
   seconds = atoi (argv[3]);
   gateways = atoi (argv[4]);
   signal (SIGPIPE, SIG_IGN);
