Try a request alone while runners may have ended under it

What callers saw: until the entries of its runners expire, up to some seconds after they fall silent, one request was sent to runner after runner by every gateway that a caller reached; and three runners that ended within 250 ms counted as one event, so that the next three were lost, too.

Cause: before the verdict nothing held a request back, whatever was suspected of it. Now a gateway tells the others at once which runners may have ended, and a request under which two have, or may have, is tried by one gateway at a time; the others refuse it with a short Retry-After until the outcome is known. What was answered within a minute isn't suspect, so parts in wide use are never held up.

Ruled out: counting ends within 250 ms as several, which convicts what was in progress in an availability zone that fails; a hold for some seconds without a trial, which refuses sound requests longer.

--- a/src/crashfeed.c
+++ b/src/crashfeed.c
@@ -6,9 +6,15 @@
 
 #include "mpcheck.h"
 
+/* Kinds of datagrams; others between gateways have other numbers.  */
+enum kind
+{
+  KIND_EVIDENCE = 4,
+  KIND_SUSPICION = 6 /* a row without a crash is the beginning of a trial */
+};
+
 enum
 {
-  VERSION = 4, /* other datagrams between gateways have other numbers */
   MESSAGE_FIELDS = 4,
   ROW_FIELDS = 3,
   ROWS_MAX = 50,             /* of a datagram */
@@ -21,6 +27,7 @@
 
 struct message
 {
+  enum kind kind;
   uint64_t sender;
   int asks; /* the sender wants to be told */
   struct quarantine_evidence rows[ROWS_MAX];
@@ -30,6 +37,7 @@
 /* Evidence that is told again.  */
 struct repeat
 {
+  enum kind kind;
   struct quarantine_evidence evidence;
   int64_t first_us; /* when it was told first */
   unsigned times;
@@ -87,7 +95,7 @@
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
   msgpack_pack_array (&packer, MESSAGE_FIELDS);
-  msgpack_pack_int (&packer, VERSION);
+  msgpack_pack_int (&packer, message->kind);
   msgpack_pack_uint64 (&packer, cf->self);
   msgpack_pack_int (&packer, message->asks != 0);
   msgpack_pack_array (&packer, message->n_rows);
@@ -107,10 +115,10 @@
 
 /* Sends N pieces of evidence to the gateway TO, or to all if it is 0.  */
 static void
-tell (struct crashfeed *cf, uint64_t to,
+tell (struct crashfeed *cf, uint64_t to, enum kind kind,
       const struct quarantine_evidence *evidence, size_t n)
 {
-  struct message message = { .asks = 0 };
+  struct message message = { .kind = kind };
 
   while (n > 0)
     {
@@ -124,15 +132,15 @@
 
 /* Tells all gateways, now and later again.  */
 static void
-tell_all (struct crashfeed *cf, const struct quarantine_evidence *evidence,
-          size_t n, int64_t now)
+tell_all (struct crashfeed *cf, enum kind kind,
+          const struct quarantine_evidence *evidence, size_t n, int64_t now)
 {
   size_t i;
 
-  tell (cf, 0, evidence, n);
+  tell (cf, 0, kind, evidence, n);
   for (i = 0; i < n && cf->repeats->len < REPEATS_MAX; i++)
     {
-      struct repeat repeat = { evidence[i], now, 0 };
+      struct repeat repeat = { kind, evidence[i], now, 0 };
       g_array_append_val (cf->repeats, repeat);
     }
 }
@@ -160,7 +168,7 @@
       cf->ops->convicted (cf->ctx, evidence->key);
       break;
     case QUARANTINE_NOTED:
-      if (known == 0 && answered > now - CRASHFEED_IN_USE_US)
+      if (known == 0 && answered > now - QUARANTINE_IN_USE_US)
         return 0;
       break;
     case QUARANTINE_CLEARED:
@@ -184,10 +192,32 @@
   for (i = 0; i < n; i++)
     if (add_own (cf, &evidence[i], now))
       told[n_told++] = evidence[i];
-  tell_all (cf, told, n_told, now);
+  tell_all (cf, KIND_EVIDENCE, told, n_told, now);
   g_free (told);
 }
 
+void
+crashfeed_suspect (struct crashfeed *cf,
+                   const struct quarantine_evidence *evidence, int64_t now)
+{
+  if (quarantine_suspect (cf->table, evidence, now) != QUARANTINE_NOTED
+      || quarantine_answered_us (cf->table, evidence->key)
+             > now - QUARANTINE_IN_USE_US)
+    return;
+  note_shared (cf, evidence->key);
+  tell_all (cf, KIND_SUSPICION, evidence, 1, now);
+}
+
+void
+crashfeed_begin_trial (struct crashfeed *cf, uint64_t key, int64_t now)
+{
+  struct quarantine_evidence trial = { key, 0, 0 };
+
+  quarantine_begin_trial (cf->table, key, now);
+  note_shared (cf, key);
+  tell_all (cf, KIND_SUSPICION, &trial, 1, now);
+}
+
 void
 crashfeed_hold (struct crashfeed *cf, uint64_t key, int64_t now)
 {
@@ -197,10 +227,19 @@
 /* Adds evidence of another gateway.  Returns nonzero with ANSWER set when a
    later answer is known here.  */
 static int
-add_told (struct crashfeed *cf, const struct quarantine_evidence *evidence,
+add_told (struct crashfeed *cf, enum kind kind,
+          const struct quarantine_evidence *evidence,
           struct quarantine_evidence *answer, int64_t now)
 {
-  switch (quarantine_add (cf->table, evidence, now))
+  if (kind == KIND_SUSPICION && evidence->crash == 0)
+    {
+      quarantine_begin_trial (cf->table, evidence->key,
+                              now - evidence->age_us);
+      return 0;
+    }
+  switch (kind == KIND_SUSPICION
+              ? quarantine_suspect (cf->table, evidence, now)
+              : quarantine_add (cf->table, evidence, now))
     {
     case QUARANTINE_CONVICTED:
       cf->ops->convicted (cf->ctx, evidence->key);
@@ -225,7 +264,7 @@
 crashfeed_is_datagram (const char *data, size_t size)
 {
   return size > 2 && (unsigned char)data[0] == (0x90 | MESSAGE_FIELDS)
-         && data[1] == VERSION;
+         && (data[1] == KIND_EVIDENCE || data[1] == KIND_SUSPICION);
 }
 
 static int
@@ -256,18 +295,20 @@
 read_message (const msgpack_object *from, struct message *message)
 {
   const msgpack_object *field = from->via.array.ptr;
-  uint64_t version;
+  uint64_t kind;
   uint64_t asks;
   uint32_t i;
 
   if (from->type != MSGPACK_OBJECT_ARRAY
       || from->via.array.size != MESSAGE_FIELDS
-      || read_uint (&field[0], VERSION, &version) != 0 || version != VERSION
+      || read_uint (&field[0], KIND_SUSPICION, &kind) != 0
+      || (kind != KIND_EVIDENCE && kind != KIND_SUSPICION)
       || read_uint (&field[1], UINT64_MAX, &message->sender) != 0
       || read_uint (&field[2], 1, &asks) != 0
       || field[3].type != MSGPACK_OBJECT_ARRAY
       || field[3].via.array.size > ROWS_MAX)
     return -1;
+  message->kind = (enum kind)kind;
   message->asks = (int)asks;
   message->n_rows = field[3].via.array.size;
   for (i = 0; i < message->n_rows; i++)
@@ -297,20 +338,20 @@
   msgpack_unpacked_destroy (&unpacked);
   if (rc != 0)
     return err_set (err, ERR_PROTOCOL, "read evidence", NULL,
-                    "a datagram of %zu bytes holds no evidence of version %d",
-                    size, VERSION);
+                    "a datagram of %zu bytes holds no evidence", size);
   for (i = 0; i < message.n_rows; i++)
-    n += (size_t)add_told (cf, &message.rows[i], &listed[n], now);
-  tell (cf, 0, listed, n);
+    n += (size_t)add_told (cf, message.kind, &message.rows[i], &listed[n],
+                           now);
+  tell (cf, 0, KIND_EVIDENCE, listed, n);
   if (message.asks)
-    tell (cf, message.sender, listed,
+    tell (cf, message.sender, KIND_EVIDENCE, listed,
           quarantine_list (cf->table, listed, LISTED_MAX, now));
   return 0;
 }
 
-/* Tells again what is due.  */
+/* Tells again what is due of KIND.  */
 static void
-tell_repeats (struct crashfeed *cf, int64_t now)
+tell_repeats (struct crashfeed *cf, enum kind kind, int64_t now)
 {
   struct quarantine_evidence due[ROWS_MAX];
   size_t n = 0;
@@ -319,7 +360,8 @@
   while (i < cf->repeats->len && n < ROWS_MAX)
     {
       struct repeat *repeat = &g_array_index (cf->repeats, struct repeat, i);
-      if (now < repeat->first_us + repeat_after_us[repeat->times])
+      if (repeat->kind != kind
+          || now < repeat->first_us + repeat_after_us[repeat->times])
         {
           i++;
           continue;
@@ -331,16 +373,17 @@
       else
         i++;
     }
-  tell (cf, 0, due, n);
+  tell (cf, 0, kind, due, n);
 }
 
 void
 crashfeed_tick (struct crashfeed *cf, int64_t now)
 {
-  struct message message = { .asks = 1 };
+  struct message message = { .kind = KIND_EVIDENCE, .asks = 1 };
   uint64_t to;
 
-  tell_repeats (cf, now);
+  tell_repeats (cf, KIND_EVIDENCE, now);
+  tell_repeats (cf, KIND_SUSPICION, now);
   if (now - cf->asked_us < CRASHFEED_ASK_US)
     return;
   cf->asked_us = now;
--- a/src/crashfeed.h
+++ b/src/crashfeed.h
@@ -13,9 +13,13 @@
  *   what it has missed.
  *
  *   Keys in wide use would be told at every crash, whatever its cause.  A key
- *   that was answered here within CRASHFEED_IN_USE_US is told only with its
+ *   that was answered here within QUARANTINE_IN_USE_US is told only with its
  *   second crash.  A gateway that knows of a later answer tells all.
  *
+ *   Gateways also tell each other which runners may have ended and which
+ * suspect requests are tried, in datagrams of their own, which gateways before
+ * them drop.
+ *
  *   What is told twice, late or out of order does no harm.  A crash costs a
  *   gateway that had requests at the runner three datagrams to each other
  *   gateway.  No input or output; times are in microseconds.
@@ -28,7 +32,6 @@
 
 #define CRASHFEED_TICK_US INT64_C (100000)
 #define CRASHFEED_ASK_US INT64_C (1000000)
-#define CRASHFEED_IN_USE_US INT64_C (60000000)
 
 enum
 {
@@ -58,6 +61,13 @@
 void crashfeed_add (struct crashfeed *cf,
                     const struct quarantine_evidence *evidence, size_t n,
                     int64_t now);
+/* Notes that the runner of EVIDENCE may have ended, and tells the others.  */
+void crashfeed_suspect (struct crashfeed *cf,
+                        const struct quarantine_evidence *evidence,
+                        int64_t now);
+/* Notes that a request with KEY, which is suspect, is sent, and tells the
+   others.  */
+void crashfeed_begin_trial (struct crashfeed *cf, uint64_t key, int64_t now);
 /* Puts KEY into quarantine by a verdict of another time.  */
 void crashfeed_hold (struct crashfeed *cf, uint64_t key, int64_t now);
 
--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -13,7 +13,9 @@
   RETRY_AFTER_MAX_MS = 2000,
   RETRY_AFTER_JITTER_MS
   = 150, /* random part, so that clients don't retry together */
-  NO_RUNNER_RETRY_AFTER_MS = 500 /* about the time until a runner is back */
+  NO_RUNNER_RETRY_AFTER_MS = 500, /* about the time until a runner is back */
+  /* Within this time most trials end.  */
+  TRIAL_RETRY_AFTER_MS = 250
 };
 
 int
@@ -359,6 +361,11 @@
 
   if (reject_quarantined (call))
     return;
+  if (gw_quarantine_trial_left_ms (call) > 0)
+    {
+      gw_call_refuse (call, TRIAL_RETRY_AFTER_MS, "on trial");
+      return;
+    }
   /* A runner resets connections beyond its limit, which covers all callers:
      each gateway uses an equal part of it.  */
   if (call->service != NULL)
--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -59,6 +59,7 @@
   int64_t first_event;  /* time of the first event of this send, or 0 */
   int answer_noted;     /* this send speaks for the parts of the prompt */
   int fate_open;        /* it waits for a runner that may have ended */
+  int on_trial; /* no other request with the same part or content is sent */
   /* KV handle that no decode engine has fetched yet.  */
   char kv_handle[128];        /* "IP:PORT/HANDLE" or empty */
   struct pool_runner *source; /* engine that ran the prefill */
@@ -128,6 +129,11 @@
 /* Returns the milliseconds for which the request or a part of its prompt
    remains in quarantine, or 0.  */
 int64_t gw_quarantine_left_ms (const struct gw_call *call);
+/* Returns the milliseconds for which another request with the same part, or
+   the same request, is tried alone at most, or 0.  */
+int64_t gw_quarantine_trial_left_ms (const struct gw_call *call);
+/* Notes that the call is sent to its runner.  */
+void gw_quarantine_note_send (struct gw_call *call);
 
 /* gw_probe.c */
 /* Watches for a runner that becomes unreachable before the answer begins,
--- a/src/gw_fate.c
+++ b/src/gw_fate.c
@@ -17,7 +17,6 @@
 {
   OPEN_MAX = 4096,
   TICK_MS = 100,
-  OPEN_MS = 10000, /* longer than the entry of an ended runner lasts */
   /* A request that waited for less isn't held to have ended a silent runner.
    */
   SILENT_MS = 300
@@ -77,7 +76,18 @@
 void
 gw_fate_note_broken (struct gw_call *call)
 {
+  struct quarantine_evidence possible
+      = { call->fingerprint, call->runner->hash, 0 };
+  size_t i;
+
+  call->on_trial = 0;
   open_all (call, 0);
+  gw_quarantine_suspect (call->gw, &possible);
+  for (i = 0; i < call->in.n_parts; i++)
+    {
+      possible.key = call->in.parts[i];
+      gw_quarantine_suspect (call->gw, &possible);
+    }
   gw_probe_runner (call->gw, call->runner);
 }
 
@@ -293,7 +303,7 @@
   while (i < cases->len)
     {
       const struct open_case *at = &g_array_index (cases, struct open_case, i);
-      if (now - at->at_us <= gw_ms_to_us (OPEN_MS)
+      if (now - at->at_us <= QUARANTINE_OPEN_US
           || (!at->answered && !pool_is_registry_sound (gw->runner_pool, now)))
         {
           i++;
--- a/src/gw_quarantine.c
+++ b/src/gw_quarantine.c
@@ -39,11 +39,18 @@
   crashfeed_add (gw->quarantine->feed, evidence, n, gw_now (gw));
 }
 
+void
+gw_quarantine_suspect (struct gw *gw,
+                       const struct quarantine_evidence *evidence)
+{
+  crashfeed_suspect (gw->quarantine->feed, evidence, gw_now (gw));
+}
+
 int
 gw_quarantine_is_answer_of_use (const struct gw_call *call, uint64_t key)
 {
   return key != call->fingerprint
-         || quarantine_crashes (gw_quarantine_table (call->gw), key) > 0;
+         || quarantine_is_accused (gw_quarantine_table (call->gw), key);
 }
 
 void
@@ -74,6 +81,47 @@
   return (left + 999) / 1000;
 }
 
+int64_t
+gw_quarantine_trial_left_ms (const struct gw_call *call)
+{
+  const struct quarantine *table = gw_quarantine_table (call->gw);
+  int64_t now = gw_now (call->gw);
+  int64_t left;
+  size_t i;
+
+  if (call->on_trial)
+    return 0;
+  left = quarantine_trial_left_us (table, call->fingerprint, now);
+  for (i = 0; i < call->in.n_parts; i++)
+    left
+        = MAX (left, quarantine_trial_left_us (table, call->in.parts[i], now));
+  return (left + 999) / 1000;
+}
+
+static void
+note_trial (struct gw_call *call, uint64_t key)
+{
+  struct gw *gw = call->gw;
+
+  if (!quarantine_is_suspect (gw_quarantine_table (gw), key, gw_now (gw)))
+    return;
+  call->on_trial = 1;
+  crashfeed_begin_trial (gw->quarantine->feed, key, gw_now (gw));
+  event_log_write ("trial", call->in.id,
+                   "\"key\":\"%" PRIx64 "\",\"runner\":\"%s\"", key,
+                   call->runner->entry.id);
+}
+
+void
+gw_quarantine_note_send (struct gw_call *call)
+{
+  size_t i;
+
+  note_trial (call, call->fingerprint);
+  for (i = 0; i < call->in.n_parts; i++)
+    note_trial (call, call->in.parts[i]);
+}
+
 const struct quarantine *
 gw_quarantine_table (const struct gw *gw)
 {
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -740,6 +740,8 @@
   if (phase == ADAPTER_PREFILL_ONLY
       || (phase == ADAPTER_WHOLE && gw_call_idempotent (call)))
     gw_probe_watch (call, choice->first_byte_us);
+  if (phase != ADAPTER_RELAY)
+    gw_quarantine_note_send (call);
   if (phase != ADAPTER_RELAY && call->in.prompt.n_blocks > 0)
     lb_note_prefill (gw->lb, runner, &call->in.prompt, now);
   if (phase == ADAPTER_PREFILL_ONLY)
--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -6,6 +6,7 @@
 {
   uint64_t number;
   int64_t at_us;
+  int is_known; /* that the runner has ended */
 };
 
 struct accused
@@ -14,6 +15,7 @@
   struct crash crashes[QUARANTINE_CRASHES_MAX];
   size_t n;
   int64_t until_us; /* end of the quarantine */
+  int64_t trial_us; /* when the trial began or was broken off, or 0 */
 };
 
 /* A key that was answered.  */
@@ -160,7 +162,7 @@
   for (i = 0; i < accused->n; i++)
     {
       int64_t at = accused->crashes[i].at_us;
-      if (now - at > QUARANTINE_MEMORY_US)
+      if (!accused->crashes[i].is_known || now - at > QUARANTINE_MEMORY_US)
         continue;
       first = MIN (first, at);
       last = MAX (last, at);
@@ -169,27 +171,48 @@
   return n >= QUARANTINE_CRASHES && last - first >= QUARANTINE_SPAN_US;
 }
 
-/* Adds a crash, in the place of the oldest when there is no room.  Returns 0
-   when it is known.  */
+/* Returns the crash whose place a new one takes: the oldest that isn't known
+   or, when all are known, the oldest.  */
+static struct crash *
+least_useful (struct accused *accused)
+{
+  struct crash *least = &accused->crashes[0];
+  size_t i;
+
+  for (i = 1; i < accused->n; i++)
+    {
+      struct crash *crash = &accused->crashes[i];
+      if (crash->is_known != least->is_known ? !crash->is_known
+                                             : crash->at_us < least->at_us)
+        least = crash;
+    }
+  return least;
+}
+
+/* Adds a crash.  When there is no room, one that isn't known is left out.
+   Returns 0 when nothing changes.  */
 static int
-add_crash (struct accused *accused, uint64_t number, int64_t at)
+add_crash (struct accused *accused, const struct crash *crash)
 {
-  struct crash *place = &accused->crashes[0];
+  struct crash *place;
   size_t i;
 
   for (i = 0; i < accused->n; i++)
+    if (accused->crashes[i].number == crash->number)
+      {
+        int was_known = accused->crashes[i].is_known;
+        accused->crashes[i].is_known |= crash->is_known;
+        return was_known != accused->crashes[i].is_known;
+      }
+  if (accused->n < QUARANTINE_CRASHES_MAX)
     {
-      if (accused->crashes[i].number == number)
-        return 0;
-      if (accused->crashes[i].at_us < place->at_us)
-        place = &accused->crashes[i];
+      accused->crashes[accused->n++] = *crash;
+      return 1;
     }
-  if (accused->n < QUARANTINE_CRASHES_MAX)
-    place = &accused->crashes[accused->n++];
-  else if (at < place->at_us)
+  place = least_useful (accused);
+  if (!crash->is_known || (place->is_known && crash->at_us < place->at_us))
     return 0;
-  place->number = number;
-  place->at_us = at;
+  *place = *crash;
   return 1;
 }
 
@@ -209,6 +232,7 @@
   if (kept == accused->n && kept > 0)
     return 0;
   accused->n = kept;
+  accused->trial_us = 0;
   if (!is_convicted (accused, now))
     accused->until_us = 0;
   if (kept == 0)
@@ -221,6 +245,7 @@
                 const struct quarantine_evidence *evidence, int64_t now)
 {
   int64_t at = now - MAX (evidence->age_us, 0);
+  struct crash crash = { evidence->crash, at, 1 };
   struct accused *accused;
   int was_held;
 
@@ -235,8 +260,10 @@
   if (quarantine_answered_us (q, evidence->key) >= at)
     return QUARANTINE_REFUTED;
   accused = accused_get (q, evidence->key, now);
-  if (accused == NULL || !add_crash (accused, evidence->crash, at))
+  if (accused == NULL || !add_crash (accused, &crash))
     return QUARANTINE_KNOWN;
+  if (at >= accused->trial_us)
+    accused->trial_us = 0;
   was_held = accused->until_us > now;
   if (is_convicted (accused, now))
     accused->until_us = MAX (accused->until_us,
@@ -245,6 +272,64 @@
                                               : QUARANTINE_NOTED;
 }
 
+enum quarantine_effect
+quarantine_suspect (struct quarantine *q,
+                    const struct quarantine_evidence *evidence, int64_t now)
+{
+  int64_t at = now - MAX (evidence->age_us, 0);
+  struct crash crash = { evidence->crash, at, 0 };
+  struct accused *accused;
+
+  if (now - at > QUARANTINE_OPEN_US)
+    return QUARANTINE_KNOWN;
+  if (quarantine_answered_us (q, evidence->key) >= at)
+    return QUARANTINE_REFUTED;
+  accused = accused_get (q, evidence->key, now);
+  if (accused == NULL || !add_crash (accused, &crash))
+    return QUARANTINE_KNOWN;
+  accused->trial_us = MAX (accused->trial_us, at);
+  return QUARANTINE_NOTED;
+}
+
+int
+quarantine_is_suspect (const struct quarantine *q, uint64_t key, int64_t now)
+{
+  const struct accused *accused = g_hash_table_lookup (q->accused, &key);
+  int64_t answered = quarantine_answered_us (q, key);
+  size_t n = 0;
+  size_t i;
+
+  if (accused == NULL
+      || (answered != INT64_MIN && now - answered <= QUARANTINE_IN_USE_US))
+    return 0;
+  for (i = 0; i < accused->n; i++)
+    n += now - accused->crashes[i].at_us <= (accused->crashes[i].is_known
+                                                 ? QUARANTINE_MEMORY_US
+                                                 : QUARANTINE_OPEN_US);
+  return n >= QUARANTINE_SUSPECTS;
+}
+
+void
+quarantine_begin_trial (struct quarantine *q, uint64_t key, int64_t at)
+{
+  struct accused *accused = g_hash_table_lookup (q->accused, &key);
+
+  if (accused != NULL)
+    accused->trial_us = MAX (accused->trial_us, at);
+}
+
+int64_t
+quarantine_trial_left_us (const struct quarantine *q, uint64_t key,
+                          int64_t now)
+{
+  const struct accused *accused = g_hash_table_lookup (q->accused, &key);
+
+  return accused != NULL && accused->trial_us != 0
+                 && quarantine_is_suspect (q, key, now)
+             ? MAX (accused->trial_us + QUARANTINE_TRIAL_US - now, 0)
+             : 0;
+}
+
 void
 quarantine_hold (struct quarantine *q, uint64_t key, int64_t now)
 {
@@ -267,8 +352,18 @@
 quarantine_crashes (const struct quarantine *q, uint64_t key)
 {
   const struct accused *accused = g_hash_table_lookup (q->accused, &key);
+  size_t n = 0;
+  size_t i;
+
+  for (i = 0; accused != NULL && i < accused->n; i++)
+    n += accused->crashes[i].is_known != 0;
+  return n;
+}
 
-  return accused != NULL ? accused->n : 0;
+int
+quarantine_is_accused (const struct quarantine *q, uint64_t key)
+{
+  return g_hash_table_contains (q->accused, &key);
 }
 
 size_t
@@ -294,7 +389,8 @@
               evidence[n].key = accused->key;
               evidence[n].crash = accused->crashes[i].number;
               evidence[n].age_us = now - accused->crashes[i].at_us;
-              n += evidence[n].age_us <= QUARANTINE_MEMORY_US;
+              n += accused->crashes[i].is_known
+                   && evidence[n].age_us <= QUARANTINE_MEMORY_US;
             }
         }
     }
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -20,6 +20,12 @@
  *   within QUARANTINE_MEMORY_US is enough, so a key that goes on costs one
  *   runner in each hold.
  *
+ *   Until it is known whether a runner has ended, it may have.  A key under
+ *   which two runners have ended or may have, and that wasn't answered within
+ *   QUARANTINE_IN_USE_US, is suspect: its requests are tried one at a time.  A
+ *   trial lasts until its outcome is known, for at most QUARANTINE_TRIAL_US
+ *   after it began or its runner broke off.
+ *
  *   An end is known by a number, which is the same at all observers, and may
  *   be reported often and in any order.  The tables are bounded: the accused
  *   key with the oldest evidence and the key with the oldest answer yield.  No
@@ -31,11 +37,16 @@
 #define QUARANTINE_HOLD_US (INT64_C (300) * 1000000)
 #define QUARANTINE_MEMORY_US (2 * QUARANTINE_HOLD_US)
 #define QUARANTINE_SPAN_US INT64_C (250000)
+#define QUARANTINE_IN_USE_US INT64_C (60000000)
+#define QUARANTINE_TRIAL_US INT64_C (1000000)
+/* How long a runner may have ended; longer than its registry entry lasts.  */
+#define QUARANTINE_OPEN_US INT64_C (10000000)
 
 enum
 {
   QUARANTINE_CRASHES = 3,     /* ends that put a key into quarantine */
-  QUARANTINE_CRASHES_MAX = 4, /* ends that are kept of a key */
+  QUARANTINE_SUSPECTS = 2,    /* ends that make a key suspect */
+  QUARANTINE_CRASHES_MAX = 6, /* ends that are kept of a key */
   QUARANTINE_ACCUSED_MAX = 4096
 };
 
@@ -66,6 +77,19 @@
 enum quarantine_effect
 quarantine_add (struct quarantine *q,
                 const struct quarantine_evidence *evidence, int64_t now);
+/* Notes that the runner of EVIDENCE may have ended.  Returns QUARANTINE_NOTED,
+   QUARANTINE_REFUTED or QUARANTINE_KNOWN.  */
+enum quarantine_effect
+quarantine_suspect (struct quarantine *q,
+                    const struct quarantine_evidence *evidence, int64_t now);
+/* Returns nonzero when requests with KEY are to be tried one at a time.  */
+int quarantine_is_suspect (const struct quarantine *q, uint64_t key,
+                           int64_t now);
+/* Notes that a request with KEY, which is suspect, was sent at AT.  */
+void quarantine_begin_trial (struct quarantine *q, uint64_t key, int64_t at);
+/* Returns how long the trial of KEY lasts at most, or 0 without one.  */
+int64_t quarantine_trial_left_us (const struct quarantine *q, uint64_t key,
+                                  int64_t now);
 /* Puts KEY into quarantine for a whole hold without evidence.  */
 void quarantine_hold (struct quarantine *q, uint64_t key, int64_t now);
 /* Returns how long KEY remains in quarantine, or 0.  */
@@ -77,8 +101,10 @@
 
 /* Returns the number of ends that are known against KEY.  */
 size_t quarantine_crashes (const struct quarantine *q, uint64_t key);
+/* Returns nonzero when runners have ended under KEY or may have.  */
+int quarantine_is_accused (const struct quarantine *q, uint64_t key);
 
-/* Copies the evidence against all keys to EVIDENCE, those in quarantine first.
+/* Copies the known ends under all keys to EVIDENCE, those in quarantine first.
    Returns the number of copies, at most MAX.  */
 size_t quarantine_list (const struct quarantine *q,
                         struct quarantine_evidence *evidence, size_t max,
--- a/tests/unit_quarantine.cc
+++ b/tests/unit_quarantine.cc
@@ -306,6 +306,130 @@
                0);
 }
 
+// Callers that send one request again and again, each time to any gateway.
+struct Repeated
+{
+  Fleet &fleet;
+  int64_t work;  // until its runner answers, or ends
+  bool ends;     // the runner ends
+  int64_t known; // from the end until it is known
+  uint64_t key = 666;
+  int sends = 0;
+  int refused = 0;
+  int64_t third = 0; // when the third runner ended
+  int late = 0;      // sends later than 3 s after that
+
+  struct event
+  {
+    int64_t at;
+    Fleet::gateway *gateway;
+    uint64_t runner;
+    enum
+    {
+      ANSWERED,
+      BROKEN,
+      KNOWN
+    } what;
+  };
+  std::vector<event> events = {};
+
+  void
+  send ()
+  {
+    Fleet::gateway &g = fleet.pick ();
+    const struct quarantine *table = crashfeed_table (g.feed);
+    if (quarantine_left_us (table, key, fleet.now) > 0
+        || quarantine_trial_left_us (table, key, fleet.now) > 0)
+      {
+        refused++;
+        return;
+      }
+    if (quarantine_is_suspect (table, key, fleet.now))
+      crashfeed_begin_trial (g.feed, key, fleet.now);
+    late += third != 0 && fleet.now > third + 3 * second;
+    sends++;
+    fleet.runner++;
+    events.push_back ({ fleet.now + work, &g, fleet.runner,
+                        ends ? event::BROKEN : event::ANSWERED });
+    if (ends)
+      events.push_back (
+          { fleet.now + work + known, &g, fleet.runner, event::KNOWN });
+    if (ends && sends == 3)
+      third = fleet.now + work;
+  }
+  void
+  run_until (int64_t end)
+  {
+    for (; fleet.now < end; fleet.run_until (fleet.now + 5000))
+      for (size_t i = 0; i < events.size ();)
+        {
+          event e = events[i];
+          if (e.at > fleet.now)
+            {
+              i++;
+              continue;
+            }
+          events.erase (events.begin () + (long)i);
+          struct quarantine_evidence evidence
+              = { key, e.what == event::ANSWERED ? 0 : e.runner, 0 };
+          if (e.what == event::BROKEN)
+            crashfeed_suspect (e.gateway->feed, &evidence, fleet.now);
+          else
+            {
+              evidence.age_us = e.what == event::KNOWN ? known : 0;
+              fleet.tell (*e.gateway, { evidence });
+            }
+        }
+  }
+};
+
+// Guards against one request that is sent to runner after runner: all ends in
+// one wave, or known only when the entries of the runners expire.
+TEST_P (FleetSize, RequestThatEndsRunnersIsRefused)
+{
+  for (int64_t known : { second / 100, second, 4 * second })
+    for (int callers : { 1, 4 })
+      for (int burst : { 1, 3 })
+        {
+          SCOPED_TRACE (testing::Message ()
+                        << "known after " << known << ", callers " << callers
+                        << ", at once " << burst);
+          Fleet fleet (GetParam (), 0.05);
+          Repeated request = { fleet, 50000, true, known };
+          for (int i = 0; i < burst; i++)
+            request.send ();
+          for (int i = 0; i < 16 * callers; i++)
+            {
+              request.send ();
+              request.run_until (fleet.now + second / callers);
+            }
+          EXPECT_GE (request.sends, 3);
+          EXPECT_LE (request.late, 3);
+          EXPECT_GT (quarantine_left_us (crashfeed_table (fleet.pick ().feed),
+                                         request.key, fleet.now),
+                     0);
+        }
+}
+
+// Guards against a sound request that is refused because its runners ended
+// together with others.
+TEST_P (FleetSize, SoundRequestIsServedAfterOneTrial)
+{
+  Fleet fleet (GetParam (), 0.05);
+  Repeated request = { fleet, 30000, true, second / 100 };
+
+  for (int i = 0; i < 5; i++)
+    request.send ();
+  request.run_until (fleet.now + second);
+  request.ends = false;
+  for (int i = 0; i < 100; i++)
+    {
+      request.send ();
+      request.run_until (fleet.now + second / 50);
+    }
+  EXPECT_LE (request.refused, 3);
+}
+
 // Guards against control traffic that grows with the fleet.
 TEST_P (FleetSize, QuietGatewaysSendOneDatagramASecond)
 {
