Log the version of the runner that a request is sent to

The logs of a stream that goes on at another version of its service's software don't name either version, nor whether it is the gateway or the caller that goes on. The registry entry's version is read for it.

--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -754,10 +754,12 @@
     }
   event_log_write (
       "sent", call->in.id,
-      "\"runner\":\"%s\",\"phase\":\"%s\",\"load\":%.1f,\"load_age_ms\":"
+      "\"runner\":\"%s\",\"build\":\"%s\",\"phase\":\"%s\",\"last_event\":"
+      "%" G_GUINT64_FORMAT ",\"load\":%.1f,\"load_age_ms\":"
       "%" G_GINT64_FORMAT ",\"unread\":%u,\"wait_ms\":%.0f,\"first_ms\":%.0f"
       ",\"left_ms\":%" G_GINT64_FORMAT,
-      runner->entry.id, phase_names[phase], pool_load (runner, now),
+      runner->entry.id, runner->entry.build, phase_names[phase],
+      call->last_event, pool_load (runner, now),
       pool_load_age (runner, now) / 1000, choice->uncached_tokens,
       choice->queue_us / 1000, choice->first_byte_us / 1000, send.budget_ms);
   return 0;
--- a/src/gw_sync.c
+++ b/src/gw_sync.c
@@ -120,13 +120,15 @@
 static void
 runner_log (const struct pool_runner *runner, uint64_t revision)
 {
-  event_log_write ("runner", NULL,
-                   "\"runner\":\"%s\",\"service\":\"%s\",\"address\":\"%s\","
-                   "\"present\":%d,\"leaving\":%d,\"stage\":%d,\"revision\":"
-                   "%" G_GUINT64_FORMAT,
-                   runner->entry.id, runner->entry.service,
-                   runner->entry.address, runner->present, runner->leaving,
-                   runner->entry.stage, revision);
+  event_log_write (
+      "runner", NULL,
+      "\"runner\":\"%s\",\"service\":\"%s\",\"address\":\"%s\","
+      "\"build\":\"%s\",\"present\":%d,\"leaving\":%d,\"stage\":%d,"
+      "\"revision\":"
+      "%" G_GUINT64_FORMAT,
+      runner->entry.id, runner->entry.service, runner->entry.address,
+      runner->entry.build, runner->present, runner->leaving,
+      runner->entry.stage, revision);
 }
 
 static void
--- a/src/pool.c
+++ b/src/pool.c
@@ -232,7 +232,8 @@
   if (!runner_pool->restored || entry->draining)
     runner->doubt_until_us = 0;
   if (was_present && was_leaving == runner->leaving
-      && runner->entry.stage == entry->stage)
+      && runner->entry.stage == entry->stage
+      && strcmp (runner->entry.build, entry->build) == 0)
     return NULL;
   runner->present = 1;
   runner->entry = *entry;
--- a/src/pool.h
+++ b/src/pool.h
@@ -45,6 +45,7 @@
   unsigned slots;
   int draining;
   enum pool_stage stage;
+  char build[64]; /* version of its software */
 };
 
 struct pool_runner
