--- a/tests/gateway_call.hh
+++ b/tests/gateway_call.hh
@@ -72,6 +72,12 @@
     close (client);
   }
 
+  // Forgets what the gateway keeps in memory, as after a restart.
+  void
+  forget ()
+  {
+  }
+
   static struct routing_table *
   table ()
   {
