Go on with a stream in one answer only at the version that began it

What callers saw: an answer of 200 that ran to its end and held events of two software versions, after its first runner had broken off. Cause: the version in a runner's registry entry played no part in the choice of the next one.

--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -377,6 +377,8 @@
                                      call->excluded, call->n_excluded);
   if (choice.runner != NULL && gw_send (call, &choice, ADAPTER_RELAY) == 0)
     return;
+  if (call->build[0] != '\0')
+    where.build = call->build;
   if (call->service != NULL && call->service->is_engine)
     {
       dispatch_to_engine (call, &where);
--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -66,6 +66,7 @@
   struct pool_runner *excluded[GW_EXCLUDED_MAX];
   size_t n_excluded;
   uint64_t last_event; /* id of the last event sent to the client */
+  char build[64];      /* version that began the stream, or empty */
   /* Candidates of the next send, whose load at the other gateways is asked
      for.  */
   uint64_t query; /* in progress, or 0 */
--- a/src/lb.c
+++ b/src/lb.c
@@ -153,7 +153,9 @@
       || !limit_allows (&runner->limit, where->gateways, now)
       || strcmp (runner->entry.service, where->service) != 0
       || (where->stage != POOL_STAGE_ANY
-          && runner->entry.stage != where->stage))
+          && runner->entry.stage != where->stage)
+      || (where->build != NULL
+          && strcmp (runner->entry.build, where->build) != 0))
     return 0;
   for (i = 0; i < where->n_excluded; i++)
     if (where->excluded[i] == runner)
--- a/src/lb.h
+++ b/src/lb.h
@@ -94,6 +94,7 @@
   const char *service;
   const char *zone;      /* preferred */
   enum pool_stage stage; /* ANY for a plain service */
+  const char *build;     /* the only software version; null: any */
   const struct pool_runner *const *excluded;
   size_t n_excluded;
   unsigned calls_max; /* of this process at one runner; 0: no limit */
