Take streams up only at the version that began them

All gateways lost power while two versions served, or just after the old one had left; callers took their streams up, and the gateways, which knew nothing of them, chose any runner.

Cause: the version of a stream was known nowhere but in what had begun it, and Resumes wasn't read. Class: state that a promise rests on and that ends with the process. Now a gateway that can't tell which version began a stream refuses it as not run. It can tell from its own memory, from records that all gateways keep in the store while a service has several versions, or because one alone has served for a minute, which the store's records of the versions show beside the registry.

Ruled out: peers' memory and the runners' reports, which a power loss ends, and a record of each stream at all times.

--- a/src/adapter.h
+++ b/src/adapter.h
@@ -35,6 +35,7 @@
   uint64_t parts[ADAPTER_PARTS_MAX];
   size_t n_parts;
   uint64_t last_event; /* the stream resumes after it; 0: from the start */
+  char resumes[72];    /* id of the request that began the stream, or empty */
 };
 
 enum adapter_phase
--- a/src/gw.h
+++ b/src/gw.h
@@ -35,6 +35,7 @@
 struct gw_relay;
 struct gw_quarantine;
 struct gw_fate;
+struct gw_resume;
 struct quarantine;
 struct quarantine_evidence;
 
@@ -112,6 +113,7 @@
   struct gw_relay *relay;
   struct gw_quarantine *quarantine;
   struct gw_fate *fate;
+  struct gw_resume *resume;
   uint64_t seed; /* state of the random number generator */
   int stopping;
   int64_t stop_at;            /* when the process exits at the latest */
@@ -265,6 +267,9 @@
 void gw_fate_note_reached (struct gw *gw, struct pool_runner *runner,
                            int64_t started, int reached);
 
+/* gw_resume.c: streams that go on at the version that began them */
+struct gw_resume *gw_resume_new (struct gw *gw);
+
 /* gw_probe.c */
 /* Opens a connection to RUNNER to see whether it is up.  */
 void gw_probe_runner (struct gw *gw, struct pool_runner *runner);
--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -14,6 +14,8 @@
   RETRY_AFTER_JITTER_MS
   = 150, /* random part, so that clients don't retry together */
   NO_RUNNER_RETRY_AFTER_MS = 500, /* about the time until a runner is back */
+  /* Records of a stream that are missing now don't come later.  */
+  UNKNOWN_RETRY_AFTER_MS = 2000,
   /* Within this time most trials end.  */
   TRIAL_RETRY_AFTER_MS = 250
 };
@@ -41,6 +43,7 @@
   struct gw *gw = call->gw;
 
   gw_send_cancel (call);
+  gw_resume_cancel (call);
   gw_call_forget_view (call);
   gw_send_free_handle (call);
   gw_send_set_source (call, NULL);
@@ -377,8 +380,15 @@
                                      call->excluded, call->n_excluded);
   if (choice.runner != NULL && gw_send (call, &choice, ADAPTER_RELAY) == 0)
     return;
-  if (call->build[0] != '\0')
-    where.build = call->build;
+  if (call->last_event > 0 && call->route->kind == ROUTING_STREAM)
+    {
+      enum gw_resume_result result = gw_resume_find (call);
+      if (result == GW_RESUME_UNKNOWN)
+        gw_call_refuse (call, UNKNOWN_RETRY_AFTER_MS, "unknown version");
+      if (result != GW_RESUME_KNOWN)
+        return;
+      where.build = call->build;
+    }
   if (call->service != NULL && call->service->is_engine)
     {
       dispatch_to_engine (call, &where);
--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -67,6 +67,9 @@
   size_t n_excluded;
   uint64_t last_event; /* id of the last event sent to the client */
   char build[64];      /* version that began the stream, or empty */
+  int resume_waits;    /* for the records of streams */
+  int resume_answered; /* they were read, or can't be */
+  int64_t resume_asked_us;
   /* Candidates of the next send, whose load at the other gateways is asked
      for.  */
   uint64_t query; /* in progress, or 0 */
@@ -136,6 +139,21 @@
 /* Notes that the call is sent to its runner.  */
 void gw_quarantine_note_send (struct gw_call *call);
 
+/* gw_resume.c */
+enum gw_resume_result
+{
+  GW_RESUME_KNOWN,  /* the call's BUILD is set */
+  GW_RESUME_ASKED,  /* the call is dispatched again later */
+  GW_RESUME_UNKNOWN /* the stream must not go on */
+};
+
+/* Finds the version that began the stream of a call that goes on with it.  */
+enum gw_resume_result gw_resume_find (struct gw_call *call);
+/* Notes that the first event of this call is passed on.  */
+void gw_resume_note_begun (struct gw_call *call);
+/* Ends what gw_resume_find waits for.  */
+void gw_resume_cancel (struct gw_call *call);
+
 /* gw_probe.c */
 /* Watches for a runner that becomes unreachable before the answer begins,
    which is expected after FIRST_BYTE_US.  The send then breaks; it must be one
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -347,8 +347,8 @@
   if (call->first_event == 0)
     {
       call->first_event = now;
-      if (call->phase == ADAPTER_WHOLE && call->build[0] == '\0')
-        g_strlcpy (call->build, call->runner->entry.build, sizeof call->build);
+      if (call->phase == ADAPTER_WHOLE)
+        gw_resume_note_begun (call);
     }
   else if (now - call->first_event >= gw_ms_to_us (CRASH_DELAY_MS))
     note_survived (call);
--- a/tests/gateway_call.hh
+++ b/tests/gateway_call.hh
@@ -55,6 +55,7 @@
     gw_stage_new (&gw);
     gw_quarantine_new (&gw);
     gw_fate_new (&gw);
+    gw_resume_new (&gw);
     struct gw_listener *request_listener
         = &gw.request_listeners[GW_LISTENER_CLIENTS];
     request_listener->gw = &gw;
@@ -76,6 +77,7 @@
   void
   forget ()
   {
+    gw_resume_new (&gw);
   }
 
   static struct routing_table *
