Test: odd entries among those of the runners

A report of other operators: one entry that is deeply nested, has a number too large or a port out of range ended machines or kept them from following the list. Here no gateway ends or stops following, but an entry whose address is none (port 99999, 65536, 0 or -1, no port, no IP address) counts as a runner: it is free, so requests are chosen for it, and refused with "no connection" though sound runners serve.

--- a/tests/unit_gw_sync.cc
+++ b/tests/unit_gw_sync.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <gtest/gtest.h>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -465,6 +466,77 @@
   EXPECT_EQ (gw.table->version, 4U);
 }
 
+// Guards against one odd entry, left by another writer, that ends the gateway,
+// is taken for a runner, or keeps the others from being followed.
+TEST_F (Sync, OddEntriesNameNoRunner)
+{
+  auto entry = [] (const std::string &field, const std::string &value) {
+    std::map<std::string, std::string> fields
+        = { { "service", "\"s\"" },    { "address", "\"10.0.0.1:80\"" },
+            { "zone", "\"z\"" },       { "version", "\"v1\"" },
+            { "slots", "8" },          { "state", "\"ready\"" },
+            { "cold_left_ms", "0" },   { "born", "5" },
+            { "stage", "\"decode\"" }, { "seq", "4" } };
+    std::string text = "{";
+    fields[field] = value;
+    for (const auto &f : fields)
+      text += (text.size () > 1 ? ",\"" : "\"") + f.first + "\":" + f.second;
+    return text + "}";
+  };
+  const std::string deep (20000, '[');
+  const std::vector<std::string> odd = {
+    deep,
+    "{\"a\":" + std::string (5000, '{'),
+    entry ("slots", deep),
+    entry ("slots", "1e30"),
+    entry ("slots", "1" + std::string (400, '0')),
+    entry ("slots", "-5"),
+    entry ("slots", "99999999999"),
+    entry ("slots", "\"8\""),
+    entry ("address", "\"10.0.0.1:99999\""),
+    entry ("address", "\"10.0.0.1:65536\""),
+    entry ("address", "\"10.0.0.1:0\""),
+    entry ("address", "\"10.0.0.1:-1\""),
+    entry ("address", "\"10.0.0.1:80x\""),
+    entry ("address", "\"10.0.0.1\""),
+    entry ("address", "\"10.0.0.999:80\""),
+    entry ("address", "\"a.example:80\""),
+    entry ("address", "80"),
+    entry ("state", "\"lost\""),
+    entry ("state", "[]"),
+    entry ("service", "{}"),
+    entry ("zone", "null"),
+    std::string ("\0\0", 2),
+    "",
+  };
+  unsigned version = 3;
+  config (3);
+  runner ("a", "ready");
+  start ();
+  for (const std::string &value : odd)
+    {
+      SCOPED_TRACE (value.substr (0, 200));
+      change ("servers/odd", value);
+      advance (1000);
+      EXPECT_EQ (pool_find (gw.runner_pool, "odd"), nullptr);
+      // The others are followed on.
+      config (++version);
+      runner ("r" + std::to_string (version), "ready");
+      advance (1000);
+      EXPECT_EQ (gw.table->version, version);
+      EXPECT_TRUE (usable (("r" + std::to_string (version)).c_str ()));
+    }
+  // What overflows elsewhere is left out.
+  for (const char *field : { "born", "seq", "cold_left_ms" })
+    for (const char *value :
+         { "1e999", "-1e30", "123456789012345678901234567890" })
+      {
+        change ("servers/b", entry (field, value));
+        advance (1000);
+        EXPECT_NE (pool_find (gw.runner_pool, "b"), nullptr) << field << value;
+      }
+}
+
 // Guards against a route that is added to a restored store and never read:
 // other writes have passed the revision that the gateway had before.
 TEST_F (Sync, ChangesOfARestoredStoreComeInTime)
