Test: a refusal that a runner writes twice on a kept connection

A report of other operators: clients were told "not run" for requests that had run, or such a request ran twice. It can't be shown here: the copy names another request, or none on a connection in use again, and neither is taken for the answer; a copy that comes while the connection is idle closes it. The test has it at once, while the connection is idle, and just after the next request was written, for requests that may run once, may be repeated, and streams of both kinds.

--- a/tests/unit_gw_call.cc
+++ b/tests/unit_gw_call.cc
@@ -407,6 +407,86 @@
     }
 }
 
+// Guards against a refusal that a runner writes twice and that is taken for
+// the answer to the next request: its client is told "not run", or it runs
+// twice.
+TEST_F (GatewayCall, RefusalWrittenTwiceIsNotTheNextAnswer)
+{
+  enum
+  {
+    AT_ONCE,
+    WHILE_IDLE,
+    AFTER_THE_NEXT_REQUEST
+  };
+  const std::string refusal = "HTTP/1.1 503 X\r\n"
+                              "X-Goldcresthatch-Request-Id: one\r\n"
+                              "X-Goldcresthatch-Not-Run: 1\r\n"
+                              "Content-Length: 0\r\n\r\n";
+  const std::string own = "id: 1\ndata: own\n\n";
+  auto send = [&] (const std::string &path, const std::string &id) {
+    client = connect_raw (front);
+    fcntl (client, F_SETFL, O_NONBLOCK);
+    got.clear ();
+    put (client, "POST " + path + " HTTP/1.1\r\nHost: h\r\n"
+                     + "X-Goldcresthatch-Request-Id: " + id
+                     + "\r\nX-Goldcresthatch-Token-Count: 90,4\r\n"
+                       "Content-Length: 4\r\n\r\nbody");
+  };
+  for (const char *path : { "/order/1", "/read/1", "/chat/1", "/check/1" })
+    for (int when : { AT_ONCE, WHILE_IDLE, AFTER_THE_NEXT_REQUEST })
+      {
+        SCOPED_TRACE (testing::Message () << path << " " << when);
+        int fd;
+        int arrivals = 1;
+        std::string text;
+        struct pool_runner *r
+            = runner (0, path[1] == 'o' || path[1] == 'r' ? "app" : "llm");
+        send (path, "one");
+        receive_at_runner (0, &fd);
+        put (fd, when == AT_ONCE ? refusal + refusal : refusal);
+        EXPECT_TRUE (client_has ("HTTP/1.1 503"));
+        close (client);
+        if (when == WHILE_IDLE)
+          {
+            put (fd, refusal);
+            usleep (20000);
+          }
+        r->backoff_until_us = 0;
+        send (path, "two");
+        ASSERT_TRUE (run_until (&gw.loop, [&] {
+          char buffer[4000];
+          ssize_t n = read (fd, buffer, sizeof buffer);
+          if (n > 0)
+            text.append (buffer, static_cast<size_t> (n));
+          int next = accept (listeners[0], nullptr, nullptr);
+          if (next >= 0)
+            {
+              fcntl (next, F_SETFL, O_NONBLOCK);
+              close (fd);
+              fd = next;
+            }
+          return text.find ("body") != std::string::npos;
+        }));
+        EXPECT_NE (text.find (": two"), std::string::npos);
+        if (when == AFTER_THE_NEXT_REQUEST)
+          put (fd, refusal);
+        run_until (
+            &gw.loop, [] { return false; }, 20);
+        put (fd, "HTTP/1.1 200 X\r\nX-Goldcresthatch-Request-Id: two\r\n"
+                     + std::string (stamp) + chunked + chunk (own)
+                     + "0\r\n\r\n");
+        EXPECT_TRUE (client_has (own)) << got;
+        while (accept (listeners[0], nullptr, nullptr) >= 0)
+          arrivals++;
+        EXPECT_EQ (arrivals, 1);
+        close (client);
+        close (fd);
+        close (listeners[0]);
+        pool_remove (gw.runner_pool, "r0", 9, gw_now (&gw));
+        pool_tick (gw.runner_pool, gw_now (&gw));
+      }
+}
+
 // Guards against cutting a stream that is slow but sound, and against keeping
 // one that only drips: the route's time ends both, and nothing before.
 TEST_F (GatewayCall, SlowStreamsGoOnAndDrippingOnesEnd)
