Write the records of streams four times a second

Each gateway wrote ten times a second while a service has several versions. A stream lasts a second and more, so few more of them aren't recorded when all gateways end.

--- a/src/gw_resume.c
+++ b/src/gw_resume.c
@@ -19,7 +19,9 @@
 enum
 {
   TICK_MS = 100,
-  /* All gateways together write some 50 times a second at most.  */
+  /* Between two writes; all gateways together write some 50 times a second at
+     most.  */
+  WRITE_MS = 250,
   WRITE_PER_GATEWAY_MS = 20,
   /* Streams recorded under one key.  */
   SLOT_MS = 1000,
@@ -237,7 +239,7 @@
 {
   struct gw_resume *resume = gw->resume;
   int64_t pause_ms
-      = MAX ((int64_t)gw->processes * WRITE_PER_GATEWAY_MS, (int64_t)TICK_MS);
+      = MAX ((int64_t)gw->processes * WRITE_PER_GATEWAY_MS, (int64_t)WRITE_MS);
   char *key;
 
   if (!resume->is_dirty || resume->is_writing
