Take only a verdict's own keys for verdicts

An odd key under quarantine/ was read as the number 0, or that of its leading digits: requests whose prompts have a part with that id, or without one, were refused for five minutes by each gateway that started. No caller is known to have met it; found while looking for odd entries elsewhere. OddVerdictsHoldNothing failed before (three keys held for one) and passes.

--- a/src/gw_quarantine.c
+++ b/src/gw_quarantine.c
@@ -6,6 +6,7 @@
 #include "crashfeed.h"
 #include "fleetsum.h"
 #include "gw_call.h"
+#include "num.h"
 
 #define STORE_PREFIX "quarantine/"
 
@@ -13,6 +14,7 @@
 {
   ANSWERED_MAX = 20000, /* answered parts that are remembered; about 3 MB */
   LIST_RETRY_MS = 200,
+  KEY_DIGITS = 16,     /* of a verdict in the store */
   STORE_AGAIN_MAX = 64 /* verdicts; the store bears few writes */
 };
 
@@ -252,7 +254,10 @@
   for (i = 0; i < reply->n_items; i++)
     {
       const char *name = reply->items[i].key + strlen (STORE_PREFIX);
-      uint64_t key = g_ascii_strtoull (name, NULL, 16);
+      uint64_t key;
+      if (strlen (name) != KEY_DIGITS
+          || num_parse (name, 16, 0, UINT64_MAX, &key) != 0)
+        continue;
       crashfeed_hold (quarantine->feed, key, gw_now (gw));
       log_verdict (key);
     }
--- a/tests/unit_gw_sync.cc
+++ b/tests/unit_gw_sync.cc
@@ -11,6 +11,7 @@
 
 extern "C"
 {
+#include "quarantine.h"
 #include "gw.h"
 #include "pf.h"
 }
@@ -466,6 +467,21 @@
   EXPECT_EQ (gw.table->version, 4U);
 }
 
+// Guards against a verdict on everything without a part's id, by a key that
+// isn't a verdict's.
+TEST_F (Sync, OddVerdictsHoldNothing)
+{
+  for (const char *name : { "", "zz", "0", "12345", "00000000000000ab/c" })
+    change (std::string ("quarantine/") + name, "1");
+  change ("quarantine/00000000000000ab", "1");
+  start ();
+  gw_quarantine_load (&gw);
+  advance (100);
+  const struct quarantine *table = gw_quarantine_table (&gw);
+  EXPECT_EQ (quarantine_count (table, gw_now (&gw)), 1U);
+  EXPECT_GT (quarantine_left_us (table, 0xab, gw_now (&gw)), 0);
+}
+
 // Guards against one odd entry, left by another writer, that ends the gateway,
 // is taken for a runner, or keeps the others from being followed.
 TEST_F (Sync, OddEntriesNameNoRunner)
