--- a/src/crashfeed.c
+++ b/src/crashfeed.c
@@ -198,14 +198,23 @@
 
 void
 crashfeed_suspect (struct crashfeed *cf,
-                   const struct quarantine_evidence *evidence, int64_t now)
+                   const struct quarantine_evidence *evidence, size_t n,
+                   int64_t now)
 {
-  if (quarantine_suspect (cf->table, evidence, now) != QUARANTINE_NOTED
-      || quarantine_answered_us (cf->table, evidence->key)
-             > now - QUARANTINE_IN_USE_US)
-    return;
-  note_shared (cf, evidence->key);
-  tell_all (cf, KIND_SUSPICION, evidence, 1, now);
+  struct quarantine_evidence *told = g_new (struct quarantine_evidence, n);
+  size_t n_told = 0;
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    if (quarantine_suspect (cf->table, &evidence[i], now) == QUARANTINE_NOTED
+        && quarantine_answered_us (cf->table, evidence[i].key)
+               <= now - QUARANTINE_IN_USE_US)
+      {
+        note_shared (cf, evidence[i].key);
+        told[n_told++] = evidence[i];
+      }
+  tell_all (cf, KIND_SUSPICION, told, n_told, now);
+  g_free (told);
 }
 
 void
--- a/src/crashfeed.h
+++ b/src/crashfeed.h
@@ -61,9 +61,10 @@
 void crashfeed_add (struct crashfeed *cf,
                     const struct quarantine_evidence *evidence, size_t n,
                     int64_t now);
-/* Notes that the runner of EVIDENCE may have ended, and tells the others.  */
+/* Notes that the runners of N pieces of evidence may have ended, and tells the
+   others.  */
 void crashfeed_suspect (struct crashfeed *cf,
-                        const struct quarantine_evidence *evidence,
+                        const struct quarantine_evidence *evidence, size_t n,
                         int64_t now);
 /* Notes that a request with KEY, which is suspect, is sent, and tells the
    others.  */
--- a/src/gw.h
+++ b/src/gw.h
@@ -241,9 +241,10 @@
 /* Adds N pieces of evidence that were seen here.  */
 void gw_quarantine_add (struct gw *gw,
                         const struct quarantine_evidence *evidence, size_t n);
-/* Notes that the runner of EVIDENCE may have ended.  */
+/* Notes that the runners of N pieces of evidence may have ended.  */
 void gw_quarantine_suspect (struct gw *gw,
-                            const struct quarantine_evidence *evidence);
+                            const struct quarantine_evidence *evidence,
+                            size_t n);
 /* Returns the evidence known here.  */
 const struct quarantine *gw_quarantine_table (const struct gw *gw);
 /* Handles a datagram of another gateway.  Returns 0, or -1 with ERR when it is
--- a/src/gw_fate.c
+++ b/src/gw_fate.c
@@ -76,18 +76,18 @@
 void
 gw_fate_note_broken (struct gw_call *call)
 {
-  struct quarantine_evidence possible
-      = { call->fingerprint, call->runner->hash, 0 };
+  struct quarantine_evidence possible[ADAPTER_PARTS_MAX + 1];
+  size_t n = 0;
   size_t i;
 
   call->on_trial = 0;
   open_all (call, 0);
-  gw_quarantine_suspect (call->gw, &possible);
+  possible[n++] = (struct quarantine_evidence){ call->fingerprint,
+                                                call->runner->hash, 0 };
   for (i = 0; i < call->in.n_parts; i++)
-    {
-      possible.key = call->in.parts[i];
-      gw_quarantine_suspect (call->gw, &possible);
-    }
+    possible[n++] = (struct quarantine_evidence){ call->in.parts[i],
+                                                  call->runner->hash, 0 };
+  gw_quarantine_suspect (call->gw, possible, n);
   gw_probe_runner (call->gw, call->runner);
 }
 
--- a/src/gw_quarantine.c
+++ b/src/gw_quarantine.c
@@ -43,9 +43,9 @@
 
 void
 gw_quarantine_suspect (struct gw *gw,
-                       const struct quarantine_evidence *evidence)
+                       const struct quarantine_evidence *evidence, size_t n)
 {
-  crashfeed_suspect (gw->quarantine->feed, evidence, gw_now (gw));
+  crashfeed_suspect (gw->quarantine->feed, evidence, n, gw_now (gw));
 }
 
 int
--- a/tests/unit_quarantine.cc
+++ b/tests/unit_quarantine.cc
@@ -373,7 +373,7 @@
           struct quarantine_evidence evidence
               = { key, e.what == event::ANSWERED ? 0 : e.runner, 0 };
           if (e.what == event::BROKEN)
-            crashfeed_suspect (e.gateway->feed, &evidence, fleet.now);
+            crashfeed_suspect (e.gateway->feed, &evidence, 1, fleet.now);
           else
             {
               evidence.age_us = e.what == event::KNOWN ? known : 0;
