Record a stream at once, and send its caller back soon or not at all

What callers saw: streams that had begun in the last 250 ms before all gateways ended weren't recorded, and were refused; told to return after 2 s, their callers came back two or three times in vain.

Cause: records were written with the next tick, four times a second. Now a record is written as the stream begins, unless this gateway has written within 10 ms for each gateway. A stream of which nothing is known is refused with the shortest time to return, since a record doesn't come later; while the store can't be read it is 500 ms.

--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -14,8 +14,10 @@
   RETRY_AFTER_JITTER_MS
   = 150, /* random part, so that clients don't retry together */
   NO_RUNNER_RETRY_AFTER_MS = 500, /* about the time until a runner is back */
-  /* Records of a stream that are missing now don't come later.  */
-  UNKNOWN_RETRY_AFTER_MS = 2000,
+  /* A record that is missing doesn't come later, so a client that is to wait
+     waits in vain.  */
+  UNKNOWN_RETRY_AFTER_MS = RETRY_AFTER_MIN_MS,
+  UNREADABLE_RETRY_AFTER_MS = 500,
   /* Within this time most trials end.  */
   TRIAL_RETRY_AFTER_MS = 250
 };
@@ -385,6 +387,8 @@
       enum gw_resume_result result = gw_resume_find (call);
       if (result == GW_RESUME_UNKNOWN)
         gw_call_refuse (call, UNKNOWN_RETRY_AFTER_MS, "unknown version");
+      else if (result == GW_RESUME_UNREADABLE)
+        gw_call_refuse (call, UNREADABLE_RETRY_AFTER_MS, "no records");
       if (result != GW_RESUME_KNOWN)
         return;
       where.build = call->build;
--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -69,6 +69,7 @@
   char build[64];      /* version that began the stream, or empty */
   int resume_waits;    /* for the records of streams */
   int resume_answered; /* they were read, or can't be */
+  int resume_complete; /* they were read */
   int64_t resume_asked_us;
   /* Candidates of the next send, whose load at the other gateways is asked
      for.  */
@@ -142,9 +143,10 @@
 /* gw_resume.c */
 enum gw_resume_result
 {
-  GW_RESUME_KNOWN,  /* the call's BUILD is set */
-  GW_RESUME_ASKED,  /* the call is dispatched again later */
-  GW_RESUME_UNKNOWN /* the stream must not go on */
+  GW_RESUME_KNOWN,     /* the call's BUILD is set */
+  GW_RESUME_ASKED,     /* the call is dispatched again later */
+  GW_RESUME_UNKNOWN,   /* the stream must not go on */
+  GW_RESUME_UNREADABLE /* the records can't be read now */
 };
 
 /* Finds the version that began the stream of a call that goes on with it.  */
--- a/src/gw_resume.c
+++ b/src/gw_resume.c
@@ -19,10 +19,9 @@
 enum
 {
   TICK_MS = 100,
-  /* Between two writes; all gateways together write some 50 times a second at
-     most.  */
-  WRITE_MS = 250,
-  WRITE_PER_GATEWAY_MS = 20,
+  /* Between two writes of each gateway; all together write some 100 times a
+     second at most, a quarter of what the store bears.  */
+  WRITE_PER_GATEWAY_MS = 10,
   /* Streams recorded under one key.  */
   SLOT_MS = 1000,
   SLOT_PER_GATEWAY_MS = 100,
@@ -71,6 +70,8 @@
   resume->is_dirty = 1;
 }
 
+static void write_records (struct gw *gw, int64_t now);
+
 void
 gw_resume_note_begun (struct gw_call *call)
 {
@@ -82,8 +83,11 @@
     g_strlcpy (call->build, call->runner->entry.build, sizeof call->build);
   origin_note_stream (resume->origin, call->in.id, call->build,
                       gw_now (call->gw));
-  if (origin_builds (resume->origin, call->service_name) > 1)
-    add_record (resume, call);
+  if (origin_builds (resume->origin, call->service_name) < 2)
+    return;
+  add_record (resume, call);
+  /* At once: the gateway may end before its next tick.  */
+  write_records (call->gw, gw_now (call->gw));
 }
 
 /* Records the streams of SERVICE that are in progress.  */
@@ -238,8 +242,7 @@
 write_streams (struct gw *gw, int64_t now)
 {
   struct gw_resume *resume = gw->resume;
-  int64_t pause_ms
-      = MAX ((int64_t)gw->processes * WRITE_PER_GATEWAY_MS, (int64_t)WRITE_MS);
+  int64_t pause_ms = (int64_t)gw->processes * WRITE_PER_GATEWAY_MS;
   char *key;
 
   if (!resume->is_dirty || resume->is_writing
@@ -289,7 +292,8 @@
   struct gw_resume *resume = gw->resume;
   int records_builds = gw_stage_is_standby (gw);
 
-  if ((!records_builds && !resume->is_dirty) || !has_lease (gw, now))
+  if (gw->store_api == NULL || gw->stopping
+      || (!records_builds && !resume->is_dirty) || !has_lease (gw, now))
     return;
   if (records_builds && resume->is_build_due)
     {
@@ -360,6 +364,7 @@
       g_ptr_array_remove_index (waiting, i);
       call->resume_waits = 0;
       call->resume_answered = 1;
+      call->resume_complete = is_complete;
       if (is_complete)
         learn_build (call, 1);
       gw_call_dispatch (call);
@@ -421,6 +426,8 @@
 
   if (call->build[0] != '\0' || learn_build (call, gw->store_api == NULL))
     return GW_RESUME_KNOWN;
+  if (call->resume_answered && !call->resume_complete)
+    return GW_RESUME_UNREADABLE;
   if (gw->store_api == NULL || call->resume_answered)
     return GW_RESUME_UNKNOWN;
   if (!call->resume_waits)
