Record streams of a gateway that stops, and see each new configuration

A gateway that was stopping wrote no records, though streams go on there until its grace time ends and may then be taken up elsewhere. The services with resumable streams were read again when the table's address had changed, which two changes within a tick can bring back; now its version tells. Found by reading; no run showed either.

--- a/src/gw_resume.c
+++ b/src/gw_resume.c
@@ -33,9 +33,9 @@
 struct gw_resume
 {
   struct origin *origin;
-  const struct routing_table *table; /* of which SERVICES are */
-  GHashTable *services;              /* that have resumable streams */
-  GHashTable *several;               /* services with several versions */
+  uint64_t config_version; /* from which SERVICES are */
+  GHashTable *services;    /* that have resumable streams */
+  GHashTable *several;     /* services with several versions */
   /* Records of this gateway's streams.  */
   GString *slot;
   int64_t slot_us; /* since the epoch; names the slot */
@@ -120,9 +120,9 @@
   guint i;
   size_t j;
 
-  if (gw->table == resume->table)
+  if (gw->table->version == resume->config_version)
     return;
-  resume->table = gw->table;
+  resume->config_version = gw->table->version;
   g_hash_table_remove_all (resume->services);
   for (i = 0; i < gw->table->routes->len; i++)
     {
@@ -292,8 +292,8 @@
   struct gw_resume *resume = gw->resume;
   int records_builds = gw_stage_is_standby (gw);
 
-  if (gw->store_api == NULL || gw->stopping
-      || (!records_builds && !resume->is_dirty) || !has_lease (gw, now))
+  if (gw->store_api == NULL || (!records_builds && !resume->is_dirty)
+      || !has_lease (gw, now))
     return;
   if (records_builds && resume->is_build_due)
     {
@@ -317,7 +317,7 @@
   if (g_hash_table_size (resume->services) == 0)
     return;
   look_at_runners (gw, now);
-  if (gw->store_api == NULL || gw->stopping)
+  if (gw->store_api == NULL)
     return;
   if (!resume->is_loaded && !resume->is_listing)
     list_records (gw);
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -39,7 +39,8 @@
 #define QUARANTINE_SPAN_US INT64_C (250000)
 #define QUARANTINE_IN_USE_US INT64_C (60000000)
 #define QUARANTINE_TRIAL_US INT64_C (1000000)
-/* How long a runner may have ended; longer than its registry entry lasts.  */
+/* How long it may be open whether a runner has ended; longer than the registry
+   entry of an ended one lasts.  */
 #define QUARANTINE_OPEN_US INT64_C (10000000)
 
 enum
