--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -45,15 +45,18 @@
         return s.getsockname()[1]
 
 
+USED_PORTS = set()
+
+
 def free_ports(ip, n):
-    socks = []
-    for _ in range(n):
-        s = socket.socket()
-        s.bind((ip, 0))
-        socks.append(s)
-    ports = [s.getsockname()[1] for s in socks]
-    for s in socks:
-        s.close()
+    """Returns ports that no other gateway of this run has got: one that was
+    started a moment ago may not listen yet."""
+    ports = []
+    while len(ports) < n:
+        port = free_port(ip)
+        if port not in USED_PORTS:
+            USED_PORTS.add(port)
+            ports.append(port)
     return ports
 
 
@@ -153,7 +156,9 @@
         super().__init__(ip)
         self.record = record
         self.items = {}
-        self.history = []
+        self.history = []        # (when, event) of the last HISTORY_S
+        self.history_s = 20.0
+        self.compacted = 0       # the last revision that is forgotten
         self.revision = 100
         self.leases = {}
         self.last_lease = 1000
@@ -178,15 +183,15 @@
                 "created_rev": old["created_rev"] if old else self.revision,
                 "lease": lease}
         self.items[key] = item
-        self.history.append(item)
+        self.history.append((time.monotonic(), item))
         self.changed()
 
     def remove(self, key):
         if key in self.items:
             self.revision += 1
             del self.items[key]
-            self.history.append({"key": key, "revision": self.revision,
-                                 "deleted": True})
+            self.history.append((time.monotonic(), {
+                "key": key, "revision": self.revision, "deleted": True}))
             self.changed()
 
     def end_lease(self, lease):
@@ -202,11 +207,16 @@
             now = time.monotonic()
             for lease in [l for l, (_, end) in self.leases.items() if end < now]:
                 self.end_lease(lease)
+            while self.history and self.history[0][0] < now - self.history_s:
+                self.compacted = self.history.pop(0)[1]["revision"]
 
-    async def handle(self, method, target, fields, listed, body, reader, writer):
+    async def handle(self, method, target, fields, listed, body, reader,
+                     writer, face=None):
         path, _, query = target.partition("?")
         args = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         status, reply = await self.call(method, path, args, body)
+        if face is not None and face.refusing:
+            status, reply = 503, {}     # a watch that waited is cut, too
         data = json.dumps(reply).encode()
         await asyncio.sleep(0.002)
         writer.write(answer_bytes(status, data,
@@ -232,7 +242,9 @@
             after = int(args["after"])
             end = time.monotonic() + int(args["wait_ms"]) / 1000
             while True:
-                events = [e for e in self.history if e["revision"] > after
+                if after < self.compacted:
+                    return 410, {"store_revision": self.revision}
+                events = [e for _, e in self.history if e["revision"] > after
                           and e["key"].startswith(args.get("prefix", ""))]
                 left = end - time.monotonic()
                 if events or left <= 0:
@@ -278,6 +290,23 @@
         return 404, {}
 
 
+class Face(Server):
+    """The address under which one machine meets the store, which may turn
+    this machine away while it serves the others."""
+
+    def __init__(self, store):
+        super().__init__(store.ip)
+        self.store = store
+        self.refusing = False
+
+    async def handle(self, method, target, fields, listed, body, reader, writer):
+        if self.refusing:
+            writer.write(answer_bytes(503, b"{}"))
+            return True
+        return await self.store.handle(method, target, fields, listed, body,
+                                       reader, writer, self)
+
+
 class Runner(Server):
     """A runner of a plain service.
 
@@ -360,6 +389,130 @@
         return True
 
 
+class Engine(Runner):
+    """A model runner with a stage.  PACE_S is the time between two events of
+    a stream, READ_S that of a prompt.  PIECES events are made."""
+
+    def __init__(self, world, service, zone, stage, slots=48, read_s=0.02,
+                 pace_s=0.02, pieces=4):
+        super().__init__(world, service, zone, slots)
+        self.stage = stage
+        self.read_s = read_s
+        self.pace_s = pace_s
+        self.pieces = pieces
+        self.handles = {}
+        self.orders = 0
+        self.busy = False
+        self.order_log = []
+
+    def entry(self, state="ready"):
+        return dict(super().entry(state), stage=self.stage,
+                    models=[{"name": "m", "version": 1, "adapters": []}])
+
+    async def handle(self, method, target, fields, listed, body, reader, writer):
+        if target == "/-/report":
+            writer.write(answer_bytes(200, json.dumps({
+                "stage": self.stage, "models": [], "busy": self.busy,
+                "seq": self.orders, "waiting": 0, "running": self.running,
+                "kv_used": 0, "kv_total": 1000000, "kv_handles": 0,
+                "born": self.born}).encode(),
+                [("Content-Type", "application/json")]))
+            return True
+        if target == "/-/order":
+            return await self.order(fields, json.loads(body), writer)
+        if target.startswith("/-/kv-handle/"):
+            self.handles.pop(target.rsplit("/", 1)[1], None)
+            writer.write(answer_bytes(200))
+            return True
+        rid = fields.get("x-goldcresthatch-request-id", "")
+        expect = fields.get("x-goldcresthatch-expect-instance", self.id)
+        stage = fields.get("x-goldcresthatch-stage", "decode")
+        if expect != self.id or stage != self.stage:
+            writer.write(answer_bytes(421, b"",
+                                      [(PREFIX + "Instance-Id", self.id)]))
+            return True
+        if stage == "prefill":
+            await asyncio.sleep(self.read_s)
+            handle = "%012x" % int.from_bytes(os.urandom(6), "big")
+            self.handles[handle] = rid
+            self.world.record("prompt   %s read at %s: handle %s"
+                              % (rid, self.id, handle))
+            writer.write(answer_bytes(200, json.dumps(
+                {"handle": handle, "tokens": 1, "version": 1}).encode(),
+                [("Content-Type", "application/json"),
+                 (PREFIX + "Request-Id", rid)]))
+            return True
+        return await self.stream(rid, method, target, fields, listed, body,
+                                 reader, writer)
+
+    async def order(self, fields, doc, writer):
+        holder, fence = doc.get("holder"), doc.get("fence")
+        status = 202
+        if fields.get("x-goldcresthatch-expect-instance", self.id) != self.id:
+            status = 421
+        elif self.busy or doc.get("expected", self.orders) != self.orders:
+            status = 409
+        elif doc.get("stage") == self.stage:
+            status = 200
+        self.order_log.append((time.monotonic(), holder, fence, status))
+        self.world.record("order    at %s from %s, fence %s, to %s: %d"
+                          % (self.id, holder, fence, doc.get("stage"), status))
+        if status == 202:
+            self.orders += 1
+            self.busy = True
+            asyncio.ensure_future(self.change(doc["stage"]))
+        writer.write(answer_bytes(status, b"{}"))
+        return True
+
+    async def change(self, stage):
+        await asyncio.sleep(3)
+        self.stage = stage
+        self.busy = False
+        self.seq += 1
+        self.register()
+
+    async def stream(self, rid, method, target, fields, listed, body, reader,
+                     writer):
+        source = fields.get("x-goldcresthatch-kv-source")
+        if source is not None:
+            address, _, handle = source.partition("/")
+            owner = next((r for r in self.world.runners
+                          if getattr(r, "address", "") == address), None)
+            taken = owner.handles.pop(handle, None) if owner else None
+            if taken is None:
+                writer.write(answer_bytes(503, b"", [
+                    (PREFIX + "Request-Id", rid), (PREFIX + "Not-Run", "1")]))
+                return True
+            if taken != rid:
+                self.world.record("BROKEN?  %s goes on from the handle of %s"
+                                  % (rid, taken))
+        run = self.world.note_run(self, rid, method, target, listed, body)
+        at = int(fields.get("last-event-id") or 0)
+        self.running += 1
+        try:
+            head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" \
+                   "Transfer-Encoding: chunked\r\n"
+            head += "".join("%s: %s\r\n" % f for f in self.fields(rid))
+            await asyncio.sleep(0.005)
+            writer.write((head + "\r\n").encode())
+            while at < self.pieces:
+                at += 1
+                event = ("id: %d\ndata: %s %d\n\n"
+                         % (at, rid, at)).encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await writer.drain()
+                await asyncio.sleep(self.pace_s)
+                if writer.transport.is_closing() or reader.at_eof():
+                    run["end"] = "caller closed"
+                    return False
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+            run["end"] = 200
+            return True
+        finally:
+            self.running -= 1
+
+
 class Gateway:
     """A gateway process, started as the deploy file says."""
 
@@ -384,6 +537,7 @@
         self.path = os.path.join(world.folder, name + ".json")
         self.log_path = os.path.join(world.folder, name + ".log")
         self.process = None
+        self.program = os.path.join(ROOT, "target", "goldcresthatch-gateway")
 
     def render(self):
         """Fills in the project's template as the platform does."""
@@ -423,7 +577,7 @@
                if k in os.environ}
         env["GOLDCRESTHATCH_CONFIG"] = self.path
         self.process = await asyncio.create_subprocess_exec(
-            os.path.join(ROOT, "target", "goldcresthatch-gateway"),
+            self.program,
             cwd=ROOT, env=env, stdin=asyncio.subprocess.DEVNULL,
             stdout=open(self.log_path, "ab"), stderr=asyncio.subprocess.STDOUT)
         self.world.record("gateway %s started, %s" % (self.name, self.front))
@@ -492,6 +646,7 @@
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.runs = []
         self.gateways = []
+        self.faces = []
         self.runners = []
         self.ids = itertools.count(1)
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -540,7 +695,10 @@
         return runner
 
     async def add_gateway(self, name, zone, **settings):
-        gateway = Gateway(self, name, zone, **settings)
+        face = await Face(self.store).open()
+        self.faces.append(face)
+        gateway = Gateway(self, name, zone, store=face.address, **settings)
+        gateway.face = face
         self.gateways.append(gateway)
         await gateway.start()
         return gateway
@@ -554,7 +712,7 @@
                 except ProcessLookupError:
                     pass
                 await gateway.process.wait()
-        for server in self.runners + [self.store]:
+        for server in self.runners + self.faces + [self.store]:
             await server.close()
         if os.environ.get("KEEP_LOGS"):
             print(self.folder)
