--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -219,9 +219,13 @@
             status, reply = 503, {}     # a watch that waited is cut, too
         data = json.dumps(reply).encode()
         await asyncio.sleep(0.002)
-        writer.write(answer_bytes(status, data,
-                                  [("Content-Type", "application/json")]))
-        await writer.drain()
+        answer = answer_bytes(status, data,
+                              [("Content-Type", "application/json")])
+        if face is not None:
+            await face.send(writer, answer)
+        else:
+            writer.write(answer)
+            await writer.drain()
         return True
 
     async def call(self, method, path, args, body):
@@ -298,6 +302,8 @@
         super().__init__(store.ip)
         self.store = store
         self.refusing = False
+        self.bytes_per_s = None  # of this machine's link, or None
+        self.link_free_at = 0.0
 
     async def handle(self, method, target, fields, listed, body, reader, writer):
         if self.refusing:
@@ -306,6 +312,24 @@
         return await self.store.handle(method, target, fields, listed, body,
                                        reader, writer, self)
 
+    async def send(self, writer, data):
+        """Sends DATA as fast as the link carries it."""
+        if self.bytes_per_s is None:
+            writer.write(data)
+            await writer.drain()
+            return
+        step = 8192
+        for at in range(0, len(data), step):
+            piece = data[at:at + step]
+            now = time.monotonic()
+            self.link_free_at = (max(self.link_free_at, now)
+                                 + len(piece) / self.bytes_per_s)
+            await asyncio.sleep(self.link_free_at - now)
+            if writer.transport.is_closing():
+                raise ConnectionResetError
+            writer.write(piece)
+            await writer.drain()
+
 
 class Runner(Server):
     """A runner of a plain service.
