--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -808,6 +808,11 @@
         sys.exit(NO_RUN)
     except asyncio.TimeoutError:
         world.record("could not run: not finished in 110 s")
+        print("could not run: not finished in 110 s")
+        sys.exit(NO_RUN)
+    except Exception as e:    # a fault of the script is no broken rule
+        world.record("could not run: %r" % e)
+        print("could not run: %r" % e)
         sys.exit(NO_RUN)
     for line in broken:
         world.record("BROKEN   " + line)
