--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,7 +7,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
-                                "..", "lib"))
+                                ".."))
 import world as lib
 
 TIMEOUT_S = 1.2          # timeout_ms of the site's seat-booking, listing-read
@@ -139,4 +139,4 @@
     return broken
 
 
-lib.main(os.path.dirname(os.path.abspath(__file__)), case)
+lib.main(case)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,7 +8,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
-                                "..", "lib"))
+                                ".."))
 import world as lib
 
 # The bounds of the site.
@@ -115,4 +115,4 @@
     return broken
 
 
-lib.main(os.path.dirname(os.path.abspath(__file__)), case)
+lib.main(case)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -8,7 +8,7 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
-                                "..", "lib"))
+                                ".."))
 import world as lib
 
 DRAIN_S = 2.0            # drain_ms of the site
@@ -111,4 +111,4 @@
     return broken
 
 
-lib.main(os.path.dirname(os.path.abspath(__file__)), case)
+lib.main(case)
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,7 +2,7 @@
 # The stand-ins are Python programs that need only its standard library, so
 # nothing is compiled; this checks that they can be read here.
 cd "$(dirname "$0")" || exit 1
-python3 - lib/*.py [1-5]/*.py <<'EOS'
+python3 - world.py [1-5]/case.py <<'EOS'
 import ast
 import sys
 
--- a/review/lib/world.py
+++ b/review/world.py
@@ -5,6 +5,7 @@
 The store and the runners speak what PROTOCOL.md says.  Everything that was
 sent, answered and run goes to the record.
 """
+import argparse
 import asyncio
 import base64
 import itertools
@@ -20,7 +21,7 @@
 import urllib.parse
 
 PREFIX = "X-Goldcresthatch-"
-ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
 BEGAN = time.monotonic()
 
 BROKEN, HELD, NO_RUN = 1, 0, 2
@@ -662,18 +663,18 @@
 
 
 class World:
-    def __init__(self, folder):
+    def __init__(self, trouble, record):
         # Addresses of their own for each run, so that runs don't meet.
         pid = os.getpid()
         self.ip = "127.%d.%d.%d" % (64 + pid % 128, (pid >> 7) % 250 + 1, 1)
-        self.record = Record(os.path.join(folder, "record.txt"))
+        self.record = Record(record)
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.runs = []
         self.gateways = []
         self.faces = []
         self.runners = []
         self.ids = itertools.count(1)
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.trouble = trouble
         self.record("TROUBLE=%d" % self.trouble)
 
     async def open(self):
@@ -790,9 +791,15 @@
         return status, fields, body, complete
 
 
-def main(folder, case):
+def main(case):
     """Runs CASE (world), which returns the list of what broke the rule."""
-    world = World(folder)
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--trouble", default="1",
+                        help="0: without the disruption")
+    parser.add_argument("--record", required=True,
+                        help="file for what was sent, answered and run")
+    options = parser.parse_args()
+    world = World(options.trouble != "0", options.record)
 
     async def run():
         await world.open()
