--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -31,6 +31,12 @@
 END
 }
 
+# Tells the world that a gateway may not know what it was told before.
+excuse ()			# NUMBER
+{
+  kill "-SIGRTMIN+$1" "${PIDS[world]}" 2> /dev/null
+}
+
 start_gateway ()		# NUMBER
 {
   start "gw$1" goldcresthatch-gateway --settings "$WORK/gw$1.json"
@@ -38,7 +44,9 @@
 
 restart_if_ended ()		# NUMBER
 {
-  kill -0 "${PIDS[gw$1]}" 2> /dev/null || start_gateway "$1"
+  kill -0 "${PIDS[gw$1]}" 2> /dev/null && return
+  excuse "$1"
+  start_gateway "$1"
 }
 
 start world soak-world "$NET" "$SEED" "$SECONDS_RUN" "$COUNT" ${MODE:+"$MODE"}
@@ -56,7 +64,8 @@
     1) kill -KILL "${PIDS[gw$n]}" 2> /dev/null ;;
     2) kill -STOP "${PIDS[gw$n]}" 2> /dev/null
        sleep "0.$((RANDOM % 9 + 1))"
-       kill -CONT "${PIDS[gw$n]}" 2> /dev/null ;;
+       kill -CONT "${PIDS[gw$n]}" 2> /dev/null
+       excuse "$n" ;;
     3) kill -HUP "${PIDS[gw$n]}" 2> /dev/null ;;
   esac
   for n in $(seq "$COUNT"); do
@@ -77,6 +86,6 @@
 wait "${PIDS[world]}"
 status=$?
 grep -h "^broken\|^promises" "$WORK/world.log"
-grep -h "requests, of the last" "$WORK/world.log" >&2
+grep -h "requests, of the last\|runners left" "$WORK/world.log" >&2
 [ -z "${KEEP:-}" ] || cp -r "$WORK" "$KEEP"
 exit $status
--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -11,8 +11,12 @@
    choose how (enum crash_request_bit).  With MODE "limit" two engines name a
    limit on the requests that they take.  With MODE "restored" the service is
    put back to an older copy now and then, and what the runners and the
-   operator wrote since is written again a while later.  Prints each promise
-   that was broken; exits 0 when there is none.  */
+   operator wrote since is written again a while later.  With MODE "leaving"
+   runners say in their answers that they leave, while their entries stay
+   ready; with MODE "rest" they refuse some requests and ask for a time without
+   any.  Signal SIGRTMIN + N tells that gateway N was stopped, paused or
+   restarted, so that it may not know what it was told before.  Prints each
+   promise that was broken; exits 0 when there is none.  */
 #include <glib.h>
 #include <json-c/json.h>
 #include <signal.h>
@@ -57,7 +61,15 @@
   LIMIT_PER_S = 8,
   LIMIT_FROM_MS = 3000,   /* after the start */
   LIMIT_WINDOW_MS = 4000, /* over which arrivals are judged */
-  LIMIT_MAX = LIMIT_WINDOW_MS / 1000 * LIMIT_PER_S * 3 / 2 + 5
+  LIMIT_MAX = LIMIT_WINDOW_MS / 1000 * LIMIT_PER_S * 3 / 2 + 5,
+  GATEWAYS_MAX = 100,
+  WISH_MS = 1500,   /* on average, between two runners that begin to ask */
+  LEAVES_MS = 5000, /* from its first such answer until a runner ends */
+  DRAIN_MS = 2000,  /* after which no request may reach a runner that leaves */
+  REST_LEAST_MS = 500, /* of the times that are asked for */
+  REST_MOST_MS = 4000,
+  REST_GRACE_MS = 500, /* after the answer that asks for rest */
+  REST_SENDS_MAX = 2   /* requests that may reach a runner at rest */
 };
 
 /* How runners end with MODE "crash-request".  */
@@ -81,6 +93,15 @@
   MODE_MAX
 };
 
+/* What a runner has told one gateway.  */
+struct told
+{
+  int64_t leaving_us; /* first answer that it leaves, or 0 */
+  int64_t rest_from_us;
+  int64_t rest_until_us; /* the latest end that it has asked for */
+  unsigned rest_sends;   /* requests that arrived within that time */
+};
+
 struct runner
 {
   int index;
@@ -96,6 +117,12 @@
   unsigned lifetime;
   GQueue arrivals; /* times of the requests since it must keep to its limit */
   unsigned most;   /* of them within LIMIT_WINDOW_MS */
+  int leaves;      /* says so in its answers */
+  int64_t asks_until_us; /* asks for rest until then */
+  int asks_each;         /* in the answer to one request in so many */
+  int asks_ms;
+  unsigned asked; /* requests since it asks */
+  struct told told[GATEWAYS_MAX + 1];
 };
 
 /* What became of one request of the callers.  */
@@ -113,6 +140,8 @@
   int undelimited; /* answers to it have neither a length nor chunks */
   int crashes;     /* has the part that crashes engines */
   int late;        /* reached a runner though the part must be known */
+  int gateway;
+  int64_t sent_us;
   uint64_t timer;
   uint64_t call;
 };
@@ -174,6 +203,12 @@
 static int crashes;
 static int64_t learned_us; /* when the part must be known, or 0 */
 static int late_sends;
+static int leaving; /* the mode */
+static int rest;    /* the mode */
+static int leavers;
+static int sends_to_leavers; /* too late */
+static int rests;
+static unsigned most_in_rest; /* requests at one runner from one gateway */
 
 static void
 promise (int kept, const char *what, const char *id)
@@ -663,6 +698,9 @@
       0, on_crash_return, r);
 }
 
+static const char *leaving_field (struct runner *r,
+                                  const struct record *record);
+
 static void
 job_step (void *ctx, int64_t now)
 {
@@ -688,8 +726,8 @@
   if (!job->record->stream)
     {
       text = g_strdup_printf ("X-Goldcresthatch-Request-Id: %s\r\n"
-                              "X-Goldcresthatch-Server-Stamp: s\r\n",
-                              job->record->id);
+                              "X-Goldcresthatch-Server-Stamp: s\r\n%s",
+                              job->record->id, leaving_field (r, job->record));
       http_server_start_response (r->srv, job->conn, 200, text,
                                   job->record->undelimited
                                       ? HTTP_SERVER_UNTIL_CLOSE
@@ -729,6 +767,18 @@
     g_free (job);
 }
 
+/* Returns the field with which R says that it leaves, or an empty string.  The
+   answer is that to RECORD, or to a call that isn't a request.  */
+static const char *
+leaving_field (struct runner *r, const struct record *record)
+{
+  if (!r->leaves)
+    return "";
+  if (record != NULL && r->told[record->gateway].leaving_us == 0)
+    r->told[record->gateway].leaving_us = tmr_now (tmr);
+  return "Server-Leaving: 1\r\n";
+}
+
 /* Returns the field that names the runner's limit, or an empty string.  */
 static const char *
 limit_field (const struct runner *r)
@@ -771,8 +821,9 @@
     {
       text = g_strdup_printf ("Content-Type: text/event-stream\r\n"
                               "X-Goldcresthatch-Request-Id: %s\r\n"
-                              "X-Goldcresthatch-Server-Stamp: s\r\n%s",
-                              record->id, limit_field (r));
+                              "X-Goldcresthatch-Server-Stamp: s\r\n%s%s",
+                              record->id, limit_field (r),
+                              leaving_field (r, record));
       http_server_start_response (r->srv, conn, 200, text,
                                   record->undelimited ? HTTP_SERVER_UNTIL_CLOSE
                                                       : HTTP_SERVER_CHUNKED);
@@ -803,8 +854,9 @@
 prompt_read (struct runner *r, uint64_t conn, const struct record *record)
 {
   static const char handle[] = "{\"handle\":\"h1\"}";
-  char *text = g_strdup_printf ("X-Goldcresthatch-Request-Id: %s\r\n%s",
-                                record->id, limit_field (r));
+  char *text
+      = g_strdup_printf ("X-Goldcresthatch-Request-Id: %s\r\n%s%s", record->id,
+                         limit_field (r), leaving_field (r, record));
 
   http_server_respond (r->srv, conn, 200, text, handle, strlen (handle));
   g_free (text);
@@ -820,7 +872,8 @@
     {
       text = g_strdup_printf ("{\"stage\":\"%s\",\"busy\":false,\"seq\":%d}",
                               r->stage, r->orders);
-      http_server_respond (r->srv, conn, 200, NULL, text, strlen (text));
+      http_server_respond (r->srv, conn, 200, leaving_field (r, NULL), text,
+                           strlen (text));
       g_free (text);
       return 1;
     }
@@ -839,6 +892,48 @@
   return 0;
 }
 
+/* Counts the requests that reach R from a gateway that must know better.  */
+static void
+count_unwanted (struct runner *r, const struct record *record)
+{
+  struct told *told = &r->told[record->gateway];
+  int64_t now = tmr_now (tmr);
+
+  sends_to_leavers
+      += told->leaving_us != 0
+         && record->sent_us > told->leaving_us + INT64_C (1000) * DRAIN_MS;
+  if (now > told->rest_from_us && now < told->rest_until_us)
+    most_in_rest = MAX (most_in_rest, ++told->rest_sends);
+}
+
+/* Returns nonzero when R has answered the request with a refusal that asks for
+   rest.  */
+static int
+ask_for_rest (struct runner *r, uint64_t conn, const struct record *record)
+{
+  struct told *told = &r->told[record->gateway];
+  int64_t now = tmr_now (tmr);
+  char *fields;
+
+  if (now >= r->asks_until_us || r->asked++ % (unsigned)r->asks_each != 0)
+    return 0;
+  if (now >= told->rest_until_us)
+    {
+      told->rest_from_us = now + INT64_C (1000) * REST_GRACE_MS;
+      told->rest_sends = 0;
+    }
+  told->rest_until_us
+      = MAX (told->rest_until_us, now + INT64_C (1000) * r->asks_ms);
+  rests++;
+  fields = g_strdup_printf ("X-Goldcresthatch-Request-Id: %s\r\n"
+                            "X-Goldcresthatch-Not-Run: 1\r\n"
+                            "Retry-After: %d.%03d\r\n",
+                            record->id, r->asks_ms / 1000, r->asks_ms % 1000);
+  http_server_respond (r->srv, conn, 503, fields, "", 0);
+  g_free (fields);
+  return 1;
+}
+
 static void
 on_runner (void *ctx, uint64_t conn, const struct http_head *head,
            const char *body, size_t size)
@@ -874,6 +969,8 @@
     http_server_respond (r->srv, conn, 421, NULL, "", 0);
   else if (r->mode == MODE_REFUSES || record == NULL)
     http_server_respond (r->srv, conn, 503, refusal, "", 0);
+  else if (count_unwanted (r, record), ask_for_rest (r, conn, record))
+    ;
   else if (http_str_equal (http_head_get (head, "x-goldcresthatch-stage"),
                            "prefill"))
     prompt_read (r, conn, record);
@@ -1043,8 +1140,10 @@
   judged += is_judged;
   record->body = g_string_new (NULL);
   g_hash_table_insert (records, record->id, record);
+  record->gateway = g_rand_int_range (rand_state, 1, gateways + 1);
+  record->sent_us = tmr_now (tmr);
   g_snprintf (address, sizeof address, "127.%d.4.%d:8000", net,
-              g_rand_int_range (rand_state, 1, gateways + 1));
+              record->gateway);
   text = g_strdup_printf (
       "%s %s HTTP/1.1\r\nHost: h\r\nX-Goldcresthatch-Request-Id: %s\r\n"
       "X-Goldcresthatch-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
@@ -1132,6 +1231,80 @@
              0, on_write_again, NULL);
 }
 
+/* Starts R again under another name, as another lifetime.  */
+static void
+succeed (struct runner *r)
+{
+  g_snprintf (r->id, sizeof r->id, "r%d-%" G_GUINT64_FORMAT, r->index,
+              revision);
+  r->draining = 0;
+  r->leaves = 0;
+  r->orders = 0;
+  memset (r->told, 0, sizeof r->told);
+  runner_write (r);
+}
+
+static void
+on_leaver_ends (void *ctx, int64_t now)
+{
+  struct runner *r = ctx;
+  char *key = g_strconcat ("servers/", r->id, NULL);
+
+  (void)now;
+  item_write (key, NULL, 0);
+  g_free (key);
+  succeed (r);
+}
+
+/* Lets a runner begin to leave or to ask for rest.  */
+static void
+wish (void)
+{
+  static const int each[] = { 1, 5, 20 };
+  struct runner *r = &runners[g_rand_int_range (rand_state, 0, n_runners)];
+  int64_t now = tmr_now (tmr);
+
+  if (leaving && !r->leaves)
+    {
+      r->leaves = 1;
+      leavers++;
+      tmr_add (tmr, INT64_C (1000) * LEAVES_MS, 0, on_leaver_ends, r);
+    }
+  if (!rest || now < r->asks_until_us)
+    return;
+  r->asks_ms = g_rand_int_range (rand_state, REST_LEAST_MS, REST_MOST_MS);
+  r->asks_each = each[g_rand_int_range (rand_state, 0, G_N_ELEMENTS (each))];
+  r->asks_until_us
+      = now
+        + INT64_C (1000)
+              * g_rand_int_range (rand_state, REST_LEAST_MS, REST_MOST_MS);
+  r->asked = 0;
+}
+
+/* Gateway NUMBER - SIGRTMIN may not know what it was told.  */
+static void
+on_gateway_signal (uv_signal_t *handle, int number)
+{
+  int i;
+
+  (void)handle;
+  for (i = 0; i < RUNNERS; i++)
+    memset (&runners[i].told[number - SIGRTMIN], 0, sizeof runners[i].told[0]);
+}
+
+static void
+watch_gateway_signals (void)
+{
+  static uv_signal_t signals[GATEWAYS_MAX];
+  int i;
+
+  for (i = 1; i <= MIN (gateways, SIGRTMAX - SIGRTMIN); i++)
+    {
+      uv_signal_init (&loop, &signals[i]);
+      uv_signal_start (&signals[i], on_gateway_signal, SIGRTMIN + i);
+    }
+}
+
 static void
 fault (void)
 {
@@ -1153,11 +1326,7 @@
       /* It leaves and starts again under another name.  */
       r->draining = 1;
       runner_write (r);
-      g_snprintf (r->id, sizeof r->id, "r%d-%" G_GUINT64_FORMAT, r->index,
-                  revision);
-      r->draining = 0;
-      r->orders = 0;
-      runner_write (r);
+      succeed (r);
       break;
     default:
       r->mode = g_rand_int_range (rand_state, 0, MODE_MAX);
@@ -1208,6 +1377,18 @@
       promise (runners[i].most >= LIMIT_PER_S,
                "a runner with a limit gets requests", runners[i].id);
     }
+  if (leaving || rest)
+    fprintf (
+        stderr,
+        "%d runners left, %d requests sent to them late; %d times of rest "
+        "asked for, at most %u requests in one\n",
+        leavers, sends_to_leavers, rests, most_in_rest);
+  promise (!leaving || leavers > 0, "runners left", "all");
+  promise (sends_to_leavers == 0,
+           "requests to a runner that says that it leaves", "all");
+  promise (!rest || rests > 0, "rest was asked for", "all");
+  promise (most_in_rest <= REST_SENDS_MAX,
+           "requests to a runner that has asked for rest", "all");
   promise (!crash_part || crashes > 0, "the part was tried", "all");
   promise (!crash_request || crashes >= CRASH_REQUEST_CRASHES,
            "the request was tried", "all");
@@ -1265,6 +1446,13 @@
         store_restore (1);
       put_back_last = 1;
     }
+  else if ((leaving || rest) && now >= next_fault)
+    {
+      next_fault
+          = now
+            + INT64_C (1000) * g_rand_int_range (rand_state, 0, 2 * WISH_MS);
+      wish ();
+    }
   else if (!crash_part && !crash_request && !limit && now >= next_fault)
     {
       if (restored && g_rand_int_range (rand_state, 0, 3) == 0)
@@ -1324,10 +1512,14 @@
   limit = argc == 6 && strcmp (argv[5], "limit") == 0;
   restored = argc == 6 && strcmp (argv[5], "restored") == 0;
   crash_request = argc == 6 && strcmp (argv[5], "crash-request") == 0;
-  if (argc != 5 + crash_part + crash_request + limit + restored)
+  leaving = argc == 6 && strcmp (argv[5], "leaving") == 0;
+  rest = argc == 6 && strcmp (argv[5], "rest") == 0;
+  if (argc
+          != 5 + crash_part + crash_request + limit + restored + leaving + rest
+      || atoi (argv[4]) > GATEWAYS_MAX)
     {
       fputs ("usage: soak-world NET SEED SECONDS GATEWAYS "
-             "[crash-part|crash-request|limit|restored]\n",
+             "[crash-part|crash-request|limit|restored|leaving|rest]\n",
              stderr);
       return 2;
     }
@@ -1352,6 +1544,7 @@
   store = open_server (address, &store_ops, NULL);
   runners_open ();
   config_write ();
+  watch_gateway_signals ();
   uv_timer_init (&loop, &timer);
   uv_timer_start (&timer, on_tick, 2, 2);
   uv_run (&loop, UV_RUN_DEFAULT);
