--- a/src/adapter.h
+++ b/src/adapter.h
@@ -70,6 +70,11 @@
   unsigned slots;
   int has_limit;
   double limit_per_s; /* requests a second that the runner takes from all */
+  int leaving;        /* the runner takes no new work in its lifetime */
+  int64_t rest_us; /* the runner wants nothing from here for so long, or 0 */
+  /* A field of the two above whose value isn't valid, or null.  */
+  const char *invalid_field;
+  struct http_str invalid_value;
 };
 
 /* Order to a runner to change its stage.  */
--- a/src/gw.h
+++ b/src/gw.h
@@ -81,6 +81,10 @@
   uint64_t datagrams_received;
   uint64_t datagrams_malformed;
   uint64_t quarantined;
+  /* What runners say in their answers.  */
+  uint64_t leaving_told;
+  uint64_t rest_asked;
+  uint64_t fields_invalid;
 };
 
 enum
@@ -271,6 +275,12 @@
 /* gw_resume.c: streams that go on at the version that began them */
 struct gw_resume *gw_resume_new (struct gw *gw);
 
+/* gw_runner.c */
+/* Notes what an answer of RUNNER says of it: that it leaves, or wants to rest.
+   Values that aren't valid are logged and ignored.  */
+void gw_runner_note_answer (struct gw *gw, struct pool_runner *runner,
+                            const struct adapter_answer *answer);
+
 /* gw_probe.c */
 /* Opens a connection to RUNNER to see whether it is up.  */
 void gw_probe_runner (struct gw *gw, struct pool_runner *runner);
--- a/src/gw_page.c
+++ b/src/gw_page.c
@@ -58,6 +58,9 @@
     { "quarantined_total", gw->counts.quarantined },
     { "in_quarantine",
       quarantine_count (gw_quarantine_table (gw), tmr_now (gw->tmr)) },
+    { "leaving_told_total", gw->counts.leaving_told },
+    { "rest_asked_total", gw->counts.rest_asked },
+    { "fields_invalid_total", gw->counts.fields_invalid },
     { "active_requests", gw->active },
     { "client_connections",
       http_server_connections (
--- /dev/null
+++ b/src/gw_runner.c
@@ -0,0 +1,50 @@
+/* What a runner says of itself in its answers.  */
+#include "gw.h"
+
+enum
+{
+  LOGGED_VALUE_MAX = 40 /* bytes of an invalid value */
+};
+
+/* Logs a field that is ignored.  Its value comes from outside.  */
+static void
+log_invalid (const struct pool_runner *runner,
+             const struct adapter_answer *answer)
+{
+  char *value = g_strndup (answer->invalid_value.p,
+                           MIN (answer->invalid_value.n, LOGGED_VALUE_MAX));
+  char *quoted = g_strescape (value, NULL);
+
+  event_log_write ("field_invalid", NULL,
+                   "\"runner\":\"%s\",\"field\":\"%s\",\"value\":\"%s\"",
+                   runner->entry.id, answer->invalid_field, quoted);
+  g_free (quoted);
+  g_free (value);
+}
+
+void
+gw_runner_note_answer (struct gw *gw, struct pool_runner *runner,
+                       const struct adapter_answer *answer)
+{
+  if (answer->invalid_field != NULL)
+    {
+      gw->counts.fields_invalid++;
+      log_invalid (runner, answer);
+    }
+  if (answer->leaving)
+    {
+      gw->counts.leaving_told++;
+      event_log_write ("leaving_told", NULL,
+                       "\"runner\":\"%s\",\"status\":%d,\"leaving\":%d",
+                       runner->entry.id, answer->status, runner->leaving);
+    }
+  if (answer->rest_us > 0)
+    {
+      gw->counts.rest_asked++;
+      event_log_write ("rest_asked", NULL,
+                       "\"runner\":\"%s\",\"status\":%d,\"rest_ms\":"
+                       "%" G_GINT64_FORMAT,
+                       runner->entry.id, answer->status,
+                       answer->rest_us / 1000);
+    }
+}
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -63,11 +63,25 @@
   note_send_end (call);
 }
 
+/* A call that frees a KV handle.  */
+struct freeing
+{
+  struct gw *gw;
+  uint64_t runner; /* its hash */
+};
+
 static enum http_client_verdict
-ignore_head (void *ctx, const struct http_head *head)
+on_freeing_head (void *ctx, const struct http_head *head)
 {
-  (void)ctx;
-  (void)head;
+  const struct freeing *freeing = ctx;
+  struct gw *gw = freeing->gw;
+  struct pool_runner *runner
+      = pool_find_hash (gw->runner_pool, freeing->runner);
+  struct adapter_answer answer;
+
+  gw->adapter->answer_read (head, &answer);
+  if (runner != NULL)
+    gw_runner_note_answer (gw, runner, &answer);
   return HTTP_CLIENT_ACCEPT;
 }
 
@@ -80,10 +94,10 @@
 }
 
 static void
-ignore_done (void *ctx, enum http_client_result end)
+on_freeing_done (void *ctx, enum http_client_result end)
 {
-  (void)ctx;
   (void)end;
+  g_free (ctx);
 }
 
 void
@@ -92,19 +106,25 @@
   /* The result is ignored: a handle that is not freed expires at the engine.
    */
   static const struct http_client_ops ops
-      = { ignore_head, ignore_body, ignore_done, FREE_ANSWER_MAX_BYTES,
+      = { on_freeing_head, ignore_body, on_freeing_done, FREE_ANSWER_MAX_BYTES,
           FREE_ANSWER_MS };
+  struct freeing *freeing;
   GString *out;
   char *slash = strchr (call->kv_handle, '/');
 
-  if (slash == NULL)
+  if (slash == NULL || call->source == NULL)
     return;
+  freeing = g_new0 (struct freeing, 1);
+  freeing->gw = call->gw;
+  freeing->runner = call->source->hash;
   *slash = '\0';
   out = g_string_new (NULL);
   call->gw->adapter->handle_free_write (out, call->kv_handle, slash + 1);
-  http_client_call (call->gw->cli, call->kv_handle, call->kv_handle, out->str,
-                    out->len, CONNECT_MS, REUSE_IDEMPOTENT_MAX_IDLE_MS, &ops,
-                    NULL);
+  if (http_client_call (call->gw->cli, call->kv_handle, call->source->peer,
+                        out->str, out->len, CONNECT_MS,
+                        REUSE_IDEMPOTENT_MAX_IDLE_MS, &ops, freeing)
+      == 0)
+    g_free (freeing);
   g_string_free (out, TRUE);
   call->kv_handle[0] = '\0';
 }
@@ -262,6 +282,9 @@
   enum http_client_verdict verdict;
 
   gw->adapter->answer_read (head, answer);
+  /* Also an answer to another request is from this runner's process.  */
+  if (call->phase != ADAPTER_RELAY)
+    gw_runner_note_answer (gw, call->runner, answer);
   verdict = check_owner (call);
   if (verdict != HTTP_CLIENT_ACCEPT)
     {
--- a/src/gw_stage.c
+++ b/src/gw_stage.c
@@ -212,7 +212,10 @@
 on_head (void *ctx, const struct http_head *head)
 {
   struct gw *gw = ctx;
+  struct adapter_answer answer;
 
+  gw->adapter->answer_read (head, &answer);
+  gw_runner_note_answer (gw, gw->stage->runner, &answer);
   gw->stage->status = head->status;
   g_string_truncate (gw->stage->body, 0);
   return HTTP_CLIENT_ACCEPT;
