--- a/src/gw_fate.c
+++ b/src/gw_fate.c
@@ -176,7 +176,7 @@
 static int
 is_gone (const struct pool_runner *runner)
 {
-  return !runner->present && !runner->entry.draining;
+  return !runner->present && !runner->announced;
 }
 
 void
--- a/src/gw_runner.c
+++ b/src/gw_runner.c
@@ -22,6 +22,16 @@
   g_free (value);
 }
 
+static void
+note_leaving (struct gw *gw, struct pool_runner *runner, int status)
+{
+  if (!pool_note_leaving (runner))
+    return;
+  event_log_write ("leaving_told", NULL, "\"runner\":\"%s\",\"status\":%d",
+                   runner->entry.id, status);
+  http_client_close_idle (gw->cli, runner->peer);
+}
+
 void
 gw_runner_note_answer (struct gw *gw, struct pool_runner *runner,
                        const struct adapter_answer *answer)
@@ -34,9 +44,7 @@
   if (answer->leaving)
     {
       gw->counts.leaving_told++;
-      event_log_write ("leaving_told", NULL,
-                       "\"runner\":\"%s\",\"status\":%d,\"leaving\":%d",
-                       runner->entry.id, answer->status, runner->leaving);
+      note_leaving (gw, runner, answer->status);
     }
   if (answer->rest_us > 0)
     {
--- a/src/gw_stage.c
+++ b/src/gw_stage.c
@@ -266,7 +266,7 @@
   if (stage->ordering || end != HTTP_CLIENT_COMPLETE || stage->status != 200
       || gw->adapter->report_read (stage->body->str, stage->body->len, &report)
              != 0
-      || report.busy || report.stage == stage->to
+      || report.busy || report.stage == stage->to || stage->runner->leaving
       || authority_token (&stage->authority, now) != stage->token
       || now - stage->confirmed > gw_ms_to_us (CONFIRMATION_MAX_AGE_MS))
     {
--- a/src/pool.c
+++ b/src/pool.c
@@ -40,7 +40,7 @@
   char id[64];
   int64_t started_ms;
   int64_t at_us;
-  int drained; /* it had announced that */
+  int announced; /* it had said that it leaves */
 };
 
 struct runner_pool
@@ -132,6 +132,7 @@
   runner->hash = XXH64 (runner->peer, strlen (runner->peer), 1);
   runner->revision = revision;
   runner->present = 1;
+  runner->announced = entry->draining;
   runner->leaving = entry->draining;
   runner->listed = 1;
   runner_pool->changes++;
@@ -150,7 +151,7 @@
   g_strlcpy (departed->id, runner->entry.id, sizeof departed->id);
   departed->started_ms = runner->entry.started_ms;
   departed->at_us = now;
-  departed->drained = runner->leaving && runner->doubt_until_us == 0;
+  departed->announced = runner->announced;
   g_hash_table_replace (runner_pool->departed, departed->id, departed);
   runner->present = 0;
   runner->leaving = 1;
@@ -180,16 +181,29 @@
   const struct departed *departed
       = departed_find (runner_pool, &runner->entry);
 
+  if (departed != NULL && departed->announced)
+    pool_note_leaving (runner);
   if (!runner_pool->restored || departed == NULL)
     {
       g_hash_table_remove (runner_pool->departed, runner->entry.id);
       return;
     }
   runner->leaving = 1;
-  if (!departed->drained && !runner->entry.draining)
+  if (!runner->announced)
     runner->doubt_until_us = INT64_MAX;
 }
 
+int
+pool_note_leaving (struct pool_runner *runner)
+{
+  int is_new = !runner->announced;
+
+  runner->announced = 1;
+  runner->leaving = 1;
+  runner->doubt_until_us = 0;
+  return is_new;
+}
+
 struct pool_runner *
 pool_put (struct runner_pool *runner_pool, const struct pool_entry *entry,
           uint64_t revision)
@@ -210,11 +224,13 @@
       || strcmp (entry->address, runner->entry.address) != 0
       || strcmp (entry->service, runner->entry.service) != 0)
     {
+      struct pool_runner *next = add (runner_pool, entry, revision);
       runner->present = 0;
       runner->leaving = 1;
-      runner = add (runner_pool, entry, revision);
-      admit (runner_pool, runner);
-      return runner;
+      admit (runner_pool, next);
+      if (entry->started_ms == runner->entry.started_ms && runner->announced)
+        pool_note_leaving (next);
+      return next;
     }
   runner->listed = 1;
   if (revision < runner->revision)
@@ -225,8 +241,9 @@
   runner->missing_us = 0;
   /* A removed entry that is registered again shows that the runner is alive.
    */
+  runner->announced |= entry->draining;
   runner->leaving
-      = entry->draining
+      = runner->announced
         || (was_leaving && was_present
             && (runner->doubt_until_us == 0 || runner_pool->restored));
   if (!runner_pool->restored || entry->draining)
@@ -356,7 +373,7 @@
       if (runner->doubt_until_us != 0 && now > runner->doubt_until_us)
         {
           runner->doubt_until_us = 0;
-          runner->leaving = runner->entry.draining;
+          runner->leaving = runner->announced;
         }
       if (runner->peer_ordered == runner->entry.stage
           || now - runner->peer_report_us > PEER_ORDER_US)
--- a/src/pool.h
+++ b/src/pool.h
@@ -8,7 +8,9 @@
  *   The pool is updated from listings and events of the registry and from the
  *   answers of the runners.  An event with an older revision than the runner's
  *   is ignored; a later start under the same id is a new lifetime, which
- *   inherits no state.  A draining runner gets no new work in its lifetime.
+ *   inherits no state.  A runner that has announced that it leaves, in its
+ * entry or in an answer, gets no new work in that lifetime, whatever the
+ * registry shows later.
  *
  *   A runner that is missing while the registry is unreachable, or shortly
  *   after, is kept for POOL_REREGISTER_US after the registry's return, since
@@ -55,7 +57,8 @@
   uint64_t revision;      /* of the registry at the last change */
   int present;            /* in the registry */
   int64_t missing_us;     /* absent since, during a registry outage, or 0 */
-  int leaving;            /* takes no new work in this lifetime */
+  int announced;          /* has said that it leaves */
+  int leaving;            /* gets no new work: announced, absent or doubtful */
   int64_t doubt_until_us; /* LEAVING until then, unless written again, or 0 */
   int listed;             /* found by the listing in progress */
   unsigned calls;         /* of this process, in progress */
@@ -97,6 +100,9 @@
 struct pool_runner *pool_put (struct runner_pool *runner_pool,
                               const struct pool_entry *entry,
                               uint64_t revision);
+/* Notes that RUNNER has said that it leaves.  Returns nonzero when that wasn't
+   known.  */
+int pool_note_leaving (struct pool_runner *runner);
 /* Applies the removal of an entry.  Returns the runner when it was present. */
 struct pool_runner *pool_remove (struct runner_pool *runner_pool,
                                  const char *id, uint64_t revision,
