--- a/src/adapter.h
+++ b/src/adapter.h
@@ -71,7 +71,9 @@
   int has_limit;
   double limit_per_s; /* requests a second that the runner takes from all */
   int leaving;        /* the runner takes no new work in its lifetime */
-  int64_t rest_us; /* the runner wants nothing from here for so long, or 0 */
+  struct http_str
+      relayed_from; /* lifetime that answered at a relay, or null */
+  int64_t rest_us;  /* the runner wants nothing from here for so long, or 0 */
   /* A field of the two above whose value isn't valid, or null.  */
   const char *invalid_field;
   struct http_str invalid_value;
@@ -111,6 +113,9 @@
   /* Appends the header fields of a runner's answer that are forwarded to the
      client.  */
   void (*answer_copy) (GString *out, const struct http_head *head);
+  /* Appends the header field that tells another gateway which LIFETIME of a
+     runner gave the answer.  */
+  void (*relayed_from_write) (GString *out, const char *lifetime);
   /* Reads the KV handle of a prefill's answer into HANDLE.  Returns 0, or -1
      when there is none or it is malformed.  */
   int (*handle_read) (const char *body, size_t size, char *handle,
--- a/src/gw.h
+++ b/src/gw.h
@@ -280,6 +280,10 @@
    Values that aren't valid are logged and ignored.  */
 void gw_runner_note_answer (struct gw *gw, struct pool_runner *runner,
                             const struct adapter_answer *answer);
+/* The same for an answer that another gateway has relayed.  It passes on that
+   the runner leaves; a wish to rest is for the gateway that sends there.  */
+void gw_runner_note_relayed (struct gw *gw,
+                             const struct adapter_answer *answer);
 
 /* gw_probe.c */
 /* Opens a connection to RUNNER to see whether it is up.  */
--- a/src/gw_runner.c
+++ b/src/gw_runner.c
@@ -22,16 +22,31 @@
   g_free (value);
 }
 
+/* Handles the first word that RUNNER leaves; BY says from whom.  */
 static void
-note_leaving (struct gw *gw, struct pool_runner *runner, int status)
+on_leaving (struct gw *gw, struct pool_runner *runner, const char *by)
 {
-  if (!pool_note_leaving (runner))
-    return;
-  event_log_write ("leaving_told", NULL, "\"runner\":\"%s\",\"status\":%d",
-                   runner->entry.id, status);
+  gw->counts.leaving_told++;
+  event_log_write ("leaving_told", NULL, "\"runner\":\"%s\",\"by\":\"%s\"",
+                   runner->entry.id, by);
   http_client_close_idle (gw->cli, runner->peer);
 }
 
+void
+gw_runner_note_relayed (struct gw *gw, const struct adapter_answer *answer)
+{
+  struct pool_runner *runner;
+  char *lifetime;
+
+  if (!answer->leaving || answer->relayed_from.p == NULL)
+    return;
+  lifetime = g_strndup (answer->relayed_from.p, answer->relayed_from.n);
+  runner = pool_note_lifetime_leaving (gw->runner_pool, lifetime, gw_now (gw));
+  g_free (lifetime);
+  if (runner != NULL)
+    on_leaving (gw, runner, "relay");
+}
+
 void
 gw_runner_note_answer (struct gw *gw, struct pool_runner *runner,
                        const struct adapter_answer *answer)
@@ -41,11 +56,8 @@
       gw->counts.fields_invalid++;
       log_invalid (runner, answer);
     }
-  if (answer->leaving)
-    {
-      gw->counts.leaving_told++;
-      note_leaving (gw, runner, answer->status);
-    }
+  if (answer->leaving && pool_note_leaving (runner))
+    on_leaving (gw, runner, "answer");
   if (answer->rest_us > 0)
     {
       gw->counts.rest_asked++;
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -285,6 +285,8 @@
   /* Also an answer to another request is from this runner's process.  */
   if (call->phase != ADAPTER_RELAY)
     gw_runner_note_answer (gw, call->runner, answer);
+  else
+    gw_runner_note_relayed (gw, answer);
   verdict = check_owner (call);
   if (verdict != HTTP_CLIENT_ACCEPT)
     {
@@ -314,6 +316,9 @@
   g_string_truncate (call->fields, 0);
   g_string_truncate (call->data, 0);
   gw->adapter->answer_copy (call->fields, head);
+  if (call->request_listener == &gw->request_listeners[GW_LISTENER_GATEWAYS]
+      && answer->leaving)
+    gw->adapter->relayed_from_write (call->fields, call->runner->peer);
   return HTTP_CLIENT_ACCEPT;
 }
 
--- a/src/pool.c
+++ b/src/pool.c
@@ -120,6 +120,12 @@
   return g_hash_table_lookup (runner_pool->by_hash, &hash);
 }
 
+static uint64_t
+lifetime_hash (const char *peer)
+{
+  return XXH64 (peer, strlen (peer), 1);
+}
+
 static struct pool_runner *
 add (struct runner_pool *runner_pool, const struct pool_entry *entry,
      uint64_t revision)
@@ -129,7 +135,7 @@
   runner->entry = *entry;
   g_snprintf (runner->peer, sizeof runner->peer, "%s@%" G_GINT64_FORMAT,
               entry->id, entry->started_ms);
-  runner->hash = XXH64 (runner->peer, strlen (runner->peer), 1);
+  runner->hash = lifetime_hash (runner->peer);
   runner->revision = revision;
   runner->present = 1;
   runner->announced = entry->draining;
@@ -141,18 +147,26 @@
   return runner;
 }
 
-/* Notes that RUNNER has left.  */
 static void
-depart (struct runner_pool *runner_pool, struct pool_runner *runner,
-        int64_t now)
+remember (struct runner_pool *runner_pool, const char *id, int64_t started_ms,
+          int announced, int64_t now)
 {
   struct departed *departed = g_new0 (struct departed, 1);
 
-  g_strlcpy (departed->id, runner->entry.id, sizeof departed->id);
-  departed->started_ms = runner->entry.started_ms;
+  g_strlcpy (departed->id, id, sizeof departed->id);
+  departed->started_ms = started_ms;
   departed->at_us = now;
-  departed->announced = runner->announced;
+  departed->announced = announced;
   g_hash_table_replace (runner_pool->departed, departed->id, departed);
+}
+
+/* Notes that RUNNER has left.  */
+static void
+depart (struct runner_pool *runner_pool, struct pool_runner *runner,
+        int64_t now)
+{
+  remember (runner_pool, runner->entry.id, runner->entry.started_ms,
+            runner->announced, now);
   runner->present = 0;
   runner->leaving = 1;
   runner->doubt_until_us = 0;
@@ -204,6 +218,29 @@
   return is_new;
 }
 
+struct pool_runner *
+pool_note_lifetime_leaving (struct runner_pool *runner_pool, const char *peer,
+                            int64_t now)
+{
+  uint64_t hash = lifetime_hash (peer);
+  struct pool_runner *runner = pool_find_hash (runner_pool, hash);
+  const char *at = strrchr (peer, '@');
+  const struct departed *known;
+  char id[sizeof known->id];
+  int64_t started_ms;
+
+  if (runner != NULL)
+    return pool_note_leaving (runner) ? runner : NULL;
+  if (at == NULL || at == peer || (size_t)(at - peer) >= sizeof id)
+    return NULL;
+  g_strlcpy (id, peer, (gsize)(at - peer) + 1);
+  started_ms = g_ascii_strtoll (at + 1, NULL, 10);
+  known = g_hash_table_lookup (runner_pool->departed, id);
+  if (known == NULL || known->started_ms <= started_ms)
+    remember (runner_pool, id, started_ms, 1, now);
+  return NULL;
+}
+
 struct pool_runner *
 pool_put (struct runner_pool *runner_pool, const struct pool_entry *entry,
           uint64_t revision)
--- a/src/pool.h
+++ b/src/pool.h
@@ -103,6 +103,12 @@
 /* Notes that RUNNER has said that it leaves.  Returns nonzero when that wasn't
    known.  */
 int pool_note_leaving (struct pool_runner *runner);
+/* Notes that the lifetime PEER, "ID@START", has said so, and remembers it when
+   it isn't registered yet.  Returns the runner when that wasn't known of it,
+   else null.  */
+struct pool_runner *
+pool_note_lifetime_leaving (struct runner_pool *runner_pool, const char *peer,
+                            int64_t now);
 /* Applies the removal of an entry.  Returns the runner when it was present. */
 struct pool_runner *pool_remove (struct runner_pool *runner_pool,
                                  const char *id, uint64_t revision,
--- a/tests/unit_gw_leaving.cc
+++ b/tests/unit_gw_leaving.cc
@@ -295,6 +295,84 @@
       nullptr);
 }
 
+// Guards against requests that a gateway sends itself to a runner whose answer
+// it has passed on from a relay, also when it hears of the runner later.
+TEST_F (LeavingRunner, RelayedAnswerBinds)
+{
+  for (bool known : { true, false })
+    {
+      SCOPED_TRACE (known);
+      int fd = -1;
+      int relay = relay_at ("wide");
+      struct pool_runner *r = runner (0, "app");
+      struct pool_entry e = r->entry;
+      std::string lifetime = r->peer;
+      if (!known)
+        {
+          // Nothing is known of this lifetime yet.
+          e.started_ms += 1000;
+          lifetime = "r0@" + std::to_string (e.started_ms);
+        }
+      got.clear ();
+      send_request ("/order/1", "", "1.1", std::string (4000, 'x'));
+      ASSERT_TRUE (run_until (
+          &gw.loop,
+          [&] { return (fd = accept (relay, nullptr, nullptr)) >= 0; }, 2000));
+      run_until (
+          &gw.loop, [] { return false; }, 20);
+      put (fd,
+           head (200, says_so + "X-Goldcresthatch-Relayed-From: " + lifetime
+                          + "\r\n" + stamp + "Content-Length: 2\r\n\r\nok"));
+      ASSERT_TRUE (client_has ("ok"));
+      EXPECT_EQ (got.find ("Relayed-From"), std::string::npos);
+      if (!known)
+        pool_put (gw.runner_pool, &e, 5);
+      EXPECT_FALSE (usable (pool_find (gw.runner_pool, "r0")));
+      pool_remove (gw.runner_pool, "r0", 7, gw_now (&gw));
+      pool_tick (gw.runner_pool, gw_now (&gw));
+      close (listeners[0]);
+      close (relay);
+      close (client);
+      close (fd);
+    }
+}
+
+// Guards against a relay that doesn't tell the gateway before it which runner
+// leaves, and against telling that to a client.
+TEST_F (LeavingRunner, RelayNamesTheRunner)
+{
+  for (int listener : { GW_LISTENER_GATEWAYS, GW_LISTENER_CLIENTS })
+    {
+      int fd;
+      struct gw_listener *l = &gw.request_listeners[listener];
+      struct pool_runner *r = runner (0, "app");
+      std::string address = front;
+      if (listener == GW_LISTENER_GATEWAYS)
+        {
+          address = free_address ();
+          l->gw = &gw;
+          l->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
+          l->srv = http_server_new (&gw.loop, address.c_str (), &gw_call_ops,
+                                    l, nullptr);
+        }
+      std::swap (address, front);
+      got.clear ();
+      send_request ("/order/1");
+      std::swap (address, front);
+      receive_at_runner (0, &fd);
+      put (fd, told_200);
+      EXPECT_TRUE (client_has ("HTTP/1.1 200"));
+      EXPECT_EQ (got.find (std::string ("X-Goldcresthatch-Relayed-From: ")
+                           + r->peer + "\r\n")
+                     != std::string::npos,
+                 listener == GW_LISTENER_GATEWAYS)
+          << got;
+      close (client);
+      close (fd);
+      close (listeners[0]);
+    }
+}
+
 // Guards against values that only look as if a runner left.
 TEST_F (LeavingRunner, InvalidValuesChangeNothing)
 {
