--- a/src/gw.h
+++ b/src/gw.h
@@ -96,6 +96,9 @@
 {
   uv_loop_t loop;
   struct tmr *tmr;
+  /* Returns the time now, which TMR learns after the callbacks of a poll;
+     null: that of TMR.  */
+  int64_t (*clock) (void);
   struct gw_settings set;
   const struct adapter_ops *adapter;
   const struct store_functions *store_api;
--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -19,7 +19,11 @@
   UNKNOWN_RETRY_AFTER_MS = RETRY_AFTER_MIN_MS,
   UNREADABLE_RETRY_AFTER_MS = 500,
   /* Within this time most trials end.  */
-  TRIAL_RETRY_AFTER_MS = 250
+  TRIAL_RETRY_AFTER_MS = 250,
+  /* Clients that were refused while all runners rest return over this part of
+     the rest that they were told of, in addition.  All come in that time that
+     would have come in the rest.  */
+  REST_SPREAD_PART = 3
 };
 
 int
@@ -89,17 +93,62 @@
   gw_call_end (call);
 }
 
+/* Returns nonzero when the service has a runner in STAGE; POOL_STAGE_ANY means
+   in either stage.  With USABLE the runner must also accept new work now.  */
+static int
+has_stage (const struct gw_call *call, enum pool_stage stage, int usable)
+{
+  const struct runner_pool *runner_pool = call->gw->runner_pool;
+  int64_t now = gw_now (call->gw);
+  size_t i;
+
+  for (i = 0; i < pool_count (runner_pool); i++)
+    {
+      const struct pool_runner *runner = pool_at (runner_pool, i);
+      enum pool_stage at = runner->entry.stage;
+      if ((stage == POOL_STAGE_ANY ? at != POOL_STAGE_ANY : at == stage)
+          && runner->present && (!usable || pool_usable (runner, now))
+          && strcmp (runner->entry.service, call->service_name) == 0)
+        return 1;
+    }
+  return 0;
+}
+
+/* Returns the milliseconds until the first of the runners that could serve the
+   call ends its rest, or 0 when they don't all rest.  */
+static int64_t
+rest_left_ms (const struct gw_call *call)
+{
+  const struct runner_pool *runner_pool = call->gw->runner_pool;
+  int64_t now = gw_now (call->gw);
+  enum pool_stage stage = has_stage (call, POOL_STAGE_DECODE, 0)
+                              ? POOL_STAGE_DECODE
+                              : POOL_STAGE_ANY;
+  int64_t end = pool_rest_end (runner_pool, call->service_name, stage, now);
+
+  return end > 0 ? (end - now + 999) / 1000 : 0;
+}
+
 void
 gw_call_refuse (struct gw_call *call, int64_t after_ms, const char *why)
 {
+  int64_t rest_ms = rest_left_ms (call);
+
   /* Status 503 is only for requests that certainly have not run.  */
   if (reqstate_status (&call->reqstate, 0) != 503)
     {
       gw_call_fail (call, 0, why);
       return;
     }
-  after_ms = CLAMP (after_ms, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS)
-             + (int64_t)(gw_random (call->gw) % RETRY_AFTER_JITTER_MS);
+  after_ms = CLAMP (after_ms, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+  if (rest_ms > 0)
+    {
+      after_ms = MAX (after_ms, rest_ms);
+      why = "runners at rest";
+    }
+  after_ms += (int64_t)(gw_random (call->gw)
+                        % (uint64_t)(RETRY_AFTER_JITTER_MS
+                                     + rest_ms / REST_SPREAD_PART));
   answer_failure (call, 503, after_ms, why);
 }
 
@@ -135,27 +184,6 @@
   gw_call_fail (ctx, 1, "deadline");
 }
 
-/* Returns nonzero when the service has a runner in STAGE; POOL_STAGE_ANY means
-   in either stage.  With USABLE the runner must also accept new work now.  */
-static int
-has_stage (const struct gw_call *call, enum pool_stage stage, int usable)
-{
-  const struct runner_pool *runner_pool = call->gw->runner_pool;
-  int64_t now = gw_now (call->gw);
-  size_t i;
-
-  for (i = 0; i < pool_count (runner_pool); i++)
-    {
-      const struct pool_runner *runner = pool_at (runner_pool, i);
-      enum pool_stage at = runner->entry.stage;
-      if ((stage == POOL_STAGE_ANY ? at != POOL_STAGE_ANY : at == stage)
-          && runner->present && (!usable || pool_usable (runner, now))
-          && strcmp (runner->entry.service, call->service_name) == 0)
-        return 1;
-    }
-  return 0;
-}
-
 /* Refuses a request whose best CHOICE takes longer than LIMIT microseconds. */
 static void
 refuse_late (struct gw_call *call, const struct lb_choice *choice,
--- a/src/gw_page.c
+++ b/src/gw_page.c
@@ -28,6 +28,29 @@
   return n;
 }
 
+static uint64_t
+leaving_runners (const struct gw *gw)
+{
+  uint64_t n = 0;
+  size_t i;
+
+  for (i = 0; i < pool_count (gw->runner_pool); i++)
+    n += (uint64_t)(pool_at (gw->runner_pool, i)->announced != 0);
+  return n;
+}
+
+static uint64_t
+resting_runners (const struct gw *gw)
+{
+  uint64_t n = 0;
+  size_t i;
+
+  for (i = 0; i < pool_count (gw->runner_pool); i++)
+    n += (uint64_t)pool_is_resting (pool_at (gw->runner_pool, i),
+                                    tmr_now (gw->tmr));
+  return n;
+}
+
 static void
 metrics_text (const struct gw *gw, GString *out)
 {
@@ -67,6 +90,8 @@
           gw->request_listeners[GW_LISTENER_CLIENTS].srv) },
     { "runners", pool_count (gw->runner_pool) },
     { "runners_limited", limited_runners (gw) },
+    { "runners_leaving", leaving_runners (gw) },
+    { "runners_at_rest", resting_runners (gw) },
     { "gateways", gw->processes },
     { "config_version", gw->table != NULL ? gw->table->version : 0 },
   };
--- a/src/gw_run.c
+++ b/src/gw_run.c
@@ -257,6 +257,7 @@
   driver->gw = gw;
   gw->loop.data = (void *)path;
   uv_timer_init (&gw->loop, &driver->timer);
+  gw->clock = clock_us;
   uv_prepare_init (&gw->loop, &driver->prepare);
   uv_check_init (&gw->loop, &driver->check);
   uv_signal_init (&gw->loop, &driver->term);
--- a/src/gw_runner.c
+++ b/src/gw_runner.c
@@ -61,10 +61,15 @@
   if (answer->rest_us > 0)
     {
       gw->counts.rest_asked++;
+      /* The time of TMR may be that before a long poll.  */
+      pool_note_rest (runner, answer->rest_us,
+                      gw->clock != NULL ? gw->clock () : gw_now (gw));
       event_log_write ("rest_asked", NULL,
                        "\"runner\":\"%s\",\"status\":%d,\"rest_ms\":"
                        "%" G_GINT64_FORMAT,
                        runner->entry.id, answer->status,
                        answer->rest_us / 1000);
     }
+  if (answer->status >= 200 && answer->status < 300)
+    pool_note_served (runner);
 }
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -112,7 +112,8 @@
   GString *out;
   char *slash = strchr (call->kv_handle, '/');
 
-  if (slash == NULL || call->source == NULL)
+  if (slash == NULL || call->source == NULL
+      || pool_is_resting (call->source, gw_now (call->gw)))
     return;
   freeing = g_new0 (struct freeing, 1);
   freeing->gw = call->gw;
--- a/src/gw_stage.c
+++ b/src/gw_stage.c
@@ -267,6 +267,7 @@
       || gw->adapter->report_read (stage->body->str, stage->body->len, &report)
              != 0
       || report.busy || report.stage == stage->to || stage->runner->leaving
+      || pool_is_resting (stage->runner, now)
       || authority_token (&stage->authority, now) != stage->token
       || now - stage->confirmed > gw_ms_to_us (CONFIRMATION_MAX_AGE_MS))
     {
@@ -390,7 +391,7 @@
   stageplan_update (&stage->plan, &view, now);
   if (!may_order || !stageplan_next (&stage->plan, &view, to))
     return 0;
-  *runner = stageplan_pick (gw->runner_pool, *to);
+  *runner = stageplan_pick (gw->runner_pool, *to, now);
   return *runner != NULL;
 }
 
--- a/src/lb.c
+++ b/src/lb.c
@@ -151,6 +151,7 @@
   if (!pool_usable (runner, now) || pool_is_changing_stage (runner)
       || (where->calls_max > 0 && runner->calls >= where->calls_max)
       || !limit_allows (&runner->limit, where->gateways, now)
+      || !pool_start_allows (runner, now)
       || strcmp (runner->entry.service, where->service) != 0
       || (where->stage != POOL_STAGE_ANY
           && runner->entry.stage != where->stage)
--- a/src/pool.c
+++ b/src/pool.c
@@ -24,6 +24,9 @@
 /* An entry that is still in a restored registry after this time is no longer
    taken for that of a runner that has left.  */
 #define DOUBT_US INT64_C (10000000)
+/* A runner that serves no request within this time after a rest is as slow as
+   others; more requests then tell nothing new.  */
+#define SLOW_START_US INT64_C (1000000)
 /* Weight of the old value in the moving averages.  */
 static const double average_decay = 0.9;
 
@@ -40,7 +43,8 @@
   char id[64];
   int64_t started_ms;
   int64_t at_us;
-  int announced; /* it had said that it leaves */
+  int announced;         /* it had said that it leaves */
+  int64_t rest_until_us; /* as of struct pool_runner */
 };
 
 struct runner_pool
@@ -147,17 +151,17 @@
   return runner;
 }
 
-static void
+static struct departed *
 remember (struct runner_pool *runner_pool, const char *id, int64_t started_ms,
-          int announced, int64_t now)
+          int64_t now)
 {
   struct departed *departed = g_new0 (struct departed, 1);
 
   g_strlcpy (departed->id, id, sizeof departed->id);
   departed->started_ms = started_ms;
   departed->at_us = now;
-  departed->announced = announced;
   g_hash_table_replace (runner_pool->departed, departed->id, departed);
+  return departed;
 }
 
 /* Notes that RUNNER has left.  */
@@ -165,8 +169,11 @@
 depart (struct runner_pool *runner_pool, struct pool_runner *runner,
         int64_t now)
 {
-  remember (runner_pool, runner->entry.id, runner->entry.started_ms,
-            runner->announced, now);
+  struct departed *departed = remember (runner_pool, runner->entry.id,
+                                        runner->entry.started_ms, now);
+
+  departed->announced = runner->announced;
+  departed->rest_until_us = runner->rest_until_us;
   runner->present = 0;
   runner->leaving = 1;
   runner->doubt_until_us = 0;
@@ -197,6 +204,8 @@
 
   if (departed != NULL && departed->announced)
     pool_note_leaving (runner);
+  if (departed != NULL && departed->started_ms == runner->entry.started_ms)
+    runner->rest_until_us = departed->rest_until_us;
   if (!runner_pool->restored || departed == NULL)
     {
       g_hash_table_remove (runner_pool->departed, runner->entry.id);
@@ -225,7 +234,7 @@
   uint64_t hash = lifetime_hash (peer);
   struct pool_runner *runner = pool_find_hash (runner_pool, hash);
   const char *at = strrchr (peer, '@');
-  const struct departed *known;
+  struct departed *known;
   char id[sizeof known->id];
   int64_t started_ms;
 
@@ -236,8 +245,9 @@
   g_strlcpy (id, peer, (gsize)(at - peer) + 1);
   started_ms = g_ascii_strtoll (at + 1, NULL, 10);
   known = g_hash_table_lookup (runner_pool->departed, id);
-  if (known == NULL || known->started_ms <= started_ms)
-    remember (runner_pool, id, started_ms, 1, now);
+  if (known == NULL || known->started_ms < started_ms)
+    known = remember (runner_pool, id, started_ms, now);
+  known->announced |= known->started_ms == started_ms;
   return NULL;
 }
 
@@ -265,8 +275,12 @@
       runner->present = 0;
       runner->leaving = 1;
       admit (runner_pool, next);
-      if (entry->started_ms == runner->entry.started_ms && runner->announced)
-        pool_note_leaving (next);
+      if (entry->started_ms == runner->entry.started_ms)
+        {
+          if (runner->announced)
+            pool_note_leaving (next);
+          next->rest_until_us = runner->rest_until_us;
+        }
       return next;
     }
   runner->listed = 1;
@@ -392,7 +406,8 @@
   const struct departed *departed = value;
 
   (void)id;
-  return *(const int64_t *)now - departed->at_us > DEPARTED_US;
+  return *(const int64_t *)now - departed->at_us > DEPARTED_US
+         && *(const int64_t *)now > departed->rest_until_us;
 }
 
 void
@@ -429,8 +444,58 @@
 int
 pool_usable (const struct pool_runner *runner, int64_t now)
 {
-  return runner->present && !runner->leaving
-         && now >= runner->backoff_until_us;
+  return runner->present && !runner->leaving && now >= runner->backoff_until_us
+         && !pool_is_resting (runner, now);
+}
+
+int
+pool_is_resting (const struct pool_runner *runner, int64_t now)
+{
+  return now < runner->rest_until_us;
+}
+
+void
+pool_note_rest (struct pool_runner *runner, int64_t rest_us, int64_t now)
+{
+  runner->rest_until_us = MAX (runner->rest_until_us, now + rest_us);
+  runner->start_calls = 1;
+}
+
+void
+pool_note_served (struct pool_runner *runner)
+{
+  runner->start_calls *= 2;
+  if (runner->start_calls >= runner->entry.slots)
+    runner->start_calls = 0;
+}
+
+int
+pool_start_allows (const struct pool_runner *runner, int64_t now)
+{
+  return runner->start_calls == 0 || runner->calls < runner->start_calls
+         || now > runner->rest_until_us + SLOW_START_US;
+}
+
+int64_t
+pool_rest_end (const struct runner_pool *runner_pool, const char *service,
+               enum pool_stage stage, int64_t now)
+{
+  int64_t first = 0;
+  guint i;
+
+  for (i = 0; i < runner_pool->runners->len; i++)
+    {
+      const struct pool_runner *runner = pool_at (runner_pool, i);
+      if (!runner->present || runner->leaving
+          || strcmp (runner->entry.service, service) != 0
+          || (stage != POOL_STAGE_ANY && runner->entry.stage != stage))
+        continue;
+      if (!pool_is_resting (runner, now))
+        return 0;
+      if (first == 0 || runner->rest_until_us < first)
+        first = runner->rest_until_us;
+    }
+  return first;
 }
 
 double
--- a/src/pool.h
+++ b/src/pool.h
@@ -83,10 +83,12 @@
   int64_t unreachable_us; /* when that failed last */
   int64_t answered_us;    /* when an answer began last */
   int64_t backoff_until_us; /* back-off: no new work before this time */
-  double failure_rate;      /* failed share of calls; moving average */
-  int64_t failure_rate_us;  /* last update of that */
-  double latency_us;        /* latency of calls; moving average */
-  enum pool_stage ordered;  /* stage that it is changing to, or ANY */
+  int64_t rest_until_us;    /* it has asked for none before this time, or 0 */
+  unsigned start_calls;    /* at once after that, or 0: as many as there are */
+  double failure_rate;     /* failed share of calls; moving average */
+  int64_t failure_rate_us; /* last update of that */
+  double latency_us;       /* latency of calls; moving average */
+  enum pool_stage ordered; /* stage that it is changing to, or ANY */
   int64_t ordered_us;
 };
 
@@ -149,10 +151,26 @@
 struct pool_runner *pool_find_hash (const struct runner_pool *runner_pool,
                                     uint64_t hash);
 
-/* Returns nonzero when RUNNER may get new work: it is registered, not draining
-   and not in back-off.  */
+/* Returns nonzero when RUNNER may get new work: it is registered, not leaving,
+   and neither at rest nor in back-off.  */
 int pool_usable (const struct pool_runner *runner, int64_t now);
 
+/* Notes that RUNNER wants nothing from here for REST_US.  Unlike a back-off,
+   which is a guess, nothing but time and a new lifetime ends that.  */
+void pool_note_rest (struct pool_runner *runner, int64_t rest_us, int64_t now);
+int pool_is_resting (const struct pool_runner *runner, int64_t now);
+/* Notes that RUNNER has begun to serve a request.  After a rest it gets twice
+   as many at once each time.  */
+void pool_note_served (struct pool_runner *runner);
+/* Returns nonzero when RUNNER may get one more request so soon after a rest.
+ */
+int pool_start_allows (const struct pool_runner *runner, int64_t now);
+/* Returns when the first runner of SERVICE in STAGE ends its rest, or 0 when
+   there is none that stays or one of them doesn't rest.  */
+int64_t pool_rest_end (const struct runner_pool *runner_pool,
+                       const char *service, enum pool_stage stage,
+                       int64_t now);
+
 /* Returns nonzero when RUNNER has been ordered to change its stage.  */
 int pool_is_changing_stage (const struct pool_runner *runner);
 
--- a/src/stageplan.c
+++ b/src/stageplan.c
@@ -100,7 +100,8 @@
 }
 
 struct pool_runner *
-stageplan_pick (const struct runner_pool *runner_pool, enum pool_stage to)
+stageplan_pick (const struct runner_pool *runner_pool, enum pool_stage to,
+                int64_t now)
 {
   struct pool_runner *best = NULL;
   size_t i;
@@ -110,7 +111,7 @@
       struct pool_runner *engine = pool_at (runner_pool, i);
       if (engine->entry.stage == POOL_STAGE_ANY || engine->entry.stage == to
           || !engine->present || engine->leaving
-          || pool_is_changing_stage (engine))
+          || pool_is_resting (engine, now) || pool_is_changing_stage (engine))
         continue;
       if (best == NULL || engine->failures < best->failures
           || (engine->failures == best->failures
--- a/tests/unit_gw_rest.cc
+++ b/tests/unit_gw_rest.cc
@@ -295,6 +295,19 @@
   close (first_client);
 }
 
+// Guards against an order to an engine that rests.
+TEST_F (RestingRunner, NoOrderToAnEngineAtRest)
+{
+  struct pool_runner *r = runner (0, "llm", POOL_STAGE_PREFILL);
+  EXPECT_EQ (stageplan_pick (gw.runner_pool, POOL_STAGE_DECODE, gw_now (&gw)),
+             r);
+  struct adapter_answer answer = {};
+  answer.rest_us = 3 * second;
+  gw_runner_note_answer (&gw, r, &answer);
+  EXPECT_EQ (stageplan_pick (gw.runner_pool, POOL_STAGE_DECODE, gw_now (&gw)),
+             nullptr);
+}
+
 // Guards against a wait, a guess or a time that is too early where all runners
 // of a service rest: the caller is told the first end at once.
 TEST_F (RestingRunner, CallersAreToldTheFirstEnd)
