Streams: a version is noted with its first stream

A caller's stream went on at another version when its runner had appeared and ended between two looks at the registered runners, 100 ms apart: the gateway took the service to have one version, wrote no record, and nothing was left in the store.

The version is now noted with the first event, so that the stream is recorded at once. Resume.FirstStreamOfAVersionIsRecordedAtOnce failed before.

--- a/src/gw_resume.c
+++ b/src/gw_resume.c
@@ -72,6 +72,17 @@
 
 static void write_records (struct gw *gw, int64_t now);
 
+/* Notes a version that serves, which has to be recorded if it is new.  */
+static void
+note_build (struct gw_resume *resume, const char *service, const char *build,
+            int64_t now)
+{
+  size_t before = origin_seen (resume->origin);
+
+  origin_note_build (resume->origin, service, build, 1, now);
+  resume->is_build_due |= origin_seen (resume->origin) > before;
+}
+
 void
 gw_resume_note_begun (struct gw_call *call)
 {
@@ -83,6 +94,8 @@
     g_strlcpy (call->build, call->runner->entry.build, sizeof call->build);
   origin_note_stream (resume->origin, call->in.id, call->build,
                       gw_now (call->gw));
+  /* The runner may have appeared since the last look at all of them.  */
+  note_build (resume, call->service_name, call->build, gw_now (call->gw));
   if (origin_builds (resume->origin, call->service_name) < 2)
     return;
   add_record (resume, call);
@@ -139,7 +152,6 @@
 look_at_runners (struct gw *gw, int64_t now)
 {
   struct gw_resume *resume = gw->resume;
-  size_t before = origin_seen (resume->origin);
   GHashTableIter iter;
   gpointer service;
   size_t i;
@@ -149,10 +161,8 @@
       const struct pool_runner *runner = pool_at (gw->runner_pool, i);
       if (runner->present
           && g_hash_table_contains (resume->services, runner->entry.service))
-        origin_note_build (resume->origin, runner->entry.service,
-                           runner->entry.build, 1, now);
+        note_build (resume, runner->entry.service, runner->entry.build, now);
     }
-  resume->is_build_due |= origin_seen (resume->origin) > before;
   origin_expire (resume->origin, now);
   g_hash_table_iter_init (&iter, resume->services);
   while (g_hash_table_iter_next (&iter, &service, NULL))
--- a/tests/unit_gw_resume.cc
+++ b/tests/unit_gw_resume.cc
@@ -297,6 +297,50 @@
   close (fd);
 }
 
+// Guards against a stream of which no record is left because its runner
+// appeared and ended within one step of this gateway's own clock.
+TEST_F (Resume, FirstStreamOfAVersionIsRecordedAtOnce)
+{
+  engine (0, "v1");
+  pass (250000);
+  pool_find (gw.runner_pool, "r0")->backoff_until_us = INT64_MAX;
+  engine (1, "v2");
+  send_request ("/check/1", stream);
+  int fd;
+  receive_at_runner (1, &fd);
+  put_text (fd, head (200, stamp + std::string (chunked)) + chunk (event1));
+  EXPECT_TRUE (client_has (event1));
+  pool_remove (gw.runner_pool, "r1", 9, gw_now (&gw));
+  reset (fd);
+  EXPECT_TRUE (client_closed ());
+  pool_find (gw.runner_pool, "r0")->backoff_until_us = 0;
+  pass (50000);
+  forget ();
+  take_up ("me");
+  EXPECT_LT (arrives (0), 0) << "it went on at another version";
+}
+
+// Guards against a gateway that was paused or cut off while runners of a new
+// version were registered, and takes its own view of them for all there is.
+TEST_F (Resume, RunnersThatAreNotKnownHereCount)
+{
+  for (const char *version : { "v2", "v1" })
+    {
+      SCOPED_TRACE (version);
+      if (listeners[0] < 0)
+        engine (0, "v1");
+      pass (250000);
+      kept["servers/x"] = std::string (R"({"service":"llm","address":)")
+                          + R"("1.2.3.4:80","zone":"z","slots":4,"born":1,)"
+                          + R"("state":"ready","version":")" + version + "\"}";
+      take_up (version);
+      EXPECT_EQ (arrives (0) >= 0, version[1] == '1');
+      forget ();
+      kept.clear ();
+      close (client);
+    }
+}
+
 // Guards against a guess: with two versions in service, a stream of which
 // nothing is known isn't run.
 TEST_F (Resume, UnknownStreamsAreRefusedBesideTwoVersions)
