Streams: a gateway doesn't take its own view of the runners for complete

A caller's stream went on at the only version that a gateway knew, although it had been paused or cut off while runners of another version were registered, and the stream's record wasn't in the store (yet). The records of streams were read from the store after the request came, the runners weren't.

Where no record tells and one version is known, the listing now goes on with the registered runners; with two versions the stream is refused. That costs a read of the registry for such a listing, which waiting requests share.

--- a/src/gw_resume.c
+++ b/src/gw_resume.c
@@ -52,6 +52,7 @@
   /* A listing of the records, and the calls that wait for one.  */
   GPtrArray *waiting; /* struct gw_call */
   int is_listing;
+  int reads_runners; /* the listing has come to the registered runners */
   int is_loaded;
   int64_t list_us; /* when it began */
   char *after;     /* last key of the page before */
@@ -381,6 +382,54 @@
     }
 }
 
+/* Reads a registered runner, which may not be known here yet.  */
+static void
+read_runner (struct gw *gw, const struct store_item *item, int64_t now)
+{
+  struct gw_resume *resume = gw->resume;
+  struct pool_entry entry;
+  struct err err;
+
+  if (gw->adapter->runner_read (item->key
+                                    + strlen (gw->adapter->runners_prefix),
+                                item->value, item->size, &entry, &err)
+          == 0
+      && g_hash_table_contains (resume->services, entry.service))
+    note_build (resume, entry.service, entry.build, now);
+}
+
+/* Returns nonzero when a call that the records answer has none, and would go
+   on at the only version that is known here.  */
+static int
+must_read_runners (const struct gw_resume *resume)
+{
+  guint i;
+
+  for (i = 0; i < resume->waiting->len; i++)
+    {
+      const struct gw_call *call = g_ptr_array_index (resume->waiting, i);
+      if (call->resume_asked_us <= resume->list_us
+          && origin_find (resume->origin, first_id (call)) == NULL
+          && origin_only_build (resume->origin, call->service_name) != NULL)
+        return 1;
+    }
+  return 0;
+}
+
+static void on_listed (void *ctx, const struct store_reply *reply);
+
+/* Reads the next page of the listing.  */
+static void
+list_page (struct gw *gw)
+{
+  const struct gw_resume *resume = gw->resume;
+
+  gw->store_api->list (gw->store_ctx,
+                       resume->reads_runners ? gw->adapter->runners_prefix
+                                             : PREFIX,
+                       resume->after, 0, on_listed, gw);
+}
+
 static void
 on_listed (void *ctx, const struct store_reply *reply)
 {
@@ -390,6 +439,8 @@
   size_t i;
 
   gw->counts.store_calls++;
+  if (gw->table != NULL)
+    read_services (gw);
   for (i = 0; i < reply->n_items; i++)
     {
       const struct store_item *item = &reply->items[i];
@@ -397,22 +448,27 @@
         origin_read_build (resume->origin, item->value, item->size, now);
       else if (g_str_has_prefix (item->key, STREAM_PREFIX))
         origin_read_streams (resume->origin, item->value, item->size, now);
+      else if (g_str_has_prefix (item->key, gw->adapter->runners_prefix))
+        read_runner (gw, item, now);
     }
   g_clear_pointer (&resume->after, g_free);
   if (reply->rc == STORE_OK && reply->more && reply->n_items > 0)
     {
       resume->after = g_strdup (reply->items[reply->n_items - 1].key);
-      gw->store_api->list (gw->store_ctx, PREFIX, resume->after, 0, on_listed,
-                           gw);
+      list_page (gw);
+      return;
+    }
+  if (reply->rc == STORE_OK && !resume->reads_runners
+      && must_read_runners (resume))
+    {
+      resume->reads_runners = 1;
+      list_page (gw);
       return;
     }
   resume->is_listing = 0;
   resume->is_loaded |= reply->rc == STORE_OK;
   if (gw->table != NULL)
-    {
-      read_services (gw);
-      look_at_runners (gw, now);
-    }
+    look_at_runners (gw, now);
   if (reply->rc == STORE_OK)
     answer_waiting (gw, resume->list_us, 1);
   else
@@ -425,8 +481,9 @@
 list_records (struct gw *gw)
 {
   gw->resume->is_listing = 1;
+  gw->resume->reads_runners = 0;
   gw->resume->list_us = gw_now (gw);
-  gw->store_api->list (gw->store_ctx, PREFIX, NULL, 0, on_listed, gw);
+  list_page (gw);
 }
 
 enum gw_resume_result
