Streams: what isn't the rest of a stream isn't passed on in it

After a stream had begun and broken off, the client found the text of a stamped 200 of another type in the middle of it, or an event a second time, and an end that looked complete. A failure's body was discarded already; a success was taken for the rest of the stream whatever it held.

A continuation must be declared as events when the answer that has begun is, and each of its events must have a greater id than the one before. Otherwise that send breaks, and the answer ends without its last chunk unless another runner goes on. CutAnswer.NextAnswerIsNotPartOfTheStream, with 27 answers, direct and behind a relay, failed before on the stamped 200s in each framing, the event without an id and the repeated one.

--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -54,6 +54,8 @@
   GString *data;             /* part of its body that is not forwarded yet */
   size_t discarded; /* bytes of its body that are not forwarded at all */
   int streaming;
+  int continues;        /* this send goes on with an answer that has begun */
+  int is_event_type;    /* the answer that has begun is declared as events */
   int until_close;      /* the client's answer ends with its connection */
   int64_t answer_began; /* time of the first byte, while STREAMING */
   int64_t first_event;  /* time of the first event of this send, or 0 */
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -274,6 +274,16 @@
                        answer->limit_per_s, gw_now (call->gw));
 }
 
+static int
+has_event_type (const struct http_head *head)
+{
+  static const char type[] = "text/event-stream";
+  struct http_str value = http_head_get (head, "content-type");
+
+  return value.n >= strlen (type)
+         && g_ascii_strncasecmp (value.p, type, strlen (type)) == 0;
+}
+
 static enum http_client_verdict
 on_head (void *ctx, const struct http_head *head)
 {
@@ -309,7 +319,13 @@
       = http_str_equal_nocase (http_head_get (head, "connection"), "close");
   call->framing = head->framing;
   if (call->streaming)
-    return HTTP_CLIENT_ACCEPT;
+    {
+      /* A success of another type isn't the rest of the stream.  */
+      if (call->is_event_type && !has_event_type (head))
+        answer->stamped = 0;
+      return HTTP_CLIENT_ACCEPT;
+    }
+  call->is_event_type = has_event_type (head);
   if (call->fields == NULL)
     call->fields = g_string_sized_new (256);
   if (call->data == NULL)
@@ -355,6 +371,43 @@
   return 0;
 }
 
+/* Returns nonzero when the complete events in DATA follow the event LAST: each
+   has a greater id than the one before.  Comments may stand between them.  */
+static int
+events_follow (const char *data, size_t size, uint64_t last)
+{
+  const char *end = data + size;
+  const char *line = data;
+  int has_id = 0;
+  int has_other = 0;
+
+  while (line < end)
+    {
+      const char *lf = memchr (line, '\n', (size_t)(end - line));
+      size_t n = (size_t)((lf != NULL ? lf : end) - line);
+      if (n > 0 && line[n - 1] == '\r')
+        n--;
+      if (n == 0)
+        {
+          if (has_other && !has_id)
+            return 0;
+          has_id = has_other = 0;
+        }
+      else if (n > 3 && memcmp (line, "id:", 3) == 0)
+        {
+          uint64_t id = g_ascii_strtoull (line + 3, NULL, 10);
+          if (id <= last)
+            return 0;
+          last = id;
+          has_id = 1;
+        }
+      else
+        has_other |= line[0] != ':';
+      line = lf != NULL ? lf + 1 : end;
+    }
+  return 1;
+}
+
 /* Notes once for each send that the runner has survived its answer so far.  */
 static void
 note_survived (struct gw_call *call)
@@ -365,14 +418,34 @@
   gw_quarantine_note_answer (call);
 }
 
-static void
+static void on_done (void *ctx, enum http_client_result end);
+
+void
+gw_send_break (struct gw_call *call)
+{
+  http_client_cancel (call->gw->cli, call->call);
+  on_done (call, HTTP_CLIENT_BROKEN);
+}
+
+/* Passes on the complete events that have been received.  Returns 0, or -1
+   when they aren't the rest of a stream that has begun; the send then breaks.
+ */
+static int
 pass_events (struct gw_call *call)
 {
   size_t n = whole_events (call->data->str, call->data->len);
   int64_t now = gw_now (call->gw);
 
   if (n == 0)
-    return;
+    return 0;
+  if (call->continues && !events_follow (call->data->str, n, call->last_event))
+    {
+      event_log_write ("not_continued", call->in.id,
+                       "\"runner\":\"%s\",\"last_event\":%" G_GUINT64_FORMAT,
+                       call->runner->entry.id, call->last_event);
+      gw_send_break (call);
+      return -1;
+    }
   if (call->first_event == 0)
     {
       call->first_event = now;
@@ -387,15 +460,7 @@
   http_server_send_body (call->request_listener->srv, call->conn,
                          call->data->str, n);
   g_string_erase (call->data, 0, (gssize)n);
-}
-
-static void on_done (void *ctx, enum http_client_result end);
-
-void
-gw_send_break (struct gw_call *call)
-{
-  http_client_cancel (call->gw->cli, call->call);
-  on_done (call, HTTP_CLIENT_BROKEN);
+  return 0;
 }
 
 /* Breaks off an answer that is longer than what can be held.  */
@@ -467,7 +532,10 @@
     start_answer (call);
   g_string_append_len (call->data, data, (gssize)size);
   if (is_stream)
-    pass_events (call);
+    {
+      if (pass_events (call) != 0)
+        return;
+    }
   else if (call->streaming)
     {
       http_server_send_body (call->request_listener->srv, call->conn,
@@ -752,6 +820,7 @@
   if (call->call == 0)
     return -1;
   memset (&call->answer, 0, sizeof call->answer);
+  call->continues = call->streaming;
   call->discarded = 0;
   call->first_event = 0;
   call->answer_noted = 0;
--- /dev/null
+++ b/tests/unit_gw_cut.cc
@@ -0,0 +1,243 @@
+// Answers that break off, and what a client sees of them.
+#include <string>
+#include <vector>
+
+#include "gateway_call.hh"
+
+using namespace gateway_call;
+
+namespace
+{
+
+const char *const tokens = "X-Goldcresthatch-Token-Count: 90,4\r\n";
+const std::string error_text = "error: out of memory\n\n";
+
+class CutAnswer : public GatewayCall
+{
+protected:
+  // Lets the gateway do what follows from what was sent.
+  void
+  settle ()
+  {
+    run_until (
+        &gw.loop, [&] { return gw.active == 0; }, 60);
+    run_until (
+        &gw.loop, [] { return false; }, 2);
+    client_has_now ("");
+  }
+  // Returns whether the client has a success that looks complete.
+  bool
+  client_has_whole () const
+  {
+    size_t at = got.find ("\r\n\r\n");
+    if (got.compare (0, 12, "HTTP/1.1 200") != 0 || at == std::string::npos)
+      return false;
+    size_t length = got.find ("Content-Length: ");
+    if (length < at)
+      return got.size () - at - 4 >= std::stoul (got.substr (length + 16));
+    return got.size () >= 5
+           && got.compare (got.size () - 5, 5, "0\r\n\r\n") == 0;
+  }
+  // Waits for a request at one of LISTENERS.  A connection that ends without a
+  // byte was opened to see whether the runner is up.
+  int
+  accepted (const std::vector<int> &at)
+  {
+    std::vector<int> opened;
+    int found = -1;
+    EXPECT_TRUE (run_until (
+        &gw.loop,
+        [&] {
+          char buffer[16000];
+          for (int listener : at)
+            {
+              int fd = accept (listener, nullptr, nullptr);
+              if (fd >= 0)
+                opened.push_back (fd);
+            }
+          for (int &fd : opened)
+            if (fd >= 0 && found < 0)
+              {
+                ssize_t n = recv (fd, buffer, sizeof buffer, MSG_DONTWAIT);
+                if (n > 0)
+                  std::swap (found, fd);
+              }
+          return found >= 0;
+        },
+        2000));
+    for (int fd : opened)
+      if (fd >= 0)
+        close (fd);
+    fcntl (found, F_SETFL, O_NONBLOCK);
+    return found;
+  }
+  void
+  end_all (int fd)
+  {
+    close (fd);
+    close (client);
+    client = -1;
+    got.clear ();
+  }
+  void
+  mend (const char *id)
+  {
+    struct pool_runner *r = pool_find (gw.runner_pool, id);
+    r->backoff_until_us = 0;
+    r->failures = 0;
+  }
+};
+
+// Guards against a success that looks complete when its runner, or the relay
+// before it, stops anywhere in its answer, from the status line to the last
+// byte: with a length, in chunks with a trailer, as a stream, after an
+// informational answer, and on a connection that has served before.
+TEST_F (CutAnswer, NoCutLooksComplete)
+{
+  const std::string id = "X-Goldcresthatch-Request-Id: me\r\n";
+  const std::string ok = "HTTP/1.1 200 X\r\n" + id + stamp;
+  const struct
+  {
+    const char *name;
+    const char *path;
+    bool relayed;
+    bool kept;
+    std::string answer;
+  } rows[] = {
+    { "length", "/order/1", false, false,
+      ok + "Content-Length: 3\r\n\r\nnew" },
+    { "idempotent", "/read/1", false, false,
+      ok + "Content-Length: 3\r\n\r\nnew" },
+    { "chunks", "/order/1", false, false,
+      ok + chunked + "1\r\nn\r\n2;x=1\r\new\r\n0\r\nA: b\r\n\r\n" },
+    { "informational", "/order/1", false, false,
+      "HTTP/1.1 100 X\r\n\r\n" + ok + "Content-Length: 3\r\n\r\nnew" },
+    { "kept", "/order/1", false, true, ok + "Content-Length: 3\r\n\r\nnew" },
+    { "stream", "/chat/1", false, false,
+      ok + chunked + chunk (event1) + chunk (event2) + "0\r\n\r\n" },
+    { "resumable", "/check/1", false, false,
+      ok + chunked + chunk (event1) + chunk (event2) + "0\r\n\r\n" },
+    { "relay", "/order/1", true, false, ok + "Content-Length: 3\r\n\r\nnew" },
+    { "relayed stream", "/chat/1", true, false,
+      ok + chunked + chunk (event1) + chunk (event2) + "0\r\n\r\n" },
+  };
+  runner (0, "app");
+  runner (1, "llm");
+  for (const auto &row : rows)
+    {
+      int at = row.path[1] == 'c' ? 1 : 0;
+      int relay = row.relayed ? relay_at ("wide") : -1;
+      for (size_t cut = 0; cut <= row.answer.size (); cut++)
+        {
+          SCOPED_TRACE (testing::Message () << row.name << " " << cut);
+          int fd;
+          mend ("r0");
+          mend ("r1");
+          if (row.relayed)
+            // A relay that breaks is in back-off.
+            {
+              close (relay);
+              relay = relay_at (("wide" + std::to_string (cut)).c_str ());
+            }
+          std::string body
+              = row.relayed ? std::string (3000, 'x') : std::string ("body");
+          send_request (row.path, tokens, "1.1", body);
+          fd = accepted ({ row.relayed ? relay : listeners[at] });
+          if (row.kept)
+            {
+              put (fd, ok + "Content-Length: 3\r\n\r\nold");
+              ASSERT_TRUE (client_has ("old"));
+              close (client);
+              got.clear ();
+              send_request (row.path, tokens, "1.1", body);
+              char buffer[4000];
+              run_until (
+                  &gw.loop,
+                  [&] { return read (fd, buffer, sizeof buffer) > 0; }, 2000);
+            }
+          put (fd, row.answer.substr (0, cut));
+          shutdown (fd, SHUT_WR);
+          settle ();
+          EXPECT_EQ (client_has_whole (), cut == row.answer.size ()) << got;
+          end_all (fd);
+          settle ();
+        }
+      close (relay);
+      gw.set.link_mbit = 1000;
+    }
+}
+
+// Guards against an error's text, its head, or an end that looks complete in a
+// stream whose first runner, here or behind a relay, breaks off after two
+// events, whatever the next runner answers and however it is framed.
+TEST_F (CutAnswer, NextAnswerIsNotPartOfTheStream)
+{
+  const std::string id = "X-Goldcresthatch-Request-Id: me\r\n";
+  const std::string length
+      = "Content-Length: " + std::to_string (error_text.size ()) + "\r\n\r\n";
+  const std::string text = "Content-Type: text/plain\r\n";
+  const std::vector<std::string> framed
+      = { length + error_text,
+          std::string (chunked) + chunk (error_text) + "0\r\n\r\n",
+          "Connection: close\r\n\r\n" + error_text };
+  std::vector<std::string> answers;
+  int number = 0;
+  for (const char *line : { "HTTP/1.1 500 X\r\n", "HTTP/1.1 404 X\r\n",
+                            "HTTP/1.1 503 X\r\n", "HTTP/1.1 200 X\r\n" })
+    for (const char *stamped : { stamp, "" })
+      for (const std::string &f : framed)
+        answers.push_back (line + id + stamped + text + f);
+  answers.push_back ("HTTP/1.1 500 X\r\nX-Goldcre");
+  answers.push_back ("HTTP/1.1 200 X\r\n" + id + stamp + text + chunked
+                     + chunk ("data: no id\n\n") + "0\r\n\r\n");
+  answers.push_back ("HTTP/1.1 200 X\r\n" + id + stamp
+                     + "Content-Type: text/event-stream\r\n" + chunked
+                     + chunk (event2) + "0\r\n\r\n");
+  runner (0, "llm");
+  runner (1, "llm");
+  for (bool relayed : { false, true })
+    for (const std::string &answer : answers)
+      {
+        SCOPED_TRACE (testing::Message () << relayed << answer);
+        // A relay that breaks is in back-off.
+        int relay
+            = relayed ? relay_at (("wide" + std::to_string (number)).c_str ())
+                      : -1;
+        int next = -1;
+        mend ("r0");
+        mend ("r1");
+        pool_find (gw.runner_pool, "r1")->backoff_until_us
+            = relayed ? 0 : INT64_MAX;
+        // Another request each time: one that is often broken off is suspect.
+        send_request ("/check/" + std::to_string (++number), tokens, "1.1",
+                      std::string (relayed ? 3000 : 4, 'x'));
+        int fd = accepted ({ relayed ? relay : listeners[0] });
+        put (fd, "HTTP/1.1 200 X\r\n" + id + stamp
+                     + "Content-Type: text/event-stream\r\n" + chunked
+                     + chunk (event1) + chunk (event2) + "9\r\nid: 3\nd");
+        ASSERT_TRUE (client_has (event2));
+        mend ("r1");
+        reset (fd);
+        next = accepted (relayed ? std::vector<int> (listeners, listeners + 2)
+                                 : std::vector<int>{ listeners[1] });
+        ASSERT_GE (next, 0);
+        put (next, answer);
+        shutdown (next, SHUT_WR);
+        run_until (
+            &gw.loop, [&] { return gw.active == 0; }, 500);
+        EXPECT_EQ (gw.active, 0U);
+        settle ();
+        EXPECT_NE (got.find (chunk (event2)), std::string::npos);
+        EXPECT_EQ (got.find ("error"), std::string::npos) << got;
+        EXPECT_EQ (got.find ("no id"), std::string::npos) << got;
+        EXPECT_EQ (got.find ("HTTP/1.1", 5), std::string::npos) << got;
+        EXPECT_EQ (got.find (event2), got.rfind (event2)) << got;
+        EXPECT_FALSE (client_has_whole ()) << got;
+        end_all (next);
+        close (relay);
+        gw.set.link_mbit = 1000;
+        settle ();
+      }
+}
+
+}
