Streams: events without ids aren't begun again within an answer

A resumable stream that broke off before an event with an id was run again from its start, and the client got its events twice in one answer. Such an answer now ends broken off. CutAnswer.EventsWithoutIdsAreNotResumed failed before.

--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -204,6 +204,15 @@
   http_server_finish_response (srv, call->conn);
 }
 
+/* Returns nonzero when another runner can go on with the answer that has
+   begun: it is told the last event that was passed on.  */
+static int
+may_continue (const struct gw_call *call)
+{
+  return call->route->kind == ROUTING_STREAM
+         && call->last_event != call->in.last_event;
+}
+
 /* Retries the request if that is safe and the budget allows it.  Otherwise
    forwards the runner's answer or, without one, fails the call.  */
 static void
@@ -216,7 +225,7 @@
   call->kv_handle[0] = '\0';
   if (!reqstate_may_retry (&call->reqstate, gw_call_idempotent (call),
                            call->route->attempts)
-      || (call->streaming && call->route->kind != ROUTING_STREAM)
+      || (call->streaming && !may_continue (call))
       || gw_now (gw) >= call->deadline || !gw_send_take_retry (call))
     {
       if (call->reqstate.state < REQSTATE_STARTED && call->answer.stamped
--- a/tests/unit_gw_cut.cc
+++ b/tests/unit_gw_cut.cc
@@ -240,4 +240,22 @@
       }
 }
 
+// Guards against a stream whose events have no ids being run again from its
+// start within the same answer.
+TEST_F (CutAnswer, EventsWithoutIdsAreNotResumed)
+{
+  runner (0, "llm");
+  runner (1, "llm");
+  pool_find (gw.runner_pool, "r1")->backoff_until_us = INT64_MAX;
+  send_request ("/check/1", tokens);
+  int fd = accepted ({ listeners[0] });
+  put (fd,
+       head (200, stamp + std::string (chunked)) + chunk ("data: no id\n\n"));
+  ASSERT_TRUE (client_has ("no id"));
+  mend ("r1");
+  reset (fd);
+  EXPECT_TRUE (client_closed ());
+  EXPECT_LT (accept (listeners[1], nullptr, nullptr), 0);
+}
+
 }
