--- a/src/gw.h
+++ b/src/gw.h
@@ -288,6 +288,13 @@
 void gw_runner_note_relayed (struct gw *gw,
                              const struct adapter_answer *answer);
 
+/* Returns nonzero when DATA may be a datagram of gw_runner.  */
+int gw_runner_is_datagram (const char *data, size_t size);
+/* Handles the datagram of another gateway that a runner has told that it
+   leaves.  Returns 0, or -1 with ERR when it is malformed.  */
+int gw_runner_receive (struct gw *gw, const char *data, size_t size,
+                       struct err *err);
+
 /* gw_probe.c */
 /* Opens a connection to RUNNER to see whether it is up.  */
 void gw_probe_runner (struct gw *gw, struct pool_runner *runner);
--- a/src/gw_peers.c
+++ b/src/gw_peers.c
@@ -414,6 +414,8 @@
                             gw_now (gw), on_notice, gw, &err);
   else if (crashfeed_is_datagram (buf->base, (size_t)n))
     rc = gw_quarantine_receive (gw, buf->base, (size_t)n, &err);
+  else if (gw_runner_is_datagram (buf->base, (size_t)n))
+    rc = gw_runner_receive (gw, buf->base, (size_t)n, &err);
   else
     rc = fleetsum_receive (gw->peers->sums, buf->base, (size_t)n, gw_now (gw),
                            &err);
--- a/tests/unit_gw_leaving.cc
+++ b/tests/unit_gw_leaving.cc
@@ -373,6 +373,50 @@
     }
 }
 
+// Guards against requests that other gateways send to a runner that has told
+// only this one, and against a malformed datagram that is taken for one.
+TEST_F (LeavingRunner, OtherGatewaysAreTold)
+{
+  char buffer[200];
+  struct sockaddr_in sa = {};
+  socklen_t size = sizeof sa;
+  struct err err;
+  int udp = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
+  sa.sin_family = AF_INET;
+  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  bind (udp, reinterpret_cast<struct sockaddr *> (&sa), sizeof sa);
+  getsockname (udp, reinterpret_cast<struct sockaddr *> (&sa), &size);
+  std::string other = "127.0.0.1:" + std::to_string (ntohs (sa.sin_port));
+  struct gw_peer peer = { "other", other.c_str (), 1000 };
+  g_strlcpy (gw.set.listen_load, free_address ().c_str (),
+             sizeof gw.set.listen_load);
+  ASSERT_EQ (gw_peers_open (&gw, nullptr), 0);
+  gw_peers_set (&gw, &peer, 1);
+  struct pool_runner *r = told (told_200);
+  std::string datagram;
+  ASSERT_TRUE (run_until (
+      &gw.loop,
+      [&] {
+        ssize_t n = recv (udp, buffer, sizeof buffer, 0);
+        if (n > 0 && gw_runner_is_datagram (buffer, static_cast<size_t> (n)))
+          datagram.assign (buffer, static_cast<size_t> (n));
+        return !datagram.empty ();
+      },
+      2000));
+  // The other gateway knows the same runner.
+  struct pool_entry e = r->entry;
+  gw.runner_pool = pool_new ();
+  pool_put (gw.runner_pool, &e, 1);
+  EXPECT_TRUE (usable (pool_find (gw.runner_pool, "r0")));
+  for (size_t cut = 0; cut < datagram.size (); cut++)
+    EXPECT_NE (gw_runner_receive (&gw, datagram.data (), cut, &err), 0);
+  EXPECT_TRUE (usable (pool_find (gw.runner_pool, "r0")));
+  EXPECT_EQ (gw_runner_receive (&gw, datagram.data (), datagram.size (), &err),
+             0);
+  EXPECT_FALSE (usable (pool_find (gw.runner_pool, "r0")));
+  close (udp);
+}
+
 // Guards against values that only look as if a runner left.
 TEST_F (LeavingRunner, InvalidValuesChangeNothing)
 {
