--- a/src/gw_resume.c
+++ b/src/gw_resume.c
@@ -458,6 +458,8 @@
       list_page (gw);
       return;
     }
+  if (gw->table != NULL)
+    look_at_runners (gw, now);
   if (reply->rc == STORE_OK && !resume->reads_runners
       && must_read_runners (resume))
     {
@@ -467,8 +469,6 @@
     }
   resume->is_listing = 0;
   resume->is_loaded |= reply->rc == STORE_OK;
-  if (gw->table != NULL)
-    look_at_runners (gw, now);
   if (reply->rc == STORE_OK)
     answer_waiting (gw, resume->list_us, 1);
   else
--- a/tests/unit_gw_resume.cc
+++ b/tests/unit_gw_resume.cc
@@ -341,6 +341,18 @@
     }
 }
 
+// Guards against the same at a gateway that has just started and hasn't looked
+// at its runners yet.
+TEST_F (Resume, GatewayThatHasJustStartedReadsTheRunners)
+{
+  engine (0, "v1");
+  forget ();
+  kept["servers/x"] = R"({"service":"llm","address":"1.2.3.4:80","zone":"z",)"
+                      R"("slots":4,"born":1,"state":"ready","version":"v2"})";
+  take_up ("me");
+  EXPECT_LT (arrives (0), 0) << "it went on at another version";
+}
+
 // Guards against a guess: with two versions in service, a stream of which
 // nothing is known isn't run.
 TEST_F (Resume, UnknownStreamsAreRefusedBesideTwoVersions)
