--- a/src/gw_runner.c
+++ b/src/gw_runner.c
@@ -14,20 +14,27 @@
   LEAVING_FIELDS = 2
 };
 
-/* Logs a field that is ignored.  Its value comes from outside.  */
+/* Logs a field that is ignored.  Its value comes from outside, so what isn't
+   plain text in a log line is left out.  */
 static void
 log_invalid (const struct pool_runner *runner,
              const struct adapter_answer *answer)
 {
-  char *value = g_strndup (answer->invalid_value.p,
-                           MIN (answer->invalid_value.n, LOGGED_VALUE_MAX));
-  char *quoted = g_strescape (value, NULL);
+  char value[LOGGED_VALUE_MAX + 1];
+  size_t n = MIN (answer->invalid_value.n, LOGGED_VALUE_MAX);
+  size_t i;
+
+  for (i = 0; i < n; i++)
+    {
+      char c = answer->invalid_value.p[i];
+      value[i]
+          = (char)(g_ascii_isprint (c) && c != '"' && c != '\\' ? c : '?');
+    }
+  value[n] = '\0';
 
   event_log_write ("field_invalid", NULL,
                    "\"runner\":\"%s\",\"field\":\"%s\",\"value\":\"%s\"",
-                   runner->entry.id, answer->invalid_field, quoted);
-  g_free (quoted);
-  g_free (value);
+                   runner->entry.id, answer->invalid_field, value);
 }
 
 /* Tells all other gateways that RUNNER leaves.  One that doesn't hear of it
