Rest: gateways return to a runner one after the other

At the end of a rest all gateways came back at the same moment, as the runner had told them all the same time.

--- a/src/gw_runner.c
+++ b/src/gw_runner.c
@@ -138,9 +138,12 @@
     }
   if (answer->rest_us > 0)
     {
+      int64_t return_us
+          = (int64_t)(gw_random (gw)
+                      % (uint64_t)(MAX (gw->processes, 1U) * POOL_RETURN_US));
       gw->counts.rest_asked++;
       /* The time of TMR may be that before a long poll.  */
-      pool_note_rest (runner, answer->rest_us,
+      pool_note_rest (runner, answer->rest_us + return_us,
                       gw->clock != NULL ? gw->clock () : gw_now (gw));
       event_log_write ("rest_asked", NULL,
                        "\"runner\":\"%s\",\"status\":%d,\"rest_ms\":"
--- a/src/pool.h
+++ b/src/pool.h
@@ -29,6 +29,11 @@
 /* Runners re-register in about 2 s.  */
 #define POOL_REREGISTER_US INT64_C (1900000)
 
+/* Between the returns of two gateways to a runner after its rest, on average:
+   about the time that a plain runner takes for a request in one of its slots.
+   Without that, all gateways return at the same moment.  */
+#define POOL_RETURN_US INT64_C (5000)
+
 enum pool_stage
 {
   POOL_STAGE_ANY, /* a plain service, or an engine without a stage */
