--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -62,10 +62,10 @@
   LIMIT_FROM_MS = 3000,   /* after the start */
   LIMIT_WINDOW_MS = 4000, /* over which arrivals are judged */
   LIMIT_MAX = LIMIT_WINDOW_MS / 1000 * LIMIT_PER_S * 3 / 2 + 5,
-  GATEWAYS_MAX = 100,
-  WISH_MS = 1500,   /* on average, between two runners that begin to ask */
-  LEAVES_MS = 5000, /* from its first such answer until a runner ends */
-  DRAIN_MS = 2000,  /* after which no request may reach a runner that leaves */
+  GATEWAYS_MAX = 254, /* addresses */
+  WISH_MS = 1500,     /* on average, between two runners that begin to ask */
+  LEAVES_MS = 5000,   /* from its first such answer until a runner ends */
+  DRAIN_MS = 2000, /* after which no request may reach a runner that leaves */
   REST_LEAST_MS = 500, /* of the times that are asked for */
   REST_MOST_MS = 4000,
   REST_GRACE_MS = 500, /* after the answer that asks for rest */
@@ -1295,7 +1295,7 @@
 static void
 watch_gateway_signals (void)
 {
-  static uv_signal_t signals[GATEWAYS_MAX];
+  static uv_signal_t signals[GATEWAYS_MAX + 1];
   int i;
 
   for (i = 1; i <= MIN (gateways, SIGRTMAX - SIGRTMIN); i++)
@@ -1516,7 +1516,9 @@
   rest = argc == 6 && strcmp (argv[5], "rest") == 0;
   if (argc
           != 5 + crash_part + crash_request + limit + restored + leaving + rest
-      || atoi (argv[4]) > GATEWAYS_MAX)
+      || atoi (argv[4]) > GATEWAYS_MAX
+      /* Each has a signal of its own.  */
+      || ((leaving || rest) && atoi (argv[4]) > SIGRTMAX - SIGRTMIN))
     {
       fputs ("usage: soak-world NET SEED SECONDS GATEWAYS "
              "[crash-part|crash-request|limit|restored|leaving|rest]\n",
