Rest: what is served within the rest doesn't end the slow start

Requests that were under way when a runner asked for rest, and are served, let its slow start be over before it began.

The metrics page counts runners in one place.

--- a/bench/bench_rest.c
+++ b/bench/bench_rest.c
@@ -259,7 +259,7 @@
   if (!request->refused)
     {
       pool_note_answer (seen, m->now - request->sent_us, m->now);
-      pool_note_served (seen);
+      pool_note_served (seen, m->now);
       m->result.served++;
       m->result.in_time += m->now - request->first_us <= OBJECTIVE_US;
       g_free (request);
--- a/src/adapter.h
+++ b/src/adapter.h
@@ -71,9 +71,8 @@
   int has_limit;
   double limit_per_s; /* requests a second that the runner takes from all */
   int leaving;        /* the runner takes no new work in its lifetime */
-  struct http_str
-      relayed_from; /* lifetime that answered at a relay, or null */
-  int64_t rest_us;  /* the runner wants nothing from here for so long, or 0 */
+  struct http_str relayed_from; /* lifetime that a relay names */
+  int64_t rest_us; /* the runner wants nothing from here for so long, or 0 */
   /* A field of the two above whose value isn't valid, or null.  */
   const char *invalid_field;
   struct http_str invalid_value;
--- a/src/gw_page.c
+++ b/src/gw_page.c
@@ -16,38 +16,29 @@
   http_server_respond (gw->ready, conn, status, NULL, "", 0);
 }
 
-static uint64_t
-limited_runners (const struct gw *gw)
+static int
+is_limited (const struct pool_runner *runner, int64_t now)
 {
-  uint64_t n = 0;
-  size_t i;
-
-  for (i = 0; i < pool_count (gw->runner_pool); i++)
-    n += (uint64_t)limit_in_force (&pool_at (gw->runner_pool, i)->limit,
-                                   tmr_now (gw->tmr));
-  return n;
+  return limit_in_force (&runner->limit, now);
 }
 
-static uint64_t
-leaving_runners (const struct gw *gw)
+static int
+has_announced (const struct pool_runner *runner, int64_t now)
 {
-  uint64_t n = 0;
-  size_t i;
-
-  for (i = 0; i < pool_count (gw->runner_pool); i++)
-    n += (uint64_t)(pool_at (gw->runner_pool, i)->announced != 0);
-  return n;
+  (void)now;
+  return runner->announced;
 }
 
 static uint64_t
-resting_runners (const struct gw *gw)
+count_runners (const struct gw *gw,
+               int (*is_counted) (const struct pool_runner *runner,
+                                  int64_t now))
 {
   uint64_t n = 0;
   size_t i;
 
   for (i = 0; i < pool_count (gw->runner_pool); i++)
-    n += (uint64_t)pool_is_resting (pool_at (gw->runner_pool, i),
-                                    tmr_now (gw->tmr));
+    n += is_counted (pool_at (gw->runner_pool, i), tmr_now (gw->tmr)) != 0;
   return n;
 }
 
@@ -89,9 +80,9 @@
       http_server_connections (
           gw->request_listeners[GW_LISTENER_CLIENTS].srv) },
     { "runners", pool_count (gw->runner_pool) },
-    { "runners_limited", limited_runners (gw) },
-    { "runners_leaving", leaving_runners (gw) },
-    { "runners_at_rest", resting_runners (gw) },
+    { "runners_limited", count_runners (gw, is_limited) },
+    { "runners_leaving", count_runners (gw, has_announced) },
+    { "runners_at_rest", count_runners (gw, pool_is_resting) },
     { "gateways", gw->processes },
     { "config_version", gw->table != NULL ? gw->table->version : 0 },
   };
--- a/src/gw_runner.c
+++ b/src/gw_runner.c
@@ -152,5 +152,5 @@
                        answer->rest_us / 1000);
     }
   if (answer->status >= 200 && answer->status < 300)
-    pool_note_served (runner);
+    pool_note_served (runner, gw_now (gw));
 }
--- a/src/pool.c
+++ b/src/pool.c
@@ -462,8 +462,10 @@
 }
 
 void
-pool_note_served (struct pool_runner *runner)
+pool_note_served (struct pool_runner *runner, int64_t now)
 {
+  if (pool_is_resting (runner, now))
+    return;
   runner->start_calls *= 2;
   if (runner->start_calls >= runner->entry.slots)
     runner->start_calls = 0;
--- a/src/pool.h
+++ b/src/pool.h
@@ -165,8 +165,9 @@
 void pool_note_rest (struct pool_runner *runner, int64_t rest_us, int64_t now);
 int pool_is_resting (const struct pool_runner *runner, int64_t now);
 /* Notes that RUNNER has begun to serve a request.  After a rest it gets twice
-   as many at once each time.  */
-void pool_note_served (struct pool_runner *runner);
+   as many at once each time; one that it serves within the rest says nothing.
+ */
+void pool_note_served (struct pool_runner *runner, int64_t now);
 /* Returns nonzero when RUNNER may get one more request so soon after a rest.
  */
 int pool_start_allows (const struct pool_runner *runner, int64_t now);
--- a/tests/unit_gw_rest.cc
+++ b/tests/unit_gw_rest.cc
@@ -357,6 +357,26 @@
   EXPECT_GE (most - least, 1000);
 }
 
+// Guards against a slow start that is over before the rest is, since requests
+// that were under way are served.
+TEST_F (RestingRunner, ServedWithinTheRestSaysNothing)
+{
+  int fd;
+  struct pool_runner *r = runner (0, "app");
+  send_request ("/order/1");
+  int slow_client = client;
+  receive_at_runner (0, &fd);
+  int slow = fd;
+  answered (r, asks ("1"));
+  for (int i = 0; i < 5; i++)
+    pool_note_served (r, gw_now (&gw));
+  put (slow, head (200, stamp + no_body));
+  EXPECT_TRUE (run_until (&gw.loop, [&] { return gw.active == 0; }));
+  EXPECT_EQ (r->start_calls, 1U);
+  close (slow);
+  close (slow_client);
+}
+
 // Guards against all that waits going to a runner at once when its rest ends.
 TEST_F (RestingRunner, BeginsAgainSlowly)
 {
