--- a/bench/bench_rest.c
+++ b/bench/bench_rest.c
@@ -151,7 +151,7 @@
   request->excluded = UINT_MAX;
   request->gateway
       = (unsigned)g_rand_int_range (m->random, 0, (gint32)m->n_gateways);
-  later (m, after_us + 2 * WIRE_US, EVENT_ARRIVE, request);
+  later (m, after_us + INT64_C (2) * WIRE_US, EVENT_ARRIVE, request);
 }
 
 /* Returns the time in microseconds that a refused client is told.  */
@@ -209,7 +209,7 @@
 {
   struct runner *runner = &m->runners[request->runner];
   int64_t *asked
-      = &m->asked[request->gateway * m->n_runners + request->runner];
+      = &m->asked[(gsize)request->gateway * m->n_runners + request->runner];
 
   if (m->now < runner->troubled_until_us)
     {
@@ -299,9 +299,9 @@
           = m->now + g_rand_int_range (m->random, REST_LEAST_US, REST_MOST_US);
       runner->back_us = runner->troubled_until_us;
       for (g = 0; g < m->n_gateways; g++)
-        m->asked[g * m->n_runners + (unsigned)(runner - m->runners)] = 0;
+        m->asked[(gsize)g * m->n_runners + (gsize)(runner - m->runners)] = 0;
     }
-  if (m->now + TURN_US < SECONDS * G_USEC_PER_SEC)
+  if (m->now + TURN_US < (int64_t)SECONDS * G_USEC_PER_SEC)
     later (m, TURN_US, EVENT_TURN, NULL);
 }
 
@@ -331,7 +331,7 @@
       m->result.back_us += m->now - runner->back_us;
       runner->back_us = 0;
     }
-  if (m->now + SAMPLE_US < SECONDS * G_USEC_PER_SEC)
+  if (m->now + SAMPLE_US < (int64_t)SECONDS * G_USEC_PER_SEC)
     later (m, SAMPLE_US, EVENT_SAMPLE, NULL);
 }
 
--- a/tests/soak_world.c
+++ b/tests/soak_world.c
@@ -902,8 +902,10 @@
   sends_to_leavers
       += told->leaving_us != 0
          && record->sent_us > told->leaving_us + INT64_C (1000) * DRAIN_MS;
-  if (now > told->rest_from_us && now < told->rest_until_us)
-    most_in_rest = MAX (most_in_rest, ++told->rest_sends);
+  if (now <= told->rest_from_us || now >= told->rest_until_us)
+    return;
+  told->rest_sends++;
+  most_in_rest = MAX (most_in_rest, told->rest_sends);
 }
 
 /* Returns nonzero when R has answered the request with a refusal that asks for
