--- a/tests/unit_gw_leaving.cc
+++ b/tests/unit_gw_leaving.cc
@@ -56,6 +56,13 @@
   std::string answer;
 };
 
+// Names the row in the output of a failed test.
+void
+PrintTo (const answer_row &row, std::ostream *out)
+{
+  *out << row.name;
+}
+
 class LeavingAnswer : public LeavingRunner,
                       public testing::WithParamInterface<answer_row>
 {
--- a/tests/unit_gw_rest.cc
+++ b/tests/unit_gw_rest.cc
@@ -75,6 +75,13 @@
   int64_t ms; // of rest
 };
 
+// Names the row in the output of a failed test.
+void
+PrintTo (const rest_row &row, std::ostream *out)
+{
+  *out << row.name;
+}
+
 class RestAnswer : public RestingRunner,
                    public testing::WithParamInterface<rest_row>
 {
