Gateway: log slow reads and count the work for each byte of an answer

The log had no line for the time in between, since the loop never came to flush it, and no metric told what the time went into.

read_slow names the peer of a read that kept the loop for 50 ms or more. answer_bytes_total, answer_pieces_total and answer_bytes_searched_total tell a search of what was searched before from a write for each chunk.

--- a/src/gw.h
+++ b/src/gw.h
@@ -81,6 +81,10 @@
   uint64_t datagrams_received;
   uint64_t datagrams_malformed;
   uint64_t quarantined;
+  /* Work for the answers of runners.  */
+  uint64_t answer_bytes;   /* of their bodies */
+  uint64_t answer_pieces;  /* in which the bodies were handled */
+  uint64_t searched_bytes; /* looked at for the end of an event */
   /* What runners say in their answers.  */
   uint64_t leaving_told;
   uint64_t rest_asked;
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -366,18 +366,26 @@
     }
 }
 
-/* Returns the length of the complete events at the start of DATA.  */
+/* Returns nonzero when an event ends with the first N bytes of DATA.  */
+static int
+is_event_end (const char *data, size_t n)
+{
+  return n >= 2 && data[n - 1] == '\n'
+         && (data[n - 2] == '\n'
+             || (n >= 4 && memcmp (data + n - 4, "\r\n\r\n", 4) == 0));
+}
+
+/* Returns the length of the complete events at the start of the data.  */
 static size_t
-whole_events (const char *data, size_t size)
+whole_events (struct gw_call *call)
 {
-  size_t i;
+  const GString *data = call->data;
+  size_t n = data->len;
 
-  for (i = size; i >= 2; i--)
-    if (data[i - 1] == '\n'
-        && (data[i - 2] == '\n'
-            || (i >= 4 && memcmp (data + i - 4, "\r\n\r\n", 4) == 0)))
-      return i;
-  return 0;
+  while (n > 0 && !is_event_end (data->str, n))
+    n--;
+  call->gw->counts.searched_bytes += data->len - n;
+  return n;
 }
 
 /* Returns nonzero when the complete events in DATA follow the event LAST: each
@@ -442,7 +450,7 @@
 static int
 pass_events (struct gw_call *call)
 {
-  size_t n = whole_events (call->data->str, call->data->len);
+  size_t n = whole_events (call);
   int64_t now = gw_now (call->gw);
 
   if (n == 0)
@@ -526,6 +534,8 @@
   struct gw_call *call = ctx;
   int is_stream = is_event_stream (call);
 
+  call->gw->counts.answer_bytes += size;
+  call->gw->counts.answer_pieces++;
   /* The body of a refusal to resume a stream isn't part of the stream.  */
   if (call->streaming && (!call->answer.stamped || call->answer.status != 200))
     {
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -18,6 +18,7 @@
   /* Of chunk heads and trailers beside a byte of the body.  */
   CHUNK_HEAD_MAX_BYTES = 64 * 1024,
   BODY_READ_MAX_BYTES = 64 * 1024, /* of one read, which may end a chunk */
+  READ_SLOW_MS = 50,               /* in which no other connection is served */
   IDLE_MS = 4000, /* default; shorter than the usual idle timeout of servers */
   /* A connection is kept for one half of the time that the server states.  */
   KEEP_ALIVE_DIVISOR = 2
@@ -337,6 +338,17 @@
     conn_fail (c);
 }
 
+/* Logs that the N bytes of a read took long.  */
+static void
+log_slow_read (const struct conn *c, ssize_t n, uint64_t took_ms)
+{
+  event_log_write ("read_slow", NULL,
+                   "\"peer\":\"%s\",\"bytes\":%zd,\"body\":%zu,\"other\":"
+                   "%zu,\"ms\":%" G_GUINT64_FORMAT,
+                   c->closing ? "" : c->peer->name, n, c->body_bytes,
+                   c->other_bytes, took_ms);
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
@@ -351,8 +363,15 @@
     }
   if (n > 0)
     {
+      uint64_t began = uv_hrtime ();
+      uint64_t took_ms;
+
       g_string_append_len (c->in, buf->base, n);
       process_input (c);
+      /* A closed connection is freed by the loop, after this callback.  */
+      took_ms = (uv_hrtime () - began) / 1000000;
+      if (took_ms >= READ_SLOW_MS)
+        log_slow_read (c, n, took_ms);
       return;
     }
   if (n == UV_EOF)
