--- a/src/gw_call.h
+++ b/src/gw_call.h
@@ -52,6 +52,7 @@
   enum http_framing framing; /* of the answer */
   GString *fields;           /* header of the runner's answer */
   GString *data;             /* part of its body that is not forwarded yet */
+  size_t searched;           /* bytes of DATA that no event ends in */
   size_t discarded; /* bytes of its body that are not forwarded at all */
   int streaming;
   int continues;        /* this send goes on with an answer that has begun */
--- a/src/gw_send.c
+++ b/src/gw_send.c
@@ -341,6 +341,7 @@
     call->data = g_string_sized_new (1024);
   g_string_truncate (call->fields, 0);
   g_string_truncate (call->data, 0);
+  call->searched = 0;
   gw->adapter->answer_copy (call->fields, head);
   if (call->request_listener == &gw->request_listeners[GW_LISTENER_GATEWAYS]
       && answer->leaving)
@@ -375,17 +376,24 @@
              || (n >= 4 && memcmp (data + n - 4, "\r\n\r\n", 4) == 0));
 }
 
-/* Returns the length of the complete events at the start of the data.  */
+/* Returns the length of the complete events at the start of the data.  What
+   has been searched before is not searched again.  */
 static size_t
 whole_events (struct gw_call *call)
 {
   const GString *data = call->data;
   size_t n = data->len;
 
-  while (n > 0 && !is_event_end (data->str, n))
+  while (n > call->searched && !is_event_end (data->str, n))
     n--;
   call->gw->counts.searched_bytes += data->len - n;
-  return n;
+  if (n > call->searched)
+    {
+      call->searched = data->len - n;
+      return n;
+    }
+  call->searched = data->len;
+  return 0;
 }
 
 /* Returns nonzero when the complete events in DATA follow the event LAST: each
@@ -846,6 +854,7 @@
   call->fate_open = 0;
   if (call->data != NULL)
     g_string_truncate (call->data, 0);
+  call->searched = 0;
   if (!call->first_send_counted && phase != ADAPTER_RELAY)
     budget_first (call);
   gw_call_forget_view (call);
