HTTP client: hand over what one read brought in one piece

What callers saw: an answer of 400,000 bytes that its runner sent in chunks of one byte reached the caller as 1,089,289 bytes, each byte in a chunk and a write of its own.

Cause: the owner of a call was called for each chunk. Same class as the search for the end of an event: the work depends on the pieces that a peer chooses, not on the bytes.

Change: the client decodes the chunks of a read, up to 64 kB, and hands the bytes over together. Streams are not delayed, as nothing waits for a later read.

Tests, failed before: Pieces.ChunksOfOneReadArePassedOnTogether (1,089,289 bytes and 400,000 pieces, 440,000 and 40,000 allowed), Pieces.EventsOfOneReadArePassedOnTogether (160,005 bytes, 80,000 allowed).

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -68,6 +68,7 @@
   uv_loop_t *loop;
   struct slotmap *calls;
   GHashTable *peers;
+  GString *decoded; /* bytes of a body, without chunks, of the read at hand */
 };
 
 static void
@@ -166,7 +167,6 @@
 on_body (http_parser *parser, const char *at, size_t n)
 {
   struct conn *c = parser->data;
-  uint64_t call = c->call;
 
   c->other_bytes = 0;
   c->body_bytes += n;
@@ -176,8 +176,22 @@
       && c->body_bytes > c->ops.body_max)
     return log_excess (c, "bytes of a body", c->ops.body_max);
   if (!c->skip_answer)
-    c->ops.body (c->ctx, at, n);
-  /* The callback may have cancelled the call.  */
+    g_string_append_len (c->cli->decoded, at, (gssize)n);
+  return 0;
+}
+
+/* Passes the decoded bytes to the owner.  Returns 0, or -1 when that has
+   cancelled the call.  */
+static int
+pass_body (struct conn *c)
+{
+  GString *decoded = c->cli->decoded;
+  uint64_t call = c->call;
+
+  if (decoded->len == 0)
+    return 0;
+  c->ops.body (c->ctx, decoded->str, decoded->len);
+  g_string_truncate (decoded, 0);
   return c->closing || c->call != call ? -1 : 0;
 }
 
@@ -289,7 +303,7 @@
       if (!c->body_complete && c->in->len > 0)
         n = http_head_parse_body (&c->parser, c->in->str, c->in->len, on_body,
                                   &c->body_complete);
-      if (c->closing)
+      if (pass_body (c) != 0)
         return;
       if (!c->body_complete
           && (HTTP_PARSER_ERRNO (&c->parser) != HPE_OK
@@ -466,6 +480,7 @@
   cli->loop = loop;
   cli->calls = slotmap_new (CALLS_MAX);
   cli->peers = g_hash_table_new (g_str_hash, g_str_equal);
+  cli->decoded = g_string_sized_new (BODY_READ_MAX_BYTES);
   return cli;
 }
 
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -41,6 +41,8 @@
 struct http_client_ops
 {
   enum http_client_verdict (*head) (void *ctx, const struct http_head *head);
+  /* The next bytes of the body: all that one read has brought, without the
+     chunks that they came in.  */
   void (*body) (void *ctx, const char *data, size_t size);
   void (*done) (void *ctx, enum http_client_result end);
   size_t body_max; /* bytes of the longest body that is of use; 0: no limit */
--- a/tests/unit_gw_pieces.cc
+++ b/tests/unit_gw_pieces.cc
@@ -89,4 +89,29 @@
   EXPECT_LE (gw.counts.searched_bytes, 2 * gw.counts.answer_bytes);
 }
 
+// Guards against a write of its own for each chunk of a runner: an answer of
+// 2 MB became one of 9 MB.
+TEST_F (Pieces, ChunksOfOneReadArePassedOnTogether)
+{
+  static const size_t bytes = 400000; // more than is held back
+  begin ("/read/1", "app");
+  send_pieces ("a", bytes);
+  put (fd, "0\r\n\r\n");
+  EXPECT_TRUE (client_has ("\r\n0\r\n\r\n"));
+  EXPECT_EQ (gw.counts.answer_bytes, bytes);
+  EXPECT_LT (client_body ().size (), bytes + bytes / 10);
+  EXPECT_LT (gw.counts.answer_pieces, bytes / 10);
+}
+
+// The same for whole events that are as short as can be.
+TEST_F (Pieces, EventsOfOneReadArePassedOnTogether)
+{
+  static const size_t events = 20000;
+  begin ("/chat/1", "llm", prompt);
+  send_pieces (":\n\n", events);
+  put (fd, "0\r\n\r\n");
+  EXPECT_TRUE (client_has ("\r\n0\r\n\r\n"));
+  EXPECT_LT (client_body ().size (), events * 3 + events);
+}
+
 }
