TCP: a connection is read once in a turn of the loop

Cause: the loop reads a connection up to 32 times in a row, 64 kB each, while there is input. Whatever that input costs, timers, other callers and the health questions come after it.

Change: a connection gets a buffer once in a turn, and the rest of its input stays in the socket for the next one, after all others. A turn is so bounded by 64 kB for each connection, and a peer that is costly to read is late itself.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -56,6 +56,7 @@
   http_parser parser;
   struct http_client_ops ops;
   void *ctx;
+  uint64_t read_turn; /* of the loop, in which it was last read */
   uint64_t connect_by_ms;
   uint64_t answer_by_ms; /* 0: no limit */
   uint64_t idle_since_ms;
@@ -68,6 +69,7 @@
   uv_loop_t *loop;
   struct slotmap *calls;
   GHashTable *peers;
+  struct tcp_turns turns;
   GString *decoded; /* bytes of a body, without chunks, of the read at hand */
 };
 
@@ -363,12 +365,21 @@
                    c->other_bytes, took_ms);
 }
 
+static void
+alloc_read (uv_handle_t *handle, size_t hint, uv_buf_t *buf)
+{
+  struct conn *c = handle->data;
+
+  (void)hint;
+  tcp_alloc_in_turn (&c->cli->turns, &c->read_turn, buf);
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
   struct conn *c = stream->data;
 
-  if (n == 0 || c->closing)
+  if (n == 0 || n == UV_ENOBUFS || c->closing)
     return;
   if (c->call == 0)
     {
@@ -427,7 +438,7 @@
   c->connected = 1;
   uv_tcp_nodelay (&c->tcp, 1);
   tcp_set_user_timeout (&c->tcp);
-  uv_read_start ((uv_stream_t *)&c->tcp, tcp_alloc_buffer, on_read);
+  uv_read_start ((uv_stream_t *)&c->tcp, alloc_read, on_read);
   send_request (c);
 }
 
@@ -480,6 +491,7 @@
   cli->loop = loop;
   cli->calls = slotmap_new (CALLS_MAX);
   cli->peers = g_hash_table_new (g_str_hash, g_str_equal);
+  tcp_turns_start (&cli->turns, loop);
   cli->decoded = g_string_sized_new (BODY_READ_MAX_BYTES);
   return cli;
 }
@@ -541,7 +553,7 @@
   c->sent = 1;
   /* The next read by the loop reports the failure to the owner.  */
   if (tcp_write ((uv_stream_t *)&c->tcp, request, size) != 0)
-    uv_read_start ((uv_stream_t *)&c->tcp, tcp_alloc_buffer, on_read);
+    uv_read_start ((uv_stream_t *)&c->tcp, alloc_read, on_read);
   return call;
 }
 
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -36,17 +36,18 @@
   struct http_head head;
   http_parser parser;
   GString *body;
-  int body_complete; /* the request's body has been received */
-  int keep_alive;    /* the connection stays open after the answer */
-  int chunked;       /* the answer is sent in chunks */
-  int until_close;   /* the answer ends with the connection */
-  int no_body;       /* the answer has no body: the request is a HEAD */
-  int paused;        /* reading is stopped */
-  int closing;       /* uv_close was called */
-  int write_failed;  /* a write failed or too much output is queued */
-  uint64_t since_ms; /* when the connection became idle, the first byte of the
-                        head arrived, the lingering close started, or its last
-                        output was written */
+  int body_complete;  /* the request's body has been received */
+  int keep_alive;     /* the connection stays open after the answer */
+  int chunked;        /* the answer is sent in chunks */
+  int until_close;    /* the answer ends with the connection */
+  int no_body;        /* the answer has no body: the request is a HEAD */
+  int paused;         /* reading is stopped */
+  int closing;        /* uv_close was called */
+  int write_failed;   /* a write failed or too much output is queued */
+  uint64_t read_turn; /* of the loop, in which it was last read */
+  uint64_t since_ms;  /* when the connection became idle, the first byte of the
+                         head arrived, the lingering close started, or its last
+                         output was written */
 };
 
 struct http_server
@@ -57,13 +58,15 @@
   void *ctx;
   struct http_server_limits limits;
   struct slotmap *conns;
+  struct tcp_turns turns;
   int draining;
   int listener_closing; /* the listener is closed or closing */
   int listener_closed;  /* the listener is closed */
-  int free_requested;   /* by its owner */
+  int turns_closed;     /* the owner has freed the server */
 };
 
 static void next_request (struct conn *c);
+static void alloc_read (uv_handle_t *handle, size_t hint, uv_buf_t *buf);
 static void on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf);
 
 static void
@@ -106,7 +109,7 @@
   c->write_failed = 1;
   tcp_shutdown (stream, c->until_close ? SHUT_RD : SHUT_RDWR);
   if (c->paused)
-    uv_read_start (stream, tcp_alloc_buffer, on_read);
+    uv_read_start (stream, alloc_read, on_read);
   c->paused = 0;
 }
 
@@ -255,11 +258,22 @@
     }
 }
 
+static void
+alloc_read (uv_handle_t *handle, size_t hint, uv_buf_t *buf)
+{
+  struct conn *c = handle->data;
+
+  (void)hint;
+  tcp_alloc_in_turn (&c->srv->turns, &c->read_turn, buf);
+}
+
 static void
 on_read (uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
   struct conn *c = stream->data;
 
+  if (n == UV_ENOBUFS)
+    return;
   if (n < 0)
     {
       conn_close (c, 1);
@@ -305,7 +319,7 @@
     }
   uv_tcp_nodelay (&c->tcp, 1);
   tcp_set_user_timeout (&c->tcp);
-  uv_read_start ((uv_stream_t *)&c->tcp, tcp_alloc_buffer, on_read);
+  uv_read_start ((uv_stream_t *)&c->tcp, alloc_read, on_read);
 }
 
 struct http_server *
@@ -339,7 +353,10 @@
   if (rc == 0)
     rc = uv_listen ((uv_stream_t *)&srv->listener, BACKLOG, on_accept);
   if (rc == 0)
-    return srv;
+    {
+      tcp_turns_start (&srv->turns, loop);
+      return srv;
+    }
   err_set (err, ERR_IO, "listen", address, "%s", uv_strerror (rc));
   uv_close ((uv_handle_t *)&srv->listener, NULL);
   slotmap_free (srv->conns);
@@ -435,7 +452,7 @@
   c->phase = PHASE_LINGER;
   c->since_ms = uv_now (c->srv->loop);
   if (c->paused)
-    uv_read_start ((uv_stream_t *)&c->tcp, tcp_alloc_buffer, on_read);
+    uv_read_start ((uv_stream_t *)&c->tcp, alloc_read, on_read);
   c->paused = 0;
   req->data = c;
   if (uv_shutdown (req, (uv_stream_t *)&c->tcp, on_shutdown) != 0)
@@ -476,7 +493,7 @@
   if (c->paused)
     {
       c->paused = 0;
-      uv_read_start ((uv_stream_t *)&c->tcp, tcp_alloc_buffer, on_read);
+      uv_read_start ((uv_stream_t *)&c->tcp, alloc_read, on_read);
     }
   if (c->in->len > 0)
     read_head (c);
@@ -550,7 +567,7 @@
 static void
 free_closed (struct http_server *srv)
 {
-  if (!srv->listener_closed || !srv->free_requested)
+  if (!srv->listener_closed || !srv->turns_closed)
     return;
   slotmap_free (srv->conns);
   g_free (srv);
@@ -565,6 +582,18 @@
   free_closed (srv);
 }
 
+static void
+on_turns_closed (uv_handle_t *handle)
+{
+  struct tcp_turns *turns = handle->data;
+  struct http_server *srv
+      = (struct http_server *)((char *)turns
+                               - offsetof (struct http_server, turns));
+
+  srv->turns_closed = 1;
+  free_closed (srv);
+}
+
 void
 http_server_stop_listening (struct http_server *srv)
 {
@@ -581,8 +610,7 @@
   while ((handle = slotmap_next (srv->conns, handle)) != 0)
     conn_close (slotmap_get (srv->conns, handle), 0);
   http_server_stop_listening (srv);
-  srv->free_requested = 1;
-  free_closed (srv);
+  tcp_turns_stop (&srv->turns, on_turns_closed);
 }
 
 size_t
--- a/src/tcp.c
+++ b/src/tcp.c
@@ -17,6 +17,44 @@
   buf->len = sizeof shared;
 }
 
+static void
+on_prepare (uv_prepare_t *prepare)
+{
+  struct tcp_turns *turns = prepare->data;
+
+  turns->n++;
+}
+
+void
+tcp_turns_start (struct tcp_turns *turns, uv_loop_t *loop)
+{
+  turns->n = 1;
+  uv_prepare_init (loop, &turns->prepare);
+  turns->prepare.data = turns;
+  uv_prepare_start (&turns->prepare, on_prepare);
+  /* The count alone doesn't keep the loop running.  */
+  uv_unref ((uv_handle_t *)&turns->prepare);
+}
+
+void
+tcp_turns_stop (struct tcp_turns *turns, uv_close_cb closed)
+{
+  uv_close ((uv_handle_t *)&turns->prepare, closed);
+}
+
+void
+tcp_alloc_in_turn (const struct tcp_turns *turns, uint64_t *last,
+                   uv_buf_t *buf)
+{
+  if (*last == turns->n)
+    {
+      *buf = uv_buf_init (NULL, 0);
+      return;
+    }
+  *last = turns->n;
+  tcp_alloc_buffer (NULL, 0, buf);
+}
+
 struct pending
 {
   uv_write_t req;
--- a/src/tcp.h
+++ b/src/tcp.h
@@ -17,6 +17,25 @@
    the read callback returns.  */
 void tcp_alloc_buffer (uv_handle_t *handle, size_t hint, uv_buf_t *buf);
 
+/* Counts the turns of a loop, for readers that take part in each of them only
+   once.  */
+struct tcp_turns
+{
+  uv_prepare_t prepare;
+  uint64_t n;
+};
+
+void tcp_turns_start (struct tcp_turns *turns, uv_loop_t *loop);
+/* Ends the count.  TURNS must remain until CLOSED is called; with a null
+   CLOSED it must remain as long as the loop.  */
+void tcp_turns_stop (struct tcp_turns *turns, uv_close_cb closed);
+
+/* The same as tcp_alloc_buffer for the first read in a turn; LAST, 0 at first,
+   is the reader's.  There is no buffer for another read, and the read callback
+   gets UV_ENOBUFS: what is left is read in the next turn.  */
+void tcp_alloc_in_turn (const struct tcp_turns *turns, uint64_t *last,
+                        uv_buf_t *buf);
+
 /* Writes at once what the socket takes and queues a copy of the rest.
    Returns 0 or -1.  */
 int tcp_write (uv_stream_t *stream, const char *data, size_t size);
--- a/tests/raw_socket.hh
+++ b/tests/raw_socket.hh
@@ -62,6 +62,14 @@
              static_cast<ssize_t> (text.size ()));
 }
 
+// Sends as much of TEXT as the sockets take.
+inline void
+fill (int fd, const std::string &text)
+{
+  fcntl (fd, F_SETFL, O_NONBLOCK);
+  EXPECT_GT (send (fd, text.data (), text.size (), MSG_NOSIGNAL), 256 * 1024);
+}
+
 inline void
 reset (int fd)
 {
--- a/tests/unit_http_io.cc
+++ b/tests/unit_http_io.cc
@@ -122,6 +122,28 @@
   close (fd);
 }
 
+// Guards against a client that sends without a pause and has the whole turn of
+// the loop, while all others wait.
+TEST_F (HttpServer, OneClientIsReadOnceInATurn)
+{
+  const std::string request
+      = "GET /" + std::string (983, 'x') + " HTTP/1.1\r\nHost: a\r\n\r\n";
+  int fd = connect_raw (address);
+  std::string all;
+  on_request_hook
+      = [&] { http_server_respond (srv, conn, 200, nullptr, "", 0); };
+  run_until (&loop, [&] { return http_server_connections (srv) == 1; });
+  while (all.size () < 1 << 20)
+    all += request;
+  fill (fd, all);
+  for (size_t turns = 1; turns <= 4; turns++)
+    {
+      uv_run (&loop, UV_RUN_NOWAIT);
+      EXPECT_LE (requests.size () * request.size (), turns * 64 * 1024);
+    }
+  close (fd);
+}
+
 // Guards against requests whose length can be interpreted in two ways.
 TEST_F (HttpServer, RefusesAmbiguousLengths)
 {
@@ -463,6 +485,25 @@
   EXPECT_EQ (body, "whole");
 }
 
+// Guards against a peer that sends without a pause and has the whole turn of
+// the loop, while all others wait.
+TEST_F (HttpClient, OnePeerIsReadOnceInATurn)
+{
+  int fd = call_new ();
+  fill (fd, "HTTP/1.1 200 OK\r\n\r\n" + std::string (1 << 20, 'x'));
+  for (size_t turns = 1; turns <= 4; turns++)
+    {
+      uv_run (&loop, UV_RUN_NOWAIT);
+      EXPECT_GT (body.size (), (turns - 1) * 64 * 1024);
+      EXPECT_LE (body.size (), turns * 64 * 1024);
+    }
+  // What comes with the end of the connection is read all the same.
+  close (fd);
+  EXPECT_EQ (end (), HTTP_CLIENT_CLOSED);
+  EXPECT_EQ (body, std::string (body.size (), 'x'));
+  EXPECT_GT (body.size (), 200U * 1024);
+}
+
 // Guards against taking a truncated answer as complete.
 TEST_F (HttpClient, EarlyEnds)
 {
