HTTP heads: a head that comes byte by byte is scanned once

No caller was seen to suffer: a turn stays short, but the processor time for a byte grew with the length of the head.

Change: a connection notes how far its head was scanned; blank lines go with one move.

HttpServer.HeadByteByByte guards the pieces themselves.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -52,6 +52,7 @@
   size_t other_bytes; /* received since the last byte of a body or head */
   GString *request;   /* until the connection is established */
   GString *in;        /* input that hasn't been parsed */
+  struct http_head_progress scan;
   struct http_head head;
   http_parser parser;
   struct http_client_ops ops;
@@ -227,6 +228,7 @@
 {
   http_parser_init (&c->parser, HTTP_RESPONSE);
   c->parser.data = c;
+  memset (&c->scan, 0, sizeof c->scan);
   c->in_body = 0;
   c->body_complete = 0;
   c->skip_answer = 0;
@@ -245,8 +247,9 @@
 
   for (;;)
     {
-      enum http_head_result result = http_head_scan (
-          c->in->str, c->in->len, RESPONSE_HEAD_MAX_BYTES, 0, &length);
+      enum http_head_result result
+          = http_head_scan (&c->scan, c->in->str, c->in->len,
+                            RESPONSE_HEAD_MAX_BYTES, 0, &length);
       if (result == HTTP_HEAD_PARTIAL)
         return 1;
       if (result == HTTP_HEAD_TOO_LARGE)
--- a/src/http_head.c
+++ b/src/http_head.c
@@ -51,18 +51,20 @@
 }
 
 enum http_head_result
-http_head_scan (const char *data, size_t size, size_t max, int is_request,
-                size_t *length)
+http_head_scan (struct http_head_progress *progress, const char *data,
+                size_t size, size_t max, int is_request, size_t *length)
 {
-  size_t start = 0;
-  int hosts = 0;
-
   for (;;)
     {
-      const char *lf = memchr (data + start, '\n', size - start);
+      size_t start = progress->line;
+      const char *lf = memchr (data + progress->searched, '\n',
+                               size - progress->searched);
       size_t end;
       if (lf == NULL)
-        return size > max ? HTTP_HEAD_TOO_LARGE : HTTP_HEAD_PARTIAL;
+        {
+          progress->searched = size;
+          return size > max ? HTTP_HEAD_TOO_LARGE : HTTP_HEAD_PARTIAL;
+        }
       end = (size_t)(lf - data);
       if (end + 1 > max)
         return HTTP_HEAD_TOO_LARGE;
@@ -71,13 +73,15 @@
       if (end - 1 == start)
         {
           *length = end + 1;
-          return start == 0 || (is_request && hosts != 1) ? HTTP_HEAD_MALFORMED
-                                                          : HTTP_HEAD_OK;
+          return start == 0 || (is_request && progress->hosts != 1)
+                     ? HTTP_HEAD_MALFORMED
+                     : HTTP_HEAD_OK;
         }
       if (start == 0 ? !is_first_line (data, end - 1, is_request)
-                     : !is_field_line (data + start, end - 1 - start, &hosts))
+                     : !is_field_line (data + start, end - 1 - start,
+                                       &progress->hosts))
         return HTTP_HEAD_MALFORMED;
-      start = end + 1;
+      progress->line = progress->searched = end + 1;
     }
 }
 
--- a/src/http_head.h
+++ b/src/http_head.h
@@ -58,10 +58,21 @@
   HTTP_HEAD_TOO_LARGE  /* 431 */
 };
 
+/* How far a head has been scanned; zero at first.  */
+struct http_head_progress
+{
+  size_t line;     /* start of the first line that isn't complete */
+  size_t searched; /* bytes known to have no further line end */
+  int hosts;       /* Host fields so far */
+};
+
 /* Looks for the end of a head in SIZE bytes of DATA and stores its length in
    LENGTH.  Refuses bare line feeds, folded lines, control characters, space
-   before a colon and, for a request, anything but one Host field.  */
-enum http_head_result http_head_scan (const char *data, size_t size,
+   before a colon and, for a request, anything but one Host field.  After
+   HTTP_HEAD_PARTIAL it is called again with the same bytes and those that
+   follow them; what PROGRESS covers is not looked at again.  */
+enum http_head_result http_head_scan (struct http_head_progress *progress,
+                                      const char *data, size_t size,
                                       size_t max, int is_request,
                                       size_t *length);
 
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -32,6 +32,7 @@
   uint64_t handle;
   enum phase phase;
   GString *in;
+  struct http_head_progress scan;
   size_t head_length;
   struct http_head head;
   http_parser parser;
@@ -193,18 +194,33 @@
          && (coding.p == NULL || http_str_equal_nocase (coding, "chunked"));
 }
 
+/* Skips the blank lines that some clients send after a body.  */
+static void
+skip_blank_lines (struct conn *c)
+{
+  size_t n = 0;
+
+  if (c->scan.line > 0)
+    return;
+  while (c->in->len >= n + 2 && memcmp (c->in->str + n, "\r\n", 2) == 0)
+    n += 2;
+  if (n == 0)
+    return;
+  g_string_erase (c->in, 0, (gssize)n);
+  memset (&c->scan, 0, sizeof c->scan);
+}
+
 static void
 read_head (struct conn *c)
 {
   struct http_server *srv = c->srv;
   enum http_head_result verdict;
 
-  while (c->in->len >= 2 && memcmp (c->in->str, "\r\n", 2) == 0)
-    g_string_erase (c->in, 0, 2);
+  skip_blank_lines (c);
   if (c->in->len == 0)
     return;
-  verdict = http_head_scan (c->in->str, c->in->len, srv->limits.header_bytes,
-                            1, &c->head_length);
+  verdict = http_head_scan (&c->scan, c->in->str, c->in->len,
+                            srv->limits.header_bytes, 1, &c->head_length);
   if (verdict == HTTP_HEAD_PARTIAL)
     return;
   if (verdict != HTTP_HEAD_OK)
@@ -481,6 +497,7 @@
       return;
     }
   c->phase = PHASE_HEAD;
+  memset (&c->scan, 0, sizeof c->scan);
   c->no_body = 0;
   g_string_erase (c->in, 0, (gssize)c->head_length);
   if (c->body != NULL)
--- a/tests/unit_fuzz.cc
+++ b/tests/unit_fuzz.cc
@@ -77,8 +77,9 @@
 bool
 read (parsed_head *into, const std::string &text, int is_request)
 {
+  struct http_head_progress progress = {};
   into->text = text;
-  if (http_head_scan (into->text.data (), into->text.size (), 16384,
+  if (http_head_scan (&progress, into->text.data (), into->text.size (), 16384,
                       is_request, &into->length)
       != HTTP_HEAD_OK)
     return false;
--- a/tests/unit_http_head.cc
+++ b/tests/unit_http_head.cc
@@ -10,7 +10,33 @@
 scan (const std::string &text, int is_request = 1, size_t max = 1000)
 {
   size_t length = 0;
-  return http_head_scan (text.data (), text.size (), max, is_request, &length);
+  struct http_head_progress progress = {};
+  return http_head_scan (&progress, text.data (), text.size (), max,
+                         is_request, &length);
+}
+
+// Guards against scanning a head from its start for each of its bytes: what
+// was scanned may change without an effect.
+TEST (HttpHead, ScannedOnceWhateverItsPieces)
+{
+  const std::string text = "GET / HTTP/1.1\r\nHost: a\r\nA: b\r\n\r\n";
+  for (size_t first = 1; first < text.size (); first++)
+    {
+      struct http_head_progress progress = {};
+      size_t length = 0;
+      std::string data = text;
+      ASSERT_EQ (
+          http_head_scan (&progress, data.data (), first, 16384, 1, &length),
+          HTTP_HEAD_PARTIAL);
+      size_t lines = text.rfind ('\n', first - 1);
+      if (lines != std::string::npos)
+        data.replace (0, lines + 1, lines + 1, '\n');
+      EXPECT_EQ (http_head_scan (&progress, data.data (), data.size (), 16384,
+                                 1, &length),
+                 HTTP_HEAD_OK)
+          << first;
+      EXPECT_EQ (length, text.size ());
+    }
 }
 
 // Guards against forwarding a request that the runner could delimit
--- a/tests/unit_http_io.cc
+++ b/tests/unit_http_io.cc
@@ -122,6 +122,28 @@
   close (fd);
 }
 
+// Guards against a head that is refused, or handled twice, when it and the
+// blank lines before it come byte by byte.
+TEST_F (HttpServer, HeadByteByByte)
+{
+  int fd = connect_raw (address);
+  on_request_hook
+      = [&] { http_server_respond (srv, conn, 200, nullptr, "", 0); };
+  for (char c : "\r\n\r\nGET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+                "\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+    {
+      if (c != '\0')
+        put (fd, std::string (1, c));
+      for (int i = 0; i < 3; i++)
+        uv_run (&loop, UV_RUN_NOWAIT);
+    }
+  ASSERT_TRUE (wait_requests (2));
+  EXPECT_EQ (requests[0] + requests[1], "GET /1 GET /2 ");
+  EXPECT_EQ (requests.size (), 2U);
+  EXPECT_EQ (unread, 0);
+  close (fd);
+}
+
 // Guards against a client that sends without a pause and has the whole turn of
 // the loop, while all others wait.
 TEST_F (HttpServer, OneClientIsReadOnceInATurn)
