--- a/src/gw_sync.c
+++ b/src/gw_sync.c
@@ -16,7 +16,10 @@
   SOURCE_WATCH_MIN_MS = 500,
   FOLLOW_CHECK_MS = 200, /* between two checks of the followed sources */
   BATCH_DELAY_MS = 250,  /* changes within this time share one call */
-  POLL_MS = 3000,        /* between two listings of the gateways */
+  /* A history that is longer than the listing by this much is listed instead:
+     a new value of one key, or a few small ones, is not.  */
+  HISTORY_SLACK_BYTES = 64 * 1024,
+  POLL_MS = 3000, /* between two listings of the gateways */
   POLL_FIRST_MS = 600,
   PROCESSES_HOLD_MS = 60000, /* several times the lease of a registry entry */
   /* Delays before the retry of a failed call.  A store that does not answer
@@ -48,6 +51,7 @@
   uint64_t list_era;        /* of the listing in progress */
   uint64_t list_revision;   /* of the first page of the listing in progress */
   uint64_t change_revision; /* of the last change that is known */
+  size_t list_bytes;        /* of the answers to the last listing */
   char *after;              /* last key of the page before */
   int listed;
   int failing;
@@ -312,6 +316,7 @@
 
   feed->list_era = reply->era;
   feed->list_revision = reply->revision;
+  feed->list_bytes = 0;
   if (feed->id == FEED_PROCESSES)
     g_hash_table_remove_all (gw->sync->processes);
   if (feed->id != FEED_RUNNERS)
@@ -335,8 +340,7 @@
   feed->change_revision
       = restored ? feed->list_revision
                  : MAX (feed->change_revision, feed->list_revision);
-  if (restored)
-    feed_publish (feed, 0, NULL, 0);
+  feed_publish (feed, 0, NULL, 0);
   if (feed->id == FEED_PROCESSES)
     {
       processes_changed (gw);
@@ -369,6 +373,7 @@
       feed_list (feed);
       return;
     }
+  feed->list_bytes += reply->bytes;
   for (i = 0; i < reply->n_items; i++)
     feed_item[feed->id](feed, &reply->items[i]);
   if (reply->more && reply->n_items > 0)
@@ -399,9 +404,10 @@
 
   feed->gw->counts.store_calls++;
   gw_sync_note_era (feed->gw, reply->era);
-  feed_state (feed, reply->rc == STORE_OK || reply->rc == STORE_COMPACTED);
+  feed_state (feed, reply->rc == STORE_OK || reply->rc == STORE_COMPACTED
+                        || reply->rc == STORE_TOO_LONG);
   /* In another era, changes before FEED's revision may not be known.  */
-  if (reply->rc == STORE_COMPACTED
+  if (reply->rc == STORE_COMPACTED || reply->rc == STORE_TOO_LONG
       || (reply->rc == STORE_OK && reply->era != feed->era))
     {
       feed_list (feed);
@@ -496,6 +502,14 @@
   return (int)MAX (gw->set.settled_ms - WATCH_MARGIN_MS, WATCH_MIN_MS);
 }
 
+/* Returns how long a history may be before a listing costs less: the listing
+   has the last value of each key only.  */
+static size_t
+history_max (const struct feed *feed)
+{
+  return feed->list_bytes + feed->list_bytes / 2 + HISTORY_SLACK_BYTES;
+}
+
 static void
 feed_watch (struct feed *feed)
 {
@@ -515,7 +529,8 @@
       return;
     }
   gw->store_api->watch (gw->store_ctx, feed->prefix, feed->revision,
-                        watch_wait_ms (feed), on_watched, feed);
+                        watch_wait_ms (feed), history_max (feed), on_watched,
+                        feed);
 }
 
 /* Registry entry of this process, kept by a lease.  */
--- a/src/store.h
+++ b/src/store.h
@@ -21,6 +21,7 @@
   STORE_ABSENT,    /* no such key or lease */
   STORE_CONFLICT,  /* the condition is false; nothing was done */
   STORE_COMPACTED, /* the requested history has been compacted */
+  STORE_TOO_LONG,  /* the requested history is longer than it may be */
   STORE_REFUSED,   /* the store refused or was unreachable; nothing was done */
   STORE_UNKNOWN    /* no answer: it may have been done, or may be done later */
 };
@@ -44,6 +45,7 @@
   uint64_t era;      /* 0: unknown */
   uint64_t revision; /* of the whole store, or of a write */
   uint64_t lease;
+  size_t bytes; /* of the answer on the wire */
 };
 
 typedef void store_done (void *ctx, const struct store_reply *reply);
@@ -55,9 +57,10 @@
      be seconds old, which costs the store less.  */
   void (*list) (void *store_api, const char *prefix, const char *after,
                 int stale, store_done *done, void *ctx);
-  /* Waits up to WAIT_MS for changes after REVISION.  */
+  /* Waits up to WAIT_MS for changes after REVISION.  Ends with STORE_TOO_LONG
+     when the answer has more than BYTES_MAX; 0: as many as it can take.  */
   void (*watch) (void *store_api, const char *prefix, uint64_t revision,
-                 int wait_ms, store_done *done, void *ctx);
+                 int wait_ms, size_t bytes_max, store_done *done, void *ctx);
   /* Writes KEY if its revision is EXPECTED; 0 means that it is absent.  */
   void (*put) (void *store_api, const char *key, uint64_t expected,
                const char *value, size_t size, uint64_t lease,
--- a/tests/unit_gw_sync.cc
+++ b/tests/unit_gw_sync.cc
@@ -47,11 +47,13 @@
   size_t page = SIZE_MAX;         // items in a page of a listing
   std::function<void ()> on_page; // called when a page is sent, with more left
   unsigned watches = 0;           // calls of the store
+  size_t bytes_read = 0;          // of all answers
   struct watch
   {
     Sync *self;
     std::string prefix;
     uint64_t after;
+    size_t bytes_max;
     store_done *done;
     void *ctx;
   };
@@ -112,11 +114,13 @@
             R"("born":1,"state":")"
                 + state + "\"}");
   }
+  // SPACE: further bytes of the value.
   void
-  config (int version)
+  config (int version, size_t space = 0)
   {
     change ("op/config", R"({"version":)" + std::to_string (version)
-                             + R"(,"routes":[],"services":[]})");
+                             + R"(,"routes":[],"services":[]})"
+                             + std::string (space, ' '));
   }
   bool
   usable (const char *id)
@@ -183,6 +187,9 @@
     reply.revision = revision;
     reply.more = more;
     reply.era = era;
+    for (const item &i : items)
+      reply.bytes += i.value.size ();
+    bytes_read += reply.bytes;
     done (ctx, &reply);
   }
 
@@ -243,6 +250,17 @@
       if (i.revision > w.after
           && i.key.compare (0, w.prefix.size (), w.prefix) == 0)
         events.push_back (i);
+    size_t bytes = 0;
+    for (const item &i : events)
+      bytes += i.value.size ();
+    if (w.bytes_max > 0 && bytes > w.bytes_max)
+      {
+        struct store_reply reply = {};
+        reply.era = self->era;
+        reply.rc = STORE_TOO_LONG;
+        w.done (w.ctx, &reply);
+        return;
+      }
     if (!events.empty () || tmr_now (self->gw.tmr) >= until)
       self->reply_items (events, w.done, w.ctx);
     else
@@ -250,14 +268,14 @@
   }
   static void
   watch_ (void *store_api, const char *prefix, uint64_t after, int wait_ms,
-          store_done *done, void *ctx)
+          size_t bytes_max, store_done *done, void *ctx)
   {
     auto *self = static_cast<Sync *> (store_api);
     self->watches++;
     if (self->failing (done, ctx))
       return;
     int64_t until = tmr_now (self->gw.tmr) + wait_ms * ms;
-    watch w = { self, prefix, after, done, ctx };
+    watch w = { self, prefix, after, bytes_max, done, ctx };
     self->call_after (4 * ms, [=] { check_changes (w, until); });
   }
   static void
@@ -380,6 +398,43 @@
     }
 }
 
+// Guards against a gateway that reads all versions that it has missed, or asks
+// for them again and again, where the last one is all that it needs.
+TEST_F (Sync, LongHistoryIsListed)
+{
+  static const size_t size = 400000;
+  config (3, size);
+  start ();
+  for (enum store_rc rc : { STORE_UNKNOWN, STORE_REFUSED })
+    {
+      fails = rc;
+      advance (3000);
+      int version = static_cast<int> (gw.table->version);
+      for (int i = 0; i < 50; i++)
+        config (++version, size);
+      bytes_read = 0;
+      fails = STORE_OK;
+      advance (1500);
+      EXPECT_EQ (gw.table->version, static_cast<uint64_t> (version));
+      EXPECT_LT (bytes_read, 2 * size);
+    }
+  // A version that is larger by far than the last one comes as soon.
+  for (size_t larger : { 4 * size, size / 100, 4 * size })
+    {
+      int version = static_cast<int> (gw.table->version) + 1;
+      config (version, larger);
+      advance (400);
+      EXPECT_EQ (gw.table->version, static_cast<uint64_t> (version));
+    }
+  // One that isn't needs no listing.
+  int version = static_cast<int> (gw.table->version) + 1;
+  bytes_read = 0;
+  config (version, 4 * size + 1000);
+  advance (400);
+  EXPECT_EQ (gw.table->version, static_cast<uint64_t> (version));
+  EXPECT_LT (bytes_read, 5 * size);
+}
+
 // Guards against changes that are lost when the store compacts its history.
 TEST_F (Sync, CompactedHistoryIsListedAgain)
 {
--- a/tests/unit_pf_store.cc
+++ b/tests/unit_pf_store.cc
@@ -86,6 +86,23 @@
     EXPECT_TRUE (run_until (&loop, [&] { return replies.size () > before; }));
   }
   void
+  settle ()
+  {
+    for (int i = 0; i < 10; i++)
+      uv_run (&loop, UV_RUN_NOWAIT);
+  }
+  void
+  hang_up (int fd)
+  {
+    close (fd);
+    settle ();
+  }
+  void
+  pass_ms (int64_t span)
+  {
+    tmr_advance (tmr, tmr_now (tmr) + span * 1000);
+  }
+  void
   get ()
   {
     pf_store_ops.get (store, "k", on_reply, this);
@@ -135,7 +152,7 @@
         if (call == 0)
           pf_store_ops.list (store, "p/", nullptr, 0, on_reply, this);
         else if (call == 1)
-          pf_store_ops.watch (store, "p/", 3, 1000, on_reply, this);
+          pf_store_ops.watch (store, "p/", 3, 1000, 0, on_reply, this);
         else
           pf_store_ops.put (store, "k", 0, "v", 1, 0, on_reply, this);
         int fd = accept_new ();
@@ -221,7 +238,7 @@
   EXPECT_EQ (keys, std::vector<std::string>{ "p/c=node" });
   EXPECT_TRUE (more);
   EXPECT_EQ (revision, UINT64_MAX);
-  pf_store_ops.watch (store, "p/", 7, 2000, on_reply, this);
+  pf_store_ops.watch (store, "p/", 7, 2000, 0, on_reply, this);
   EXPECT_EQ (request (fd).substr (0, 49),
              "GET /-/kv-watch?prefix=p%2F&after=7&wait_ms=2000 ");
   answer (fd, 200,
@@ -231,6 +248,93 @@
   close (fd);
 }
 
+// Guards against a gateway that asks for the same long answer again and again
+// over a thin link: what counts is that bytes come, not when the last one
+// does.
+TEST_F (Store, SlowAnswerIsRead)
+{
+  const std::string body = R"({"items":[{"key":"p/1","revision":7,"value":")"
+                           + std::string (40000, 'A')
+                           + R"("}],"store_revision":7})";
+  for (bool watch : { false, true })
+    {
+      replies.clear ();
+      if (watch)
+        pf_store_ops.watch (store, "p/", 3, 1, 0, on_reply, this);
+      else
+        pf_store_ops.list (store, "p/", nullptr, 0, on_reply, this);
+      int fd = accept_new ();
+      request (fd);
+      put (fd, "HTTP/1.1 200 X\r\nContent-Length: "
+                   + std::to_string (body.size ()) + "\r\n\r\n");
+      // 8 s in all.
+      for (size_t at = 0; at < body.size (); at += 2000)
+        {
+          pass_ms (400);
+          put (fd, body.substr (at, 2000));
+          settle ();
+        }
+      ASSERT_EQ (replies.size (), 1U);
+      EXPECT_EQ (replies[0], STORE_OK);
+      EXPECT_EQ (revision, 7U);
+      hang_up (fd);
+    }
+}
+
+// Guards against a call that never ends: one whose answer stops, or comes too
+// slowly to be of use.
+TEST_F (Store, AnswerThatStopsOrTricklesEnds)
+{
+  for (bool trickles : { false, true })
+    {
+      replies.clear ();
+      pf_store_ops.watch (store, "p/", 3, 1, 0, on_reply, this);
+      int fd = accept_new ();
+      request (fd);
+      put (fd, "HTTP/1.1 200 X\r\nContent-Length: 9999\r\n\r\n{");
+      settle ();
+      for (int i = 0; i < 6; i++)
+        {
+          EXPECT_EQ (replies.size (), 0U);
+          pass_ms (190);
+          if (trickles)
+            put (fd, " ");
+          settle ();
+        }
+      pass_ms (100);
+      EXPECT_EQ (replies, std::vector<enum store_rc>{ STORE_UNKNOWN });
+      hang_up (fd);
+    }
+}
+
+// Guards against reading a history that costs more than the state, and against
+// asking for one again that is longer than any answer may be.
+TEST_F (Store, LongHistoryIsNotRead)
+{
+  for (const char *head :
+       { "HTTP/1.1 200 X\r\nContent-Length: 1001\r\n\r\n",
+         "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n" })
+    {
+      replies.clear ();
+      pf_store_ops.watch (store, "p/", 3, 1, 1000, on_reply, this);
+      int fd = accept_new ();
+      request (fd);
+      put (fd, head + std::string (1001, ' '));
+      ASSERT_TRUE (run_until (&loop, [&] { return !replies.empty (); }));
+      EXPECT_EQ (replies, std::vector<enum store_rc>{ STORE_TOO_LONG });
+      hang_up (fd);
+    }
+  size_t held;
+  replies.clear ();
+  pf_store_ops.watch (store, "p/", 3, 1, 0, on_reply, this);
+  int fd = accept_new ();
+  request (fd);
+  send_endlessly (&loop, fd, "HTTP/1.1 200 X\r\n\r\n", "{\"events\":[", &held);
+  run_until (&loop, [&] { return !replies.empty (); });
+  EXPECT_EQ (replies, std::vector<enum store_rc>{ STORE_TOO_LONG });
+  close (fd);
+}
+
 // Guards against a conditional write that is sent without its condition.
 TEST_F (Store, ConditionalWrite)
 {
