Store feeds: a source that reads a listing tells that it is behind

Change: the source says that it can't be relied on from the moment at which it knows that it has missed changes, and publishes its revision when the listing has ended. A listing that fails is asked for again, not the history.

Test, failed before: SourceSync.TellsThatItIsBehind.

--- a/src/gw_sync.c
+++ b/src/gw_sync.c
@@ -55,6 +55,7 @@
   char *after;              /* last key of the page before */
   int listed;
   int failing;
+  int behind;     /* changes that were missed are read by a listing */
   int following;  /* other gateways pass on the changes */
   uint64_t timer; /* of the next call, while FOLLOWING */
 };
@@ -222,13 +223,14 @@
 feed_publish (struct feed *feed, uint64_t since,
               const struct store_item *items, size_t n)
 {
-  struct fleetfeed_notice notice = { .feed = feed->id,
-                                     .store_ok = !feed->failing,
-                                     .since = since,
-                                     .upto = feed->change_revision,
-                                     .items = items,
-                                     .n_items = n,
-                                     .era = feed->era };
+  struct fleetfeed_notice notice
+      = { .feed = feed->id,
+          .store_ok = !feed->failing && !feed->behind,
+          .since = since,
+          .upto = feed->change_revision,
+          .items = items,
+          .n_items = n,
+          .era = feed->era };
 
   if (n == 0)
     notice.since = feed->change_revision;
@@ -290,7 +292,7 @@
   struct feed *feed = ctx;
 
   (void)now;
-  if (feed->listed && feed->id != FEED_PROCESSES)
+  if (feed->listed && !feed->behind && feed->id != FEED_PROCESSES)
     feed_watch (feed);
   else
     feed_list (feed);
@@ -335,6 +337,7 @@
   if (feed->id == FEED_RUNNERS)
     pool_list_end (gw->runner_pool, feed->list_revision, gw_now (gw));
   feed->listed = 1;
+  feed->behind = 0;
   feed->era = feed->list_era;
   feed->revision = feed->list_revision;
   feed->change_revision
@@ -410,6 +413,8 @@
   if (reply->rc == STORE_COMPACTED || reply->rc == STORE_TOO_LONG
       || (reply->rc == STORE_OK && reply->era != feed->era))
     {
+      feed->behind = 1;
+      feed_publish (feed, 0, NULL, 0);
       feed_list (feed);
       return;
     }
--- a/tests/unit_gw_sync.cc
+++ b/tests/unit_gw_sync.cc
@@ -48,6 +48,7 @@
   std::function<void ()> on_page; // called when a page is sent, with more left
   unsigned watches = 0;           // calls of the store
   size_t bytes_read = 0;          // of all answers
+  int64_t list_us = 4 * ms;       // time for a listing
   struct watch
   {
     Sync *self;
@@ -202,7 +203,7 @@
       return;
     std::string p = prefix;
     std::string last = after != nullptr ? after : "";
-    self->call_after (4 * ms, [=] {
+    self->call_after (self->list_us, [=] {
       std::vector<item> now;
       for (const item &i : self->log)
         if (i.key.compare (0, p.size (), p) == 0)
@@ -1079,4 +1080,102 @@
   EXPECT_TRUE (usable ("a"));
 }
 
+// A gateway that others follow.
+class SourceSync : public Sync
+{
+protected:
+  struct fleetfeed *follower = nullptr;
+  int udp = -1; // of the follower
+  struct told
+  {
+    int store_ok;
+    uint64_t upto;
+  };
+  std::vector<told> notices; // of the configuration
+
+  void
+  SetUp () override
+  {
+    std::vector<uint64_t> ids{ fleetsum_id ("gw") };
+    std::string address = raw_socket::free_address ();
+    struct sockaddr_in sa;
+    gw_test_load = raw_socket::free_address ();
+    Sync::SetUp ();
+    settings_parse_address (address.c_str (), &sa);
+    udp = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
+    ASSERT_EQ (
+        bind (udp, reinterpret_cast<struct sockaddr *> (&sa), sizeof sa), 0);
+    // The only link that is wide enough for a source is this gateway's.
+    gw.set.link_mbit = 1000;
+    for (int i = 0; i < 20; i++)
+      {
+        std::string name = "gateway-" + std::to_string (i);
+        ids.push_back (fleetsum_id (name.c_str ()));
+        change ("gateways/" + name,
+                (i == 0 ? address : "127.0.0.1:9") + " - 1.00 z 2");
+      }
+    follower = fleetfeed_new (ids[1]);
+    fleetfeed_set_members (follower, ids.data (), 1, ids.data (), ids.size ());
+  }
+  void
+  TearDown () override
+  {
+    fleetfeed_free (follower);
+    close (udp);
+  }
+  static void
+  on_notice (void *ctx, const struct fleetfeed_notice *notice)
+  {
+    if (notice->feed == 0)
+      static_cast<SourceSync *> (ctx)->notices.push_back (
+          { notice->store_ok, notice->upto });
+  }
+  void
+  hear ()
+  {
+    char data[2000];
+    ssize_t n;
+    struct err err;
+    notices.clear ();
+    while ((n = recv (udp, data, sizeof data, 0)) > 0)
+      if (fleetfeed_is_datagram (data, static_cast<size_t> (n)))
+        fleetfeed_receive (follower, data, static_cast<size_t> (n), 0,
+                           on_notice, this, &err);
+  }
+};
+
+// Guards against followers that rely on a source while it knows that it has
+// missed changes: it reads a long listing over its link.
+TEST_F (SourceSync, TellsThatItIsBehind)
+{
+  config (3, 1000);
+  start ();
+  advance (2000);
+  hear ();
+  ASSERT_FALSE (notices.empty ());
+  EXPECT_TRUE (notices.back ().store_ok);
+  for (bool forgotten : { false, true })
+    {
+      int version = static_cast<int> (gw.table->version) + 1;
+      list_us = 3000 * ms;
+      if (forgotten)
+        compacted = revision + 1;
+      change ("other", "");
+      config (version, (forgotten ? 1000 : 100) * 4000);
+      advance (1500);
+      ASSERT_LT (gw.table->version, static_cast<uint64_t> (version));
+      hear ();
+      ASSERT_FALSE (notices.empty ());
+      for (const told &t : notices)
+        EXPECT_FALSE (t.store_ok);
+      list_us = 4 * ms;
+      advance (2500);
+      ASSERT_EQ (gw.table->version, static_cast<uint64_t> (version));
+      hear ();
+      ASSERT_FALSE (notices.empty ());
+      EXPECT_TRUE (notices.back ().store_ok);
+      EXPECT_GE (notices.back ().upto, revision);
+    }
+}
+
 }
