--- a/src/gw.h
+++ b/src/gw.h
@@ -36,6 +36,7 @@
 struct gw_quarantine;
 struct gw_fate;
 struct gw_resume;
+struct gw_stop;
 struct quarantine;
 struct quarantine_evidence;
 
@@ -127,10 +128,8 @@
   struct gw_resume *resume;
   uint64_t seed; /* state of the random number generator */
   int stopping;
-  int64_t stop_at;            /* when the process exits at the latest */
-  int64_t drain_notice_until; /* the external load balancer may send new
-                                 clients until then */
-  size_t active;              /* requests in progress */
+  struct gw_stop *stop; /* while STOPPING */
+  size_t active;        /* requests in progress */
   struct gw_counts counts;
   uint64_t latency[GW_LATENCY_BUCKETS];
 };
--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -1,4 +1,5 @@
 #include "gw_call.h"
+#include "gw_stop.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -517,8 +518,7 @@
   budget_ms = in.budget_ms > 0 ? MIN (in.budget_ms, route->timeout_ms)
                                : route->timeout_ms;
   call->deadline = call->arrived + budget_ms * 1000;
-  if (gw->stopping && call->arrived >= gw->drain_notice_until
-      && call->deadline > gw->stop_at)
+  if (!gw_stop_takes (gw, call->deadline))
     {
       routing_unref (call->table);
       g_free (call);
--- a/src/gw_run.c
+++ b/src/gw_run.c
@@ -9,6 +9,7 @@
 #include <xxhash.h>
 
 #include "gw.h"
+#include "gw_stop.h"
 #include "opts.h"
 
 enum
@@ -16,11 +17,7 @@
   LOG_FLUSH_MS = 200,
   SETTINGS_POLL_MS = 2000, /* between two checks of the settings file */
   TICK_MS = 100,           /* also the resolution of connection timeouts */
-  /* The external load balancer removes a process after two failed health
-     checks, one second apart.  */
-  DRAIN_NOTICE_MS = 2600,
-  EXIT_MARGIN_MS = 700, /* exit this long before the grace period ends */
-  PROCESSES_DEFAULT = 8 /* gateways assumed until they are listed */
+  PROCESSES_DEFAULT = 8    /* gateways assumed until they are listed */
 };
 
 struct driver
@@ -135,8 +132,10 @@
 }
 
 static void
-exit_now (struct gw *gw)
+exit_now (void *ctx)
 {
+  struct gw *gw = ctx;
+
   event_log_write ("stop", NULL,
                    "\"requests\":%" G_GUINT64_FORMAT
                    ",\"answered\":%" G_GUINT64_FORMAT ",\"cut\":%zu",
@@ -145,54 +144,13 @@
   exit (EXIT_SUCCESS);
 }
 
-static void
-on_stopping (void *ctx, int64_t now)
-{
-  struct driver *driver = ctx;
-  struct gw *gw = driver->gw;
-  size_t open = 0;
-  int i;
-
-  if (now >= gw->stop_at)
-    exit_now (gw);
-  if (now < gw->drain_notice_until)
-    return;
-  for (i = 0; i < GW_LISTENER_MAX; i++)
-    if (gw->request_listeners[i].srv != NULL)
-      {
-        http_server_close_idle (gw->request_listeners[i].srv);
-        open += http_server_connections (gw->request_listeners[i].srv);
-      }
-  if (gw->active == 0 && open == 0)
-    exit_now (gw);
-}
-
 static void
 on_term (uv_signal_t *signal, int number)
 {
-  enum
-  {
-    STEP_MS = 50
-  };
   struct driver *driver = signal->data;
-  struct gw *gw = driver->gw;
-  int i;
 
   (void)number;
-  if (gw->stopping)
-    return;
-  gw->stopping = 1;
-  gw_sync_withdraw (gw);
-  gw_stage_resign (gw);
-  event_log_write ("stopping", NULL, "\"active\":%zu", gw->active);
-  for (i = 0; i < GW_LISTENER_MAX; i++)
-    if (gw->request_listeners[i].srv != NULL)
-      http_server_drain (gw->request_listeners[i].srv);
-  gw->stop_at
-      = gw_now (gw) + (int64_t)((gw->set.grace_ms - EXIT_MARGIN_MS) * 1000);
-  gw->drain_notice_until = gw_now (gw) + gw_ms_to_us (DRAIN_NOTICE_MS);
-  tmr_add (gw->tmr, gw_ms_to_us (STEP_MS), gw_ms_to_us (STEP_MS), on_stopping,
-           driver);
+  gw_stop_begin (driver->gw, exit_now, driver->gw);
 }
 
 static void
