Gateway: what is taken during a planned stop is answered before the end

A report of another operator: in a planned stop of one machine, in calm, requests that came late in the grace period were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated.

Cause: for the first 2.6 s, a constant, every request was taken whatever its time; the process ended 0.7 s, another constant, before a grace period of any length, up to 4.2 s before its last sixth; and the end answered nothing, though for each request either "not run" or an error was known and true.

Hypotheses before: the notice outlasts the grace period; the exit comes too early in it; what is in progress isn't answered; answers are written and not flushed. The first three are seen in the test, the fourth is ruled out by the wait for the connections' end.

Change: while stopping, a request that may run only once is taken only if all of its time is left; others are taken for a third of the grace period and no longer than the load balancer needs, after that likewise. The last answers are given 0.7 s before the end, or an eighth of a shorter grace period, and the process waits for the connections to take them. With 8 s the times are the same as before, but for 0.35 s more to write the last answers.

--- a/src/ctl_explain.c
+++ b/src/ctl_explain.c
@@ -44,6 +44,8 @@
   { "refused", NULL, "not run" },
   { "failed", "deadline",
     "outcome unknown: sent to a runner, which had not answered in time" },
+  { "failed", "stopping",
+    "outcome unknown: this gateway stopped while a runner was at work" },
   { "failed", NULL,
     "outcome unknown: it was sent to a runner, which was lost"
     " or failed" },
--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -518,7 +518,8 @@
   budget_ms = in.budget_ms > 0 ? MIN (in.budget_ms, route->timeout_ms)
                                : route->timeout_ms;
   call->deadline = call->arrived + budget_ms * 1000;
-  if (!gw_stop_takes (gw, call->deadline))
+  if (!gw_stop_takes (gw, call->deadline + DEADLINE_GRACE_US,
+                      route->kind == ROUTING_NON_IDEMPOTENT))
     {
       routing_unref (call->table);
       g_free (call);
--- a/src/gw_stop.c
+++ b/src/gw_stop.c
@@ -1,28 +1,73 @@
 /* Graceful shutdown of the gateway.  */
 #include "gw_stop.h"
+#include "gw_call.h"
 
 enum
 {
   /* The external load balancer removes a process after two failed health
      checks, one second apart.  */
   DRAIN_NOTICE_MS = 2600,
-  EXIT_MARGIN_MS = 700, /* exit this long before the grace period ends */
-  STEP_MS = 50          /* between two looks at what is in progress */
+  /* Of the grace period, in which requests are taken whatever their time.  */
+  TAKE_PART = 3,
+  /* Time to write the last answers: this much, or this part of a short grace
+     period.  */
+  LAST_ANSWERS_MS = 700,
+  LAST_ANSWERS_PART = 8,
+  STEP_MS = 50 /* between two looks at what is in progress */
 };
 
 struct gw_stop
 {
   void (*ended) (void *ctx);
   void *ctx;
-  int64_t exit_at;      /* when the process exits at the latest */
   int64_t notice_until; /* the load balancer may send new clients until then */
+  int64_t take_until;
+  int64_t answer_at; /* when the requests in progress are answered */
+  int64_t exit_at;   /* when the process exits at the latest */
 };
 
 int
-gw_stop_takes (struct gw *gw, int64_t deadline)
+gw_stop_takes (struct gw *gw, int64_t answered_by, int once)
 {
-  return !gw->stopping || gw_now (gw) < gw->stop->notice_until
-         || deadline <= gw->stop->exit_at;
+  return !gw->stopping || answered_by <= gw->stop->answer_at
+         || (!once && gw_now (gw) < gw->stop->take_until);
+}
+
+/* Answers the requests in progress.  */
+static void
+answer_rest (struct gw *gw)
+{
+  GHashTableIter iter;
+  gpointer call;
+  int i;
+
+  for (i = 0; i < GW_LISTENER_MAX; i++)
+    /* A call that ends leaves the table.  */
+    while (g_hash_table_size (gw->request_listeners[i].calls) > 0)
+      {
+        g_hash_table_iter_init (&iter, gw->request_listeners[i].calls);
+        g_hash_table_iter_next (&iter, NULL, &call);
+        gw_call_fail (call, 0, "stopping");
+      }
+}
+
+static void
+on_answer_time (void *ctx, int64_t now)
+{
+  struct gw *gw = ctx;
+
+  (void)now;
+  event_log_write ("stop_answers", NULL, "\"active\":%zu", gw->active);
+  answer_rest (gw);
+}
+
+static void
+on_exit_time (void *ctx, int64_t now)
+{
+  const struct gw *gw = ctx;
+
+  (void)now;
+  gw->stop->ended (gw->stop->ctx);
 }
 
 static void
@@ -33,8 +78,6 @@
   size_t open = 0;
   int i;
 
-  if (now >= stop->exit_at)
-    stop->ended (stop->ctx);
   if (now < stop->notice_until)
     return;
   for (i = 0; i < GW_LISTENER_MAX; i++)
@@ -50,6 +93,9 @@
 void
 gw_stop_begin (struct gw *gw, void (*ended) (void *ctx), void *ctx)
 {
+  int64_t now = gw_now (gw);
+  int64_t grace_ms = (int64_t)gw->set.grace_ms;
+  int64_t last_ms = MIN (LAST_ANSWERS_MS, grace_ms / LAST_ANSWERS_PART);
   struct gw_stop *stop;
   int i;
 
@@ -58,9 +104,12 @@
   stop = g_new0 (struct gw_stop, 1);
   stop->ended = ended;
   stop->ctx = ctx;
-  stop->exit_at
-      = gw_now (gw) + gw_ms_to_us (gw->set.grace_ms - EXIT_MARGIN_MS);
-  stop->notice_until = gw_now (gw) + gw_ms_to_us (DRAIN_NOTICE_MS);
+  stop->answer_at = now + gw_ms_to_us (grace_ms - last_ms);
+  stop->exit_at = now + gw_ms_to_us (grace_ms - last_ms / 2);
+  stop->notice_until
+      = MIN (now + gw_ms_to_us (DRAIN_NOTICE_MS), stop->answer_at);
+  stop->take_until
+      = MIN (stop->notice_until, now + gw_ms_to_us (grace_ms / TAKE_PART));
   gw->stop = stop;
   gw->stopping = 1;
   gw_sync_withdraw (gw);
@@ -70,4 +119,6 @@
     if (gw->request_listeners[i].srv != NULL)
       http_server_drain (gw->request_listeners[i].srv);
   tmr_add (gw->tmr, gw_ms_to_us (STEP_MS), gw_ms_to_us (STEP_MS), on_step, gw);
+  tmr_add (gw->tmr, stop->answer_at - now, 0, on_answer_time, gw);
+  tmr_add (gw->tmr, stop->exit_at - now, 0, on_exit_time, gw);
 }
