Gateway: a client refused by a planned stop may return at once

A stopping gateway refused with a Retry-After of 500 ms, the time until a runner may be back. Here the runners are fine and the platform sends a retry to another gateway, so the client waited for nothing. It may now return after 100 to 250 ms, like other clients that are refused for the moment.

Test, failed before: Stop.RefusedClientsReturnSoon (0.5 s, 0.25 s allowed). Stop.StreamThatHasBegunBreaksOff passes before and after: a stream that the stop ends doesn't look whole.

--- a/src/gw_call.c
+++ b/src/gw_call.c
@@ -19,6 +19,8 @@
      waits in vain.  */
   UNKNOWN_RETRY_AFTER_MS = RETRY_AFTER_MIN_MS,
   UNREADABLE_RETRY_AFTER_MS = 500,
+  /* The platform sends a retry to another gateway.  */
+  STOPPING_RETRY_AFTER_MS = RETRY_AFTER_MIN_MS,
   /* Within this time most trials end.  */
   TRIAL_RETRY_AFTER_MS = 250,
   /* Clients that were refused while all runners rest return over this part of
@@ -450,16 +452,18 @@
   return XXH64 (body, size, hash);
 }
 
-/* Answers a request for which no gw_call is created.  */
+/* Answers a request for which no gw_call is created.  AFTER_MS: when the
+   client may return; 0: it need not.  */
 static void
 answer_without_call (struct gw_listener *request_listener, uint64_t conn,
-                     const char *id, int status, const char *why)
+                     const char *id, int status, int64_t after_ms,
+                     const char *why)
 {
   struct gw *gw = request_listener->gw;
   GString *fields = g_string_new (NULL);
 
-  if (status == 503)
-    gw->adapter->retry_after_write (fields, NO_RUNNER_RETRY_AFTER_MS);
+  if (after_ms > 0)
+    gw->adapter->retry_after_write (fields, after_ms);
   event_log_write (
       "refused", id,
       "\"status\":%d,\"why\":\"%s\",\"version\":%" G_GUINT64_FORMAT, status,
@@ -484,19 +488,19 @@
   gw->counts.requests++;
   if (gw->adapter->request_read (head, &in) != 0 || in.id[0] == '\0')
     {
-      answer_without_call (request_listener, conn, NULL, 400, "malformed");
+      answer_without_call (request_listener, conn, NULL, 400, 0, "malformed");
       return;
     }
   if (gw->table == NULL || !gw_quarantine_is_loaded (gw))
     {
       answer_without_call (request_listener, conn, in.id, 503,
-                           "no configuration yet");
+                           NO_RUNNER_RETRY_AFTER_MS, "no configuration yet");
       return;
     }
   route = routing_find (gw->table, http_head_get (head, "host"), head->target);
   if (route == NULL)
     {
-      answer_without_call (request_listener, conn, in.id, 404, "no route");
+      answer_without_call (request_listener, conn, in.id, 404, 0, "no route");
       return;
     }
   call = g_new0 (struct gw_call, 1);
@@ -523,7 +527,11 @@
     {
       routing_unref (call->table);
       g_free (call);
-      answer_without_call (request_listener, conn, in.id, 503, "stopping");
+      answer_without_call (
+          request_listener, conn, in.id, 503,
+          STOPPING_RETRY_AFTER_MS
+              + (int64_t)(gw_random (gw) % RETRY_AFTER_JITTER_MS),
+          "stopping");
       return;
     }
   call->timer = tmr_add (gw->tmr, budget_ms * 1000 + DEADLINE_GRACE_US, 0,
--- a/tests/unit_gw_stop.cc
+++ b/tests/unit_gw_stop.cc
@@ -204,6 +204,45 @@
     }
 }
 
+// Guards against a refusal that keeps a client waiting although every other
+// gateway would serve it now.
+TEST_F (Stop, RefusedClientsReturnSoon)
+{
+  stop (2000);
+  int fd = request ("/order/1", 5000);
+  std::string answer = received (fd);
+  size_t at = answer.find ("Retry-After: ");
+  ASSERT_NE (at, std::string::npos) << answer;
+  double after_s = std::stod (answer.substr (at + strlen ("Retry-After: ")));
+  EXPECT_GE (after_s, 0.1);
+  EXPECT_LE (after_s, 0.25);
+  EXPECT_NE (answer.find ("Connection: close"), std::string::npos);
+  close (fd);
+}
+
+// Guards against a stream that looks whole although the gateway ended it.
+TEST_F (Stop, StreamThatHasBegunBreaksOff)
+{
+  client = connect_raw (front);
+  fcntl (client, F_SETFL, O_NONBLOCK);
+  struct pool_runner *engine = runner (1, "llm");
+  ASSERT_NE (engine, nullptr);
+  put (client, "POST /chat/1 HTTP/1.1\r\nHost: h\r\n"
+               "X-Goldcresthatch-Request-Id: me\r\n"
+               "X-Goldcresthatch-Token-Count: 90,4\r\n"
+               "Content-Length: 4\r\n\r\nbody");
+  int fd;
+  receive_at_runner (1, &fd);
+  put (fd, head (200, std::string (stamp) + chunked) + chunk (event1));
+  ASSERT_TRUE (client_has (event1));
+  stop (3000);
+  pass (3000);
+  EXPECT_GE (ended, 2500);
+  EXPECT_NE (client_end (), "open");
+  EXPECT_EQ (got.find ("0\r\n\r\n"), std::string::npos) << got;
+  close (fd);
+}
+
 INSTANTIATE_TEST_SUITE_P (Graces, StopAfter,
                           testing::Values (1000, 2000, 3000, 4000, 6000, 8000,
                                            30000));
