--- a/src/gw_stop.c
+++ b/src/gw_stop.c
@@ -42,13 +42,19 @@
   int i;
 
   for (i = 0; i < GW_LISTENER_MAX; i++)
-    /* A call that ends leaves the table.  */
-    while (g_hash_table_size (gw->request_listeners[i].calls) > 0)
-      {
-        g_hash_table_iter_init (&iter, gw->request_listeners[i].calls);
-        g_hash_table_iter_next (&iter, NULL, &call);
-        gw_call_fail (call, 0, "stopping");
-      }
+    {
+      GHashTable *calls = gw->request_listeners[i].calls;
+
+      if (gw->request_listeners[i].srv == NULL)
+        continue;
+      /* A call that ends leaves the table.  */
+      while (g_hash_table_size (calls) > 0)
+        {
+          g_hash_table_iter_init (&iter, calls);
+          g_hash_table_iter_next (&iter, NULL, &call);
+          gw_call_fail (call, 0, "stopping");
+        }
+    }
 }
 
 static void
