--- a/tests/scripts/log_names.sh
+++ b/tests/scripts/log_names.sh
@@ -1,6 +1,6 @@
 # Guards against log lines and metrics that the operators' page doesn't list,
 # and against names listed that no longer exist.
-events=$(cat src/gw_*.c src/event_log.c | tr '\n' ' ' \
+events=$(cat src/*.c platform/*.c | tr '\n' ' ' \
   | grep -oE 'event_log_write \([^"]*"[a-z_]+"( : "[a-z_]+")?' | grep -oE '"[a-z_]+"' \
   | tr -d '"' | sort -u)
 listed=$(sed -n '/^| event /,/^$/p' docs/OPERATIONS.md | cut -d'|' -f2 \
