--- a/tests/unit_gw_stop.cc
+++ b/tests/unit_gw_stop.cc
@@ -220,6 +220,59 @@
   close (fd);
 }
 
+// Guards against a request that was relayed to another gateway and is cut
+// there or here: both refusals of that gateway and its silence are answered.
+TEST_F (Stop, RelayedRequestIsAnswered)
+{
+  static const struct
+  {
+    const char *answer; // of the other gateway
+    const char *status;
+  } rows[]
+      = { { "", "HTTP/1.1 502" },
+          { "HTTP/1.1 502 X\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 502" },
+          { "HTTP/1.1 503 X\r\nConnection: close\r\n"
+            "Content-Length: 0\r\n\r\n",
+            "HTTP/1.1 200" } };
+  int relay = relay_at ("wide");
+  int fds[3];
+  int peers[3];
+  for (int i = 0; i < 3; i++)
+    {
+      fds[i] = connect_raw (front);
+      fcntl (fds[i], F_SETFL, O_NONBLOCK);
+      put (fds[i], "POST /order/" + std::to_string (i)
+                       + " HTTP/1.1\r\nHost: h\r\n"
+                         "X-Goldcresthatch-Request-Id: me\r\n"
+                         "Content-Length: 3000\r\n\r\n"
+                       + std::string (3000, 'x'));
+      peers[i] = -1;
+      run_until (&gw.loop, [&] {
+        peers[i] = accept (relay, nullptr, nullptr);
+        return peers[i] >= 0;
+      });
+      ASSERT_GE (peers[i], 0);
+    }
+  stop (2000);
+  for (int i = 0; i < 3; i++)
+    put (peers[i], rows[i].answer);
+  // What the other gateway hasn't run is sent to a runner.
+  int run = -1;
+  run_until (&gw.loop, [&] { return (run = at_runner ()) >= 0; });
+  ASSERT_GE (run, 0);
+  put (run, head (200, std::string (stamp) + "Content-Length: 0\r\n\r\n"));
+  pass (2000);
+  EXPECT_GE (ended, 1666);
+  for (int i = 0; i < 3; i++)
+    {
+      std::string answer = received (fds[i]);
+      EXPECT_EQ (answer.substr (0, 12), rows[i].status) << i << answer;
+      close (fds[i]);
+      close (peers[i]);
+    }
+  close (relay);
+}
+
 // Guards against a stream that looks whole although the gateway ended it.
 TEST_F (Stop, StreamThatHasBegunBreaksOff)
 {
--- a/tests/unit_gw_sync.cc
+++ b/tests/unit_gw_sync.cc
@@ -49,6 +49,7 @@
   unsigned watches = 0;           // calls of the store
   size_t bytes_read = 0;          // of all answers
   int64_t list_us = 4 * ms;       // time for a listing
+  unsigned lists_fail = 0;        // so many listings
   struct watch
   {
     Sync *self;
@@ -201,6 +202,16 @@
     auto *self = static_cast<Sync *> (store_api);
     if (self->failing (done, ctx))
       return;
+    if (self->lists_fail > 0)
+      {
+        self->lists_fail--;
+        self->call_after (4 * ms, [=] {
+          struct store_reply reply = {};
+          reply.rc = STORE_UNKNOWN;
+          done (ctx, &reply);
+        });
+        return;
+      }
     std::string p = prefix;
     std::string last = after != nullptr ? after : "";
     self->call_after (self->list_us, [=] {
@@ -436,6 +447,23 @@
   EXPECT_LT (bytes_read, 5 * size);
 }
 
+// Guards against asking for the long history again when the listing that
+// replaces it fails.
+TEST_F (Sync, ListingThatFailsIsListedAgain)
+{
+  config (3, 1000);
+  start ();
+  for (int i = 4; i < 54; i++)
+    config (i, 100000);
+  unsigned before = watches;
+  lists_fail = 3;
+  advance (1500);
+  EXPECT_EQ (gw.table->version, 53U);
+  EXPECT_EQ (lists_fail, 0U);
+  // That of the history, and one after the listing; those of the runners.
+  EXPECT_LE (watches - before, 4U);
+}
+
 // Guards against changes that are lost when the store compacts its history.
 TEST_F (Sync, CompactedHistoryIsListedAgain)
 {
