--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 import world_2 as w
 
-REQUESTS = 20
+PAUSE_S = 0.03
 # Bodies of the site's longest kind of request and of its longest booking.
 BODY = {"check": b"b" * 9200, "place": b"b" * 3600}
 
@@ -18,7 +18,7 @@
     store = w.Store(record)
     await store.start()
     runners = []
-    for i, zone in enumerate("abc"):
+    for i, zone in enumerate("abcabca"[:w.Grey.RUNNERS]):
         runner = w.Runner(record, store, "127.0.92.%d" % (i + 1), "i-%d" % i,
                           "pedidos", zone)
         await runner.start()
@@ -44,21 +44,21 @@
         record.write("nothing was relayed")
         return 2
 
+    end = record.now() + w.Grey.SECONDS
     if trouble:
-        record.write("runners begin to fail what they have run")
-        for runner in runners:
-            runner.reply = lambda id, echo, stamp: w.answer(
-                400, echo, b"no such length")
-    ids = ["%s-%d" % (kind, i) for kind in ("place", "check")
-           for i in range(REQUESTS // 2)]
-    for id in ids:
-        kind = id.split("-")[0]
-        await requester.send(id, "/%s/1" % kind, BODY[kind])
+        w.Grey(record, runners[0],
+               lambda echo, stamp: w.answer(400, echo, b"no such length"))
+    ids = []
+    while record.now() < end - 1:
+        kind = ("place", "check")[len(ids) % 2]
+        ids.append("%s-%d" % (kind, len(ids)))
+        await requester.send(ids[-1], "/%s/1" % kind, BODY[kind])
+        await asyncio.sleep(PAUSE_S)
     await asyncio.sleep(1)
     twice = [id for id in ids
              if sum(id == ran for r in runners for _, ran in r.runs) > 1]
     record.write("%d of %d requests ran more than once: %s"
-                 % (len(twice), REQUESTS, twice))
+                 % (len(twice), len(ids), twice))
     return 1 if twice else 0
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -8,17 +8,36 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 import world_2 as w
 
-REQUESTS = 40
+PAUSE_S = 0.02  # between two bookings
+RUN_S = 0.06
+BODY = b"b" * 600
 PROMISES = (408, 421, 429, 503)
 
 
+async def book(record, gateways, runners, n):
+    """Sends one booking, and again after a promise, as requesters do.
+    Returns whether it had run when it was answered with a promise, and how
+    often it ran."""
+    path = "/place/booking-%d" % n
+    ids = ["booking-%d-try-%d" % (n, i + 1) for i in range(2)]
+    status = await w.Requester(record, gateways[0]).send(ids[0], path, BODY)
+    broken = 0
+    if status in PROMISES:
+        broken = any(id == ids[0] for r in runners for _, id in r.runs)
+        if broken:
+            record.write("%s has run and was answered %d" % (ids[0], status))
+        await asyncio.sleep(0.2)
+        await w.Requester(record, gateways[1]).send(ids[1], path, BODY)
+    return broken, sum(id in ids for r in runners for _, id in r.runs)
+
+
 async def case(record, temporary, trouble, gateways):
     store = w.Store(record)
     await store.start()
     runners = []
-    for i, zone in enumerate("abc"):
+    for i, zone in enumerate("abcabca"[:w.Grey.RUNNERS]):
         runner = w.Runner(record, store, "127.0.92.%d" % (i + 1), "i-%d" % i,
-                          "pedidos", zone)
+                          "pedidos", zone, RUN_S)
         await runner.start()
         runners.append(runner)
     store.put("op/config", w.config(
@@ -30,35 +49,26 @@
         gateways.append(gateway)
     if not await w.wait_ready(gateways):
         return 2
-    first, second = (w.Requester(record, g) for g in gateways)
-    if await first.send("calm", "/place/0", b"b" * 600) != 200:
+    if await w.Requester(record, gateways[0]).send("calm", "/place/0",
+                                                   BODY) != 200:
         return 2
 
+    end = record.now() + w.Grey.SECONDS
     if trouble:
-        record.write("%s begins to fail what it has run" % runners[0].id)
-        runners[0].reply = lambda id, echo, stamp: w.answer(
-            503, echo + stamp, b"the ledger is away")
-    broken = []
-    doubled = []
-    for i in range(REQUESTS):
-        path = "/place/booking-%d" % i
-        ids = ["booking-%d-try-1" % i]
-        status = await first.send(ids[0], path, b"b" * 600)
-        if status in PROMISES:
-            if any(id == ids[0] for r in runners for _, id in r.runs):
-                record.write("%s has run and was answered %d"
-                             % (ids[0], status))
-                broken.append(ids[0])
-            # A requester returns after a promise, at another gateway.
-            await asyncio.sleep(0.2)
-            ids.append("booking-%d-try-2" % i)
-            await second.send(ids[1], path, b"b" * 600)
-        runs = sum(id in ids for r in runners for _, id in r.runs)
-        if runs > 1:
-            doubled.append("booking-%d" % i)
-    record.write("%d of %d requests have run and were answered with a "
-                 "promise: %s" % (len(broken), REQUESTS, broken))
-    record.write("bookings that ran twice: %s" % doubled)
+        w.Grey(record, runners[0],
+               lambda echo, stamp: w.answer(503, echo + stamp,
+                                            b"the ledger is away"))
+    bookings = []
+    while record.now() < end - 1:
+        bookings.append(asyncio.ensure_future(
+            book(record, gateways, runners, len(bookings))))
+        await asyncio.sleep(PAUSE_S)
+    results = await asyncio.gather(*bookings)
+    broken = sum(1 for promised, _ in results if promised)
+    record.write("%d of %d requests have run and were answered with a promise"
+                 % (broken, len(results)))
+    record.write("%d bookings ran twice"
+                 % sum(1 for _, runs in results if runs > 1))
     return 1 if broken else 0
 
 
--- a/review/world_2.py
+++ b/review/world_2.py
@@ -351,6 +351,28 @@
     return json.dumps(document).encode()
 
 
+class Grey:
+    """Lets a runner fail some of the requests that it has run, as srv_grey
+    does: one of seven runners, two of five requests, for six seconds."""
+
+    RUNNERS = 7
+    SECONDS = 6.0
+
+    def __init__(self, record, runner, failure):
+        self.until = record.now() + self.SECONDS
+        self.n = 0
+        self.failed = []     # request ids
+        record.write("%s begins to fail some of what it has run" % runner.id)
+
+        def reply(id, echo, stamp):
+            self.n += 1
+            if record.now() < self.until and self.n % 5 in (1, 3):
+                self.failed.append(id)
+                return failure(echo, stamp)
+            return answer(200, echo + stamp, b"x" * 800)
+        runner.reply = reply
+
+
 class Gateway:
     """A gateway process, with the deploy file's command, settings and
     variables."""
