--- a/review/9/case.py
+++ b/review/9/case.py
@@ -10,6 +10,8 @@
 
 PAUSE_S = 0.02  # between two bookings
 RUN_S = 0.06
+BUDGET_MS = 1500
+TIMEOUT_MS = 800    # of the site's bookings
 BODY = b"b" * 600
 PROMISES = (408, 421, 429, 503)
 
@@ -20,14 +22,16 @@
     often it ran."""
     path = "/place/booking-%d" % n
     ids = ["booking-%d-try-%d" % (n, i + 1) for i in range(2)]
-    status = await w.Requester(record, gateways[0]).send(ids[0], path, BODY)
+    status = await w.Requester(record, gateways[0]).send(ids[0], path, BODY,
+                                                          budget_ms=BUDGET_MS)
     broken = 0
     if status in PROMISES:
         broken = any(id == ids[0] for r in runners for _, id in r.runs)
         if broken:
             record.write("%s has run and was answered %d" % (ids[0], status))
         await asyncio.sleep(0.2)
-        await w.Requester(record, gateways[1]).send(ids[1], path, BODY)
+        await w.Requester(record, gateways[1]).send(ids[1], path, BODY,
+                                                 budget_ms=BUDGET_MS)
     return broken, sum(id in ids for r in runners for _, id in r.runs)
 
 
@@ -41,7 +45,8 @@
         await runner.start()
         runners.append(runner)
     store.put("op/config", w.config(
-        7, [("place", "/place/", "non_idempotent", "pedidos")], ["pedidos"]))
+        7, [("place", "/place/", "non_idempotent", "pedidos")], ["pedidos"],
+        TIMEOUT_MS))
     for n, zone in enumerate("ab"):
         gateway = w.Gateway(record, temporary, n + 1, zone, store.address,
                             1000.0)
--- a/review/world_2.py
+++ b/review/world_2.py
@@ -336,12 +336,12 @@
         return answer(200, echo + stamp, b"x" * 800)
 
 
-def config(version, routes, services, tenants=None):
+def config(version, routes, services, timeout_ms=3000):
     """ROUTES: rows of name, prefix, kind and service."""
     document = {
         "version": version,
         "routes": [{"name": name, "host": "ficu95.example", "prefix": prefix,
-                    "kind": kind, "timeout_ms": 3000, "slo_ms": 300,
+                    "kind": kind, "timeout_ms": timeout_ms, "slo_ms": 300,
                     "priority": 2, "service": service, "attempts": 2}
                    for name, prefix, kind, service in routes],
         "services": [{"name": s, "health_path": "/health", "max_conns": 220,
