review: a gateway doesn't start with a fractional grace period

Cause: the template of the settings appends three zeros to figures in seconds. The case changes grace_s to 7.5, sends SIGHUP and restarts two of four gateways in turn. world_3.py writes settings apart from the start.

--- a/review/world_3.py
+++ b/review/world_3.py
@@ -301,10 +301,14 @@
                                "deploy/gateway.json.in")) as template:
             return re.sub(r"\{\{([^}]+)\}\}", fill, template.read())
 
-    def start(self):
+    def write_settings(self):
         path = os.path.join(self.world.folder, self.name + ".json")
         with open(path, "w") as settings:
             settings.write(self.settings())
+        return path
+
+    def start(self):
+        path = self.write_settings()
         env = {"PATH": os.environ["PATH"], "HOME": self.world.folder,
                "GOLDCRESTHATCH_CONFIG": path,
                "GOLDCRESTHATCH_MEMORY_MB": "260",
