--- a/review/world_4.py
+++ b/review/world_4.py
@@ -276,8 +276,11 @@
     """A gateway, started by the command of the deploy file with its template
     filled in."""
 
-    def __init__(self, folder, name, ip, store, link_mbit=1000.0):
+    def __init__(self, folder, name, ip, store, link_mbit=1000.0,
+                 memory_mb=260, max_fds=4100, settled_ms=3000, slack=54):
         self.name = name
+        self.memory_mb = memory_mb
+        self.max_fds = max_fds
         self.ip = ip
         self.front = ip + ":8144"
         self.ready = ip + ":8140"
@@ -290,8 +293,8 @@
                 "listen_ready": self.ready, "listen_metrics": ip + ":9464",
                 "listen_relay": ip + ":7675", "link_mbit": link_mbit,
                 "listen_load": ip + ":7660", "store": store,
-                "lease_ms": 3000, "settled_ms": 3000, "grace_s": 8,
-                "repeat_ratio": 0.2, "repeat_slack": 54,
+                "lease_ms": 3000, "settled_ms": settled_ms,
+                "grace_s": 8, "repeat_ratio": 0.2, "repeat_slack": slack,
                 "repeat_window_s": 10, "admit_factor": 0.8,
                 "prefill_share": 0.68, "overflow_share": 0.2,
                 "learn_speeds": 1}, file)
@@ -299,8 +302,8 @@
     def start(self):
         env = {"PATH": os.environ.get("PATH", ""), "LANG": "C",
                "GOLDCRESTHATCH_CONFIG": self.settings,
-               "GOLDCRESTHATCH_MEMORY_MB": "260",
-               "GOLDCRESTHATCH_MAX_FDS": "4100"}
+               "GOLDCRESTHATCH_MEMORY_MB": str(self.memory_mb),
+               "GOLDCRESTHATCH_MAX_FDS": str(self.max_fds)}
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen([PROGRAM], cwd=ROOT, env=env,
                                             stdin=subprocess.DEVNULL,
@@ -356,3 +359,90 @@
         return await read_answer(reader)
     finally:
         writer.close()
+
+
+class Engine(Runner):
+    """A runner of a model: streams its answers, and tells and changes its
+    stage.  EVENTS is the number of events of a stream, EVENT_BYTES their
+    size."""
+
+    def __init__(self, record, name, address, store, entry, events,
+                 event_bytes):
+        super().__init__(record, name, address)
+        self.store = store
+        self.entry = entry
+        self.events = events
+        self.event_bytes = event_bytes
+        self.orders = 0
+        self.streamed = {}      # id -> when the last byte was handed over
+
+    def body(self, request):
+        """Returns the whole stream of a request."""
+        out = b""
+        for number in range(1, self.events + 1):
+            text = "%s event %d " % (request, number)
+            out += b"id: %d\ndata: %s\n\n" % (
+                number, text.encode().ljust(self.event_bytes, b"."))
+        return out
+
+    async def answer(self, head, body, writer):
+        path = head.line.split(" ")[1]
+        if path == "/-/report":
+            report = {"stage": self.entry["stage"], "busy": False,
+                      "models": self.entry["models"], "seq": self.orders,
+                      "waiting": 0, "running": 0, "kv_used": 0,
+                      "kv_total": 1466667, "kv_handles": 0}
+            writer.write(message(200, json.dumps(report).encode(), [
+                ("Content-Type", "application/json")]))
+            return True
+        if path == "/-/order":
+            order = json.loads(body)
+            self.orders += 1
+            self.entry["stage"] = order["stage"]
+            self.store.put("servers/" + self.name, self.entry)
+            writer.write(message(202))
+            return True
+        if path == "/health":
+            writer.write(message(200, b"", [
+                ("X-Goldcresthatch-Instance-Id", self.name),
+                ("X-Goldcresthatch-Server-Load", "0,0,48")]))
+            return True
+        request = head.get("X-Goldcresthatch-Request-Id", "")
+        expected = head.get("X-Goldcresthatch-Expect-Instance", self.name)
+        if expected != self.name or head.get("X-Goldcresthatch-Stage"):
+            writer.write(message(421, b"", [
+                ("X-Goldcresthatch-Instance-Id", self.name)]))
+            return True
+        self.record.write("runner %s runs id=%s" % (self.name, request))
+        self.ran.append((request, body))
+        writer.write(("HTTP/1.1 200 OK\r\n"
+                      "X-Goldcresthatch-Request-Id: %s\r\n"
+                      "X-Goldcresthatch-Server-Stamp: stamp-%s\r\n"
+                      "Content-Type: text/event-stream\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n"
+                      % (request, request)).encode())
+        for event in self.body(request).split(b"\n\n")[:-1]:
+            event += b"\n\n"
+            writer.write(b"%x\r\n" % len(event) + event + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        self.streamed[request] = time.monotonic()
+        self.record.write("runner %s has ended id=%s" % (self.name, request))
+        return True
+
+
+def engine_entry(address, stage):
+    return {"service": "lm", "address": address, "zone": "z1",
+            "version": "v1", "slots": 48, "state": "ready", "cold_left_ms": 0,
+            "stage": stage, "seq": 0, "born": int(time.time() * 1000),
+            "models": [{"name": "m", "version": 1, "adapters": []}]}
+
+
+def engine_service():
+    return {"name": "lm", "health_path": "/health", "max_conns": 300,
+            "protocol": "h1", "tls": False,
+            "engine": {"slots": 48, "kv_tokens": 1466667,
+                       "kv_token_bytes": 18432, "link_mbps": 2200000.0,
+                       "stride": 51, "most": 12, "handle_ttl_s": 5.0,
+                       "switch_s": 3.0, "models": [{"name": "m"}]}}
