--- a/review/world_4.py
+++ b/review/world_4.py
@@ -16,6 +16,13 @@
            503: "Service Unavailable"}
 
 
+def net():
+    """Returns the first three numbers of loopback addresses that another run
+    is unlikely to use."""
+    pid = os.getpid()
+    return "127.%d.%d" % (64 + pid % 128, 1 + pid // 128 % 250)
+
+
 class Head:
     """Head of a message: its first line and its fields, names in lowercase."""
 
